monsooncleat: add the base, wire, log and bundle packages

Cause: an empty project. These are the parts without I/O on which the thin path is built: clock, rings, supervisor, Geneve and envelope codecs, the agreed log with its disk, the bundle state machine, membership, roster, leases, placement, flow table and request ledger.

Ruled out: nothing yet; the whole path is not joined. Before and after: not measured.

--- /dev/null
+++ b/internal/agree/disk/disk.go
@@ -0,0 +1,357 @@
+// Package disk keeps the agreed log of one control host under a data folder: a
+// write-ahead log with checksums, and snapshots replaced by rename.
+//
+// Each record is a 4-byte length, a 4-byte CRC-32C and a msgpack body. A torn
+// record at the end of the newest segment is cut; damage anywhere else is
+// refused.
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"sort"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+)
+
+// ErrDamaged is returned by Open for a log that is damaged before its end.
+var ErrDamaged = errors.New("write-ahead log is damaged")
+
+const (
+	snapshotName  = "snapshot"
+	identityName  = "identity"
+	segmentSuffix = ".wal"
+	headSize      = 8
+	maxRecord     = 64 << 20
+	// segmentSize is the size in bytes after which a new segment is begun.
+	segmentSize = 8 << 20
+	fileMode    = 0o600
+	folderMode  = 0o700
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// record is one item of the write-ahead log. Exactly one field is set.
+type record struct {
+	State *raft.HardState `msgpack:"state,omitempty"`
+	Entry *raft.Entry     `msgpack:"entry,omitempty"`
+}
+
+// Store is an open data folder. After a failed call it must not be used again,
+// because what reached the disk is not known.
+type Store struct {
+	folder   string
+	segment  *os.File
+	size     int64
+	number   uint64
+	segments []uint64
+	state    raft.HardState
+}
+
+// Open reads the data folder, which it creates when it is missing, and returns
+// the store with what it held.
+func Open(folder string) (*Store, raft.Stored, error) {
+	var stored raft.Stored
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, stored, eris.Wrap(err, "create data folder")
+	}
+	s := &Store{folder: folder}
+	if err := s.readSnapshot(&stored.Snapshot); err != nil {
+		return nil, stored, err
+	}
+	if err := s.readSegments(&stored); err != nil {
+		return nil, stored, err
+	}
+	dropReplaced(&stored)
+	s.state = stored.State
+	if err := s.beginSegment(); err != nil {
+		return nil, stored, err
+	}
+	return s, stored, nil
+}
+
+// dropReplaced removes the entries of a log that the snapshot replaced shortly
+// before a crash. Terms never fall along one log, so an older term after the
+// snapshot shows that the entries belong to the log before it.
+func dropReplaced(stored *raft.Stored) {
+	if len(stored.Entries) > 0 && stored.Entries[0].Term < stored.Snapshot.Term {
+		stored.Entries = nil
+	}
+}
+
+func (s *Store) readSnapshot(snap *raft.Snapshot) error {
+	b, err := os.ReadFile(filepath.Join(s.folder, snapshotName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "read snapshot")
+	}
+	body, rest, err := cutRecord(b)
+	if err != nil || len(rest) != 0 {
+		return fmt.Errorf("%w: snapshot", ErrDamaged)
+	}
+	return eris.Wrap(msgpack.Unmarshal(body, snap), "decode snapshot")
+}
+
+func (s *Store) readSegments(stored *raft.Stored) error {
+	names, err := filepath.Glob(filepath.Join(s.folder, "*"+segmentSuffix))
+	if err != nil {
+		return eris.Wrap(err, "list segments")
+	}
+	sort.Strings(names)
+	for i, name := range names {
+		var number uint64
+		if _, err := fmt.Sscanf(filepath.Base(name), "%016x"+segmentSuffix, &number); err != nil {
+			return fmt.Errorf("%w: segment name %s", ErrDamaged, filepath.Base(name))
+		}
+		s.segments = append(s.segments, number)
+		s.number = number
+		if err := readSegment(name, i == len(names)-1, stored); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readSegment adds the records of one file to stored. A torn record at the
+// end of the last file is cut off.
+func readSegment(name string, last bool, stored *raft.Stored) error {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return eris.Wrap(err, "read segment")
+	}
+	whole := len(b)
+	for len(b) > 0 {
+		body, rest, err := cutRecord(b)
+		if err != nil {
+			return cutTail(name, b, int64(whole-len(b)), last)
+		}
+		var r record
+		if err := msgpack.Unmarshal(body, &r); err != nil {
+			return fmt.Errorf("%w: %s", ErrDamaged, filepath.Base(name))
+		}
+		if err := r.addTo(stored); err != nil {
+			return err
+		}
+		b = rest
+	}
+	return nil
+}
+
+// cutTail truncates name at offset when rest is a torn record: nothing whole
+// follows it and it stands in the last segment.
+func cutTail(name string, rest []byte, offset int64, last bool) error {
+	if !last || wholeRecordAfter(rest) {
+		return fmt.Errorf("%w: %s at byte %d", ErrDamaged, filepath.Base(name), offset)
+	}
+	f, err := os.OpenFile(name, os.O_RDWR, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "open segment")
+	}
+	defer f.Close()
+	if err := f.Truncate(offset); err != nil {
+		return eris.Wrap(err, "cut torn record")
+	}
+	return eris.Wrap(f.Sync(), "sync segment")
+}
+
+// wholeRecordAfter reports whether any later offset of b starts a whole
+// record, which shows that the first one was damaged and not torn.
+func wholeRecordAfter(b []byte) bool {
+	for i := 1; i+headSize < len(b); i++ {
+		if body, _, err := cutRecord(b[i:]); err == nil && len(body) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *record) addTo(stored *raft.Stored) error {
+	if r.State != nil {
+		stored.State = *r.State
+	}
+	if r.Entry == nil || r.Entry.Index <= stored.Snapshot.Index {
+		return nil
+	}
+	at := r.Entry.Index - stored.Snapshot.Index - 1
+	if at > uint64(len(stored.Entries)) {
+		return fmt.Errorf("%w: entry %d is missing", ErrDamaged, r.Entry.Index-1)
+	}
+	stored.Entries = append(stored.Entries[:at], *r.Entry)
+	return nil
+}
+
+// cutRecord returns the body of the first record of b and what follows it.
+func cutRecord(b []byte) (body, rest []byte, err error) {
+	if len(b) < headSize {
+		return nil, nil, ErrDamaged
+	}
+	length := int(binary.BigEndian.Uint32(b))
+	if length > maxRecord || len(b) < headSize+length {
+		return nil, nil, ErrDamaged
+	}
+	body = b[headSize : headSize+length]
+	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(b[4:]) {
+		return nil, nil, ErrDamaged
+	}
+	return body, b[headSize+length:], nil
+}
+
+func appendRecord(dst []byte, v any) ([]byte, error) {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode record")
+	}
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(body)))
+	dst = binary.BigEndian.AppendUint32(dst, crc32.Checksum(body, castagnoli))
+	return append(dst, body...), nil
+}
+
+func (s *Store) segmentPath(number uint64) string {
+	return filepath.Join(s.folder, fmt.Sprintf("%016x%s", number, segmentSuffix))
+}
+
+// beginSegment starts a new segment that opens with the present hard state, so
+// that older segments can be deleted.
+func (s *Store) beginSegment() error {
+	s.number++
+	f, err := os.OpenFile(s.segmentPath(s.number), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "create segment")
+	}
+	if s.segment != nil {
+		_ = s.segment.Close()
+	}
+	s.segment, s.size = f, 0
+	s.segments = append(s.segments, s.number)
+	if err := s.write([]record{{State: &s.state}}); err != nil {
+		return err
+	}
+	return syncFolder(s.folder)
+}
+
+func (s *Store) write(records []record) error {
+	var b []byte
+	for i := range records {
+		var err error
+		if b, err = appendRecord(b, &records[i]); err != nil {
+			return err
+		}
+	}
+	if _, err := s.segment.Write(b); err != nil {
+		return eris.Wrap(err, "write segment")
+	}
+	s.size += int64(len(b))
+	return eris.Wrap(s.segment.Sync(), "sync segment")
+}
+
+// Save writes and syncs state, when it is not nil, and entries.
+func (s *Store) Save(state *raft.HardState, entries []raft.Entry) error {
+	records := make([]record, 0, len(entries)+1)
+	if state != nil {
+		s.state = *state
+		records = append(records, record{State: state})
+	}
+	for i := range entries {
+		records = append(records, record{Entry: &entries[i]})
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	if err := s.write(records); err != nil {
+		return err
+	}
+	if s.size > segmentSize {
+		return s.beginSegment()
+	}
+	return nil
+}
+
+// SaveSnapshot replaces the snapshot, writes the entries that follow it to a
+// new segment, and deletes the older segments.
+func (s *Store) SaveSnapshot(snap *raft.Snapshot, after []raft.Entry) error {
+	b, err := appendRecord(nil, snap)
+	if err != nil {
+		return err
+	}
+	if err := s.replace(snapshotName, b); err != nil {
+		return err
+	}
+	old := s.segments
+	s.segments = nil
+	if err := s.beginSegment(); err != nil {
+		return err
+	}
+	if err := s.Save(nil, after); err != nil {
+		return err
+	}
+	for _, number := range old {
+		if err := os.Remove(s.segmentPath(number)); err != nil {
+			return eris.Wrap(err, "delete segment")
+		}
+	}
+	return syncFolder(s.folder)
+}
+
+// replace writes a whole file by rename and syncs it and its folder.
+func (s *Store) replace(name string, b []byte) error {
+	return Replace(filepath.Join(s.folder, name), b)
+}
+
+// Identity returns the identity of this disk, or "" on a new one.
+func (s *Store) Identity() (string, error) {
+	b, err := os.ReadFile(filepath.Join(s.folder, identityName))
+	if errors.Is(err, os.ErrNotExist) {
+		return "", nil
+	}
+	return string(b), eris.Wrap(err, "read identity")
+}
+
+// SetIdentity stores the identity of this disk.
+func (s *Store) SetIdentity(id string) error {
+	return s.replace(identityName, []byte(id))
+}
+
+// Close closes the newest segment.
+func (s *Store) Close() error { return s.segment.Close() }
+
+// Replace writes b to path so that after a crash the file holds either the old
+// or the new content whole.
+func Replace(path string, b []byte) error {
+	temp := path + ".new"
+	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "create file")
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return eris.Wrap(err, "write file")
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return eris.Wrap(err, "rename file")
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return eris.Wrap(err, "open folder")
+	}
+	defer f.Close()
+	return eris.Wrap(f.Sync(), "sync folder")
+}
--- /dev/null
+++ b/internal/base/logs/logs.go
@@ -0,0 +1,66 @@
+// Package logs builds the loggers of the parts of a process.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/charmbracelet/log"
+)
+
+// Logger writes leveled, structured lines for one part of a process.
+type Logger = log.Logger
+
+// Options choose what a process logs.
+type Options struct {
+	// Level is debug, info, warn or error.
+	Level string
+	// JSON selects one JSON object a line in place of text.
+	JSON bool
+	// Parts lists the parts that log at debug level whatever Level says.
+	Parts []string
+}
+
+// Factory makes the loggers of one process.
+type Factory struct {
+	out     io.Writer
+	level   log.Level
+	options Options
+}
+
+// New returns a Factory that writes to out, or an error for an unknown level.
+func New(out io.Writer, options Options) (*Factory, error) {
+	level, err := log.ParseLevel(options.Level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q: want debug, info, warn or error", options.Level)
+	}
+	return &Factory{out: out, level: level, options: options}, nil
+}
+
+// Part returns the logger of one part. Its name is the prefix of each line.
+func (f *Factory) Part(name string) *Logger {
+	level := f.level
+	if slices.Contains(f.options.Parts, name) {
+		level = log.DebugLevel
+	}
+	opts := log.Options{Level: level, Prefix: name, ReportTimestamp: true}
+	if f.options.JSON {
+		opts.Formatter = log.JSONFormatter
+	}
+	return log.NewWithOptions(f.out, opts)
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	return log.New(io.Discard)
+}
+
+// SplitParts parses a comma-separated list of part names.
+func SplitParts(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
--- /dev/null
+++ b/internal/bundle/patch/patch.go
@@ -0,0 +1,55 @@
+// Package patch encodes a text as its difference from an earlier one: the
+// common head and tail by length, and the middle as it is.
+package patch
+
+import (
+	"errors"
+
+	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+)
+
+// ErrMismatch is returned when a patch does not give the text it names.
+var ErrMismatch = errors.New("patch does not give the named text")
+
+// Patch turns the text with digest Base into the text with digest Target.
+type Patch struct {
+	Base   spec.Digest `msgpack:"base"`
+	Target spec.Digest `msgpack:"target"`
+	Head   int         `msgpack:"head"`
+	Tail   int         `msgpack:"tail"`
+	Middle string      `msgpack:"middle"`
+}
+
+// Make returns the patch from base to target. An empty base gives a patch that
+// holds the whole target.
+func Make(base, target string) Patch {
+	p := Patch{Target: spec.DigestOf(target)}
+	if base != "" {
+		p.Base = spec.DigestOf(base)
+	}
+	shorter := min(len(base), len(target))
+	for p.Head < shorter && base[p.Head] == target[p.Head] {
+		p.Head++
+	}
+	for p.Tail < shorter-p.Head && base[len(base)-1-p.Tail] == target[len(target)-1-p.Tail] {
+		p.Tail++
+	}
+	p.Middle = target[p.Head : len(target)-p.Tail]
+	return p
+}
+
+// Apply returns the target text. It returns ErrMismatch when base is not the
+// text that p was made from.
+func (p *Patch) Apply(base string) (string, error) {
+	if p.Base == "" {
+		base = ""
+	}
+	if p.Head < 0 || p.Tail < 0 || p.Head > len(base)-p.Tail {
+		return "", ErrMismatch
+	}
+	target := base[:p.Head] + p.Middle + base[len(base)-p.Tail:]
+	if spec.DigestOf(target) != p.Target {
+		return "", ErrMismatch
+	}
+	return target, nil
+}
--- /dev/null
+++ b/internal/host/member/group.go
@@ -0,0 +1,262 @@
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
+	"monsooncleat.example/monsooncleat/internal/host/rumor"
+	"monsooncleat.example/monsooncleat/internal/wire/codec"
+)
+
+// Piggyback is the layer above, whose updates travel with the probes.
+type Piggyback interface {
+	// Fill returns the bytes to send with a probe, or with a whole sync.
+	Fill(whole bool) []byte
+	// Merge takes the bytes that came from a host.
+	Merge(from string, load []byte)
+}
+
+// Send is a frame for the host at an address.
+type Send struct {
+	To   string
+	Body []byte
+}
+
+type peer struct {
+	info Info
+	// changedAt is when the state was last learned.
+	changedAt clock.Millis
+	// probedAt and seq belong to the probe under way, if waiting.
+	probedAt clock.Millis
+	seq      uint64
+	waiting  bool
+	asked    bool
+	ackedAt  clock.Millis
+}
+
+// relayed is a probe made for another host.
+type relayed struct {
+	origin string
+	seq    uint64
+	at     clock.Millis
+}
+
+// Group is one host's view of its data centre. It is not safe for concurrent
+// use.
+type Group struct {
+	self   Info
+	timing Timing
+	rand   *rand.Rand
+	load   Piggyback
+	seeds  []string
+
+	now     clock.Millis
+	peers   map[string]*peer
+	order   []string
+	probeAt clock.Millis
+	syncAt  clock.Millis
+	seq     uint64
+	relays  map[uint64]relayed
+	rumors  rumor.Set[string, Info]
+	joined  bool
+	heardAt clock.Millis
+	// deposed is set when the group had declared this host dead.
+	deposed bool
+	version uint64
+	out     []Send
+}
+
+// New returns the group of one host that knows only itself and the peer
+// addresses of some seeds.
+func New(self Info, seeds []string, timing Timing, load Piggyback, now clock.Millis, r *rand.Rand) *Group {
+	self.State = Alive
+	return &Group{
+		self: self, timing: timing, rand: r, load: load, seeds: seeds, now: now,
+		peers: map[string]*peer{}, relays: map[uint64]relayed{}, heardAt: now, version: 1,
+	}
+}
+
+// Self returns what this host says about itself.
+func (g *Group) Self() Info { return g.self }
+
+// Version returns a number that changes with each change of the view.
+func (g *Group) Version() uint64 { return g.version }
+
+// Take returns the frames to send and forgets them.
+func (g *Group) Take() []Send {
+	out := g.out
+	g.out = nil
+	return out
+}
+
+// TakeDeposed reports once that the group had declared this host dead, so that
+// others have taken over what it held.
+func (g *Group) TakeDeposed() bool {
+	was := g.deposed
+	g.deposed = false
+	return was
+}
+
+// Members returns all hosts known, this one included, sorted by name.
+func (g *Group) Members() []Info {
+	out := []Info{g.self}
+	for _, p := range g.peers {
+		out = append(out, p.info)
+	}
+	slices.SortFunc(out, func(a, b Info) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Find returns what is known of the host called name.
+func (g *Group) Find(name string) (Info, bool) {
+	if name == g.self.Name {
+		return g.self, true
+	}
+	p, ok := g.peers[name]
+	if !ok {
+		return Info{}, false
+	}
+	return p.info, true
+}
+
+// ChangedAt returns when the state of a host was last learned.
+func (g *Group) ChangedAt(name string) clock.Millis {
+	if p, ok := g.peers[name]; ok {
+		return p.changedAt
+	}
+	return 0
+}
+
+// Digest returns a hash of the hosts that serve, equal on hosts of equal view.
+func (g *Group) Digest() uint64 {
+	var sum uint64
+	for _, m := range g.Members() {
+		if m.State == Alive || m.State == Suspect {
+			sum = hash.Mix(sum, hash.Mix(hash.String(m.Name), m.Boot))
+		}
+	}
+	return sum
+}
+
+// Fenced reports whether this host must not start work that may happen only
+// once: it has heard no answer for a while, or sees less than a majority of
+// the hosts that were here lately.
+func (g *Group) Fenced(now clock.Millis) bool {
+	alive, known, lowest := 1, 1, g.self.Name
+	others := false
+	for name, p := range g.peers {
+		switch p.info.State {
+		case Alive, Suspect, Leaving:
+			alive++
+			known++
+			others = true
+			lowest = min(lowest, name)
+		case Dead:
+			if now-p.changedAt < g.timing.Remember {
+				known++
+				lowest = min(lowest, name)
+			}
+		}
+	}
+	if others && now-g.heardAt > g.timing.FenceAfter {
+		return true
+	}
+	if 2*alive == known {
+		p, ok := g.peers[lowest]
+		return ok && p.info.State == Dead
+	}
+	return 2*alive < known
+}
+
+// Leave tells the others that this host stops being home to anything.
+func (g *Group) Leave() { g.announceSelf(Leaving) }
+
+// Depart tells the others that this host is gone.
+func (g *Group) Depart() {
+	g.announceSelf(Left)
+	for _, p := range g.peers {
+		if p.info.State <= Suspect {
+			g.send(p.info.Peer, codec.Leave, g.self)
+		}
+	}
+}
+
+func (g *Group) announceSelf(s State) {
+	g.self.State = s
+	g.self.Incarnation++
+	g.version++
+	g.rumors.Put(g.self.Name, g.self)
+}
+
+// Reboot gives this host a new boot number after it lost what it held.
+func (g *Group) Reboot(boot uint64) {
+	g.self.Boot = boot
+	g.announceSelf(g.self.State)
+}
+
+func (g *Group) send(to string, kind codec.Kind, v any) {
+	g.out = append(g.out, Send{to, codec.Encode(kind, v)})
+}
+
+func (g *Group) gossip() []Info {
+	return g.rumors.Take(maxGossip, len(g.peers)+1)
+}
+
+// merge takes what another host says about the members.
+func (g *Group) merge(members []Info) {
+	for i := range members {
+		g.learn(&members[i])
+	}
+}
+
+func (g *Group) learn(m *Info) {
+	if m.Name == g.self.Name {
+		g.refute(m)
+		return
+	}
+	p, known := g.peers[m.Name]
+	if known && !m.overrides(&p.info) {
+		return
+	}
+	if !known {
+		if m.State == Left {
+			return
+		}
+		p = &peer{}
+		g.peers[m.Name] = p
+		g.order = append(g.order, m.Name)
+	}
+	if !known || p.info.State != m.State || p.info.Boot != m.Boot || p.info.Fabric != m.Fabric {
+		p.changedAt = g.now
+		g.version++
+	}
+	if m.State == Alive {
+		p.waiting = false
+	}
+	p.info = *m
+	g.rumors.Put(m.Name, *m)
+}
+
+// refute answers what others say about this host itself.
+func (g *Group) refute(m *Info) {
+	if m.Incarnation < g.self.Incarnation || *m == g.self {
+		return
+	}
+	if m.State == Dead && g.self.State != Left {
+		g.deposed = true
+	}
+	if m.Incarnation > g.self.Incarnation || m.State > g.self.State {
+		g.self.Incarnation = m.Incarnation
+		g.announceSelf(g.self.State)
+	}
+}
+
+// mark changes the state of a peer by this host's own finding.
+func (g *Group) mark(p *peer, s State) {
+	info := p.info
+	info.State = s
+	g.learn(&info)
+}
--- /dev/null
+++ b/internal/serve/lease/keeper.go
@@ -0,0 +1,156 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+)
+
+// holding is what a keeper knows of one holder at one server.
+type holding struct {
+	// count is the most slots that the holder may be using.
+	count   int
+	need    int
+	have    int
+	expires clock.Millis
+	// reclaim is what the holder loses at its next ask.
+	reclaim int
+}
+
+type kept struct {
+	limit   int
+	since   clock.Millis
+	holders map[string]*holding
+}
+
+// Keeper grants leases on the servers that this host keeps. It is not safe for
+// concurrent use.
+type Keeper struct {
+	servers map[string]*kept
+	seqs    map[string]uint64
+}
+
+// NewKeeper returns a Keeper without servers.
+func NewKeeper() *Keeper {
+	return &Keeper{servers: map[string]*kept{}, seqs: map[string]uint64{}}
+}
+
+// SetLimits tells which servers this host keeps and the slots of each. A
+// server new to this keeper gets no fresh grants for a term, so that the
+// leases of the keeper before have ended.
+func (k *Keeper) SetLimits(now clock.Millis, limits map[string]int) {
+	maps.DeleteFunc(k.servers, func(name string, _ *kept) bool {
+		_, keep := limits[name]
+		return !keep
+	})
+	for name, limit := range limits {
+		s := k.servers[name]
+		if s == nil {
+			s = &kept{since: now, holders: map[string]*holding{}}
+			k.servers[name] = s
+		}
+		s.limit = limit
+	}
+}
+
+// Found lifts the waiting time of a server that has just come up, for which
+// no earlier keeper can have granted anything.
+func (k *Keeper) Found(name string) {
+	if s := k.servers[name]; s != nil {
+		s.since = -Term
+	}
+}
+
+// OnAsk answers one ask. It returns nil for an ask that came out of order.
+func (k *Keeper) OnAsk(now clock.Millis, ask *Ask) *Grant {
+	if ask.Seq <= k.seqs[ask.From] {
+		return nil
+	}
+	k.seqs[ask.From] = ask.Seq
+	grant := &Grant{Seq: ask.Seq}
+	for i := range ask.Services {
+		svc := &ask.Services[i]
+		have := svc.Have
+		for j := range svc.Servers {
+			a := &svc.Servers[j]
+			s := k.servers[a.Name]
+			if s == nil {
+				continue
+			}
+			granted := s.grant(now, ask.From, svc.Need, have, a)
+			have += granted - a.Held
+			grant.Servers = append(grant.Servers, GrantServer{a.Name, granted, max(0, s.limit-s.counted(""))})
+		}
+	}
+	return grant
+}
+
+func (s *kept) counted(except string) int {
+	sum := 0
+	for name, h := range s.holders {
+		if name != except {
+			sum += h.count
+		}
+	}
+	return sum
+}
+
+// grant decides one holder's lease on s.
+func (s *kept) grant(now clock.Millis, from string, need, have int, a *AskServer) int {
+	maps.DeleteFunc(s.holders, func(_ string, h *holding) bool { return h.expires < now })
+	h := s.holders[from]
+	if h == nil {
+		h = &holding{}
+		s.holders[from] = h
+	}
+	h.need, h.have, h.expires = need, have, now+Term
+	keep := max(0, a.Held-h.reclaim)
+	h.reclaim = 0
+	most := max(0, s.limit-s.counted(from))
+	granted := min(keep, most)
+	if now-s.since >= Term {
+		granted = min(keep+a.More, most)
+	}
+	h.have += granted - a.Held
+	if granted < keep+a.More && a.More > 0 {
+		s.reclaimFor(from, h)
+	}
+	// Until the holder asks again it may go on with what it held before.
+	h.count = max(a.Held, a.Used, granted)
+	return granted
+}
+
+// reclaimFor takes one slot at its next ask from the holder that is best off
+// for its need, when that leaves it no worse off than the one asking.
+func (s *kept) reclaimFor(from string, poor *holding) {
+	rich := ""
+	for _, name := range slices.Sorted(maps.Keys(s.holders)) {
+		h := s.holders[name]
+		if name == from || h.count <= h.reclaim || h.reclaim > 0 {
+			continue
+		}
+		if rich == "" || h.have*s.holders[rich].need > s.holders[rich].have*h.need {
+			rich = name
+		}
+	}
+	if rich == "" {
+		return
+	}
+	h := s.holders[rich]
+	if (h.have-1)*poor.need >= (poor.have+1)*h.need {
+		h.reclaim = 1
+	}
+}
+
+// Granted returns the most slots of a server that may be in use, over all
+// holders, as far as this keeper knows.
+func (k *Keeper) Granted(name string) int {
+	if s := k.servers[name]; s != nil {
+		return s.counted("")
+	}
+	return 0
+}
+
+// Len returns the count of servers kept.
+func (k *Keeper) Len() int { return len(k.servers) }
