monsooncleat: join the thin path from caller to backend server

Cause: the parts did not yet run as processes. Entry and control daemons, the operator's commands, the stand-ins and the example join them.

--- a/internal/ask/ledger/ledger.go
+++ b/internal/ask/ledger/ledger.go
@@ -52,6 +52,16 @@
 // maxReturns is the most places that one answer is sent to.
 const maxReturns = 4
 
+// Attempt is one sending of a request to a server.
+type Attempt struct {
+	Number uint64
+	Server string
+	// Open says that the attempt occupies a slot.
+	Open bool
+	// NotRun says that the server certainly did not run it.
+	NotRun bool
+}
+
 // Entry is one request.
 type Entry struct {
 	Key     Key
@@ -62,17 +72,32 @@
 	Returns []Return
 	// Deadline is when an answer is of no more use.
 	Deadline clock.Millis
-	// Attempt names the latest try; Server is where it went.
-	Attempt uint64
-	Server  string
-	SentAt  clock.Millis
-	// Tries counts the servers tried, and Unsure those that did not say that
-	// they did not run it.
-	Tries     int
-	Unsure    int
-	Cancelled bool
-	Answer    envel.Answer
-	expires   clock.Millis
+	// Attempts are the sendings to servers, the latest last.
+	Attempts []Attempt
+	// Inquired says that the servers were asked how the attempts ended.
+	Inquired bool
+	Answer   envel.Answer
+	expires  clock.Millis
+}
+
+// Attempt returns the attempt with the given number, or nil.
+func (e *Entry) Attempt(number uint64) *Attempt {
+	for i := range e.Attempts {
+		if e.Attempts[i].Number == number {
+			return &e.Attempts[i]
+		}
+	}
+	return nil
+}
+
+// MayHaveRun reports whether a server may have run the request.
+func (e *Entry) MayHaveRun() bool {
+	for i := range e.Attempts {
+		if !e.Attempts[i].NotRun {
+			return true
+		}
+	}
+	return false
 }
 
 // Join adds a place to which the answer goes.
--- /dev/null
+++ b/internal/cli/cmds/cmds.go
@@ -0,0 +1,147 @@
+// Package cmds holds the subcommands of the monsooncleat program.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"monsooncleat.example/monsooncleat/internal/base/logs"
+)
+
+// Exit codes of the program.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// errUsage marks a wrong call of a command.
+var errUsage = errors.New("wrong usage")
+
+// env is what a command may touch of the outside.
+type env struct {
+	out io.Writer
+	err io.Writer
+}
+
+type command struct {
+	name    string
+	args    string
+	summary string
+	run     func(ctx context.Context, e *env, args []string) error
+}
+
+func commands() []command {
+	return []command{
+		{"entry", "-settings FILE", "run an entry host", runEntry},
+		{"control", "-settings FILE", "run a control host", runControl},
+		{"bundle", "publish|approve|roll|resume|status", "drive the system", runBundle},
+		{"member", "add|remove NAME", "change the control hosts", runMember},
+		{"keys", "operator|shared FILE", "make a key", runKeys},
+		{"dump", "ADDRESS", "print the state of one process", runDump},
+		{"check", "entry|control|operator|bundle FILE", "check a settings file or a bundle", runCheck},
+		{"version", "", "print the version", runVersion},
+	}
+}
+
+// Run performs the command that args name and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	e := &env{out, errOut}
+	if len(args) == 0 {
+		usage(errOut)
+		return ExitUsage
+	}
+	if isHelp(args[0]) {
+		usage(out)
+		return ExitDone
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return e.exitCode(c, c.run(signalContext(), e, args[1:]))
+		}
+	}
+	fmt.Fprintf(errOut, "monsooncleat: unknown command %q\n", args[0])
+	usage(errOut)
+	return ExitUsage
+}
+
+func isHelp(arg string) bool {
+	return arg == "-h" || arg == "-help" || arg == "--help" || arg == "help"
+}
+
+func (e *env) exitCode(c command, err error) int {
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitDone
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(e.err, "monsooncleat %s: %v\nusage: monsooncleat %s %s\n", c.name, err, c.name, c.args)
+		return ExitUsage
+	default:
+		fmt.Fprintf(e.err, "monsooncleat %s: %v\n", c.name, err)
+		return ExitFailed
+	}
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "monsooncleat is a layer-4 load balancer.\n\nusage: monsooncleat COMMAND [flags]")
+	for _, c := range commands() {
+		fmt.Fprintf(w, "  %-8s %-40s %s\n", c.name, c.args, c.summary)
+	}
+	fmt.Fprintln(w, "\nRun a command with -h for its flags. Exit codes: 0 done, 1 failed, 2 wrong usage.")
+}
+
+// signalContext returns a context that the first SIGTERM or interrupt ends. A
+// second one ends the process at once.
+func signalContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(ExitFailed)
+	}()
+	return ctx
+}
+
+// newFlags returns a flag set that reports its faults as errUsage.
+func (e *env) newFlags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet("monsooncleat "+name, flag.ContinueOnError)
+	fs.SetOutput(e.err)
+	return fs
+}
+
+// parse parses args and checks the count of those that are not flags.
+func parse(fs *flag.FlagSet, args []string, want int) error {
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if fs.NArg() != want {
+		return fmt.Errorf("%w: want %d arguments, not %d", errUsage, want, fs.NArg())
+	}
+	return nil
+}
+
+// logFlags adds the flags of a daemon's logs.
+func logFlags(fs *flag.FlagSet) func(w io.Writer) (*logs.Factory, error) {
+	level := fs.String("log-level", "info", "log `LEVEL`: debug, info, warn or error")
+	asJSON := fs.Bool("log-json", false, "log one JSON object a line")
+	parts := fs.String("log-parts", "", "comma-separated `PARTS` that log at debug level: entry, control, link")
+	return func(w io.Writer) (*logs.Factory, error) {
+		f, err := logs.New(w, logs.Options{Level: *level, JSON: *asJSON, Parts: logs.SplitParts(*parts)})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errUsage, err)
+		}
+		return f, nil
+	}
+}
--- a/internal/conf/node/entry.go
+++ b/internal/conf/node/entry.go
@@ -28,7 +28,10 @@
 	// Announce takes the announcements of backend servers over HTTP.
 	Announce strict.Endpoint `toml:"announce"`
 	Admin    strict.Endpoint `toml:"admin"`
-	KeyFile  string          `toml:"keyFile"`
+	// ReturnPort is the port of the fabric's own endpoints, when it is not
+	// the port that their datagrams come from.
+	ReturnPort uint16 `toml:"returnPort"`
+	KeyFile    string `toml:"keyFile"`
 	// DataFolder keeps the release in force over restarts, if it is set.
 	DataFolder  string      `toml:"dataFolder"`
 	MaxFlows    int         `toml:"maxFlows"`
--- a/internal/ctrl/core/join.go
+++ b/internal/ctrl/core/join.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"fmt"
 	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
@@ -132,8 +131,7 @@
 }
 
 func (c *Core) onMemberChange(from Token, m *msgs.MemberChange) {
-	text := fmt.Appendf(nil, "monsooncleat member %s %s %t", m.ID, m.Name, m.Remove)
-	if err := c.opts.Keys.Verify(m.Operator, text, m.Signature); err != nil {
+	if err := c.opts.Keys.Verify(m.Operator, m.SignedBytes(), m.Signature); err != nil {
 		r := state.Result{Code: state.Forbidden, Text: err.Error()}
 		c.reply(from, codec.CommandReply, msgs.CommandReply{Result: r})
 		return
--- a/internal/ctrl/daemon/daemon.go
+++ b/internal/ctrl/daemon/daemon.go
@@ -57,11 +57,11 @@
 	events   *ring.Ring[event]
 	// synced brings the disk's news. It holds one item for each batch that the
 	// disk ring can hold, and so is never full.
-	synced *ring.Ring[event]
-	batches  *ring.Ring[core.Out]
-	peers    *link.Peers
-	server   *link.Server
-	metrics  *admin.Metrics
+	synced  *ring.Ring[event]
+	batches *ring.Ring[core.Out]
+	peers   *link.Peers
+	server  *link.Server
+	metrics *admin.Metrics
 
 	// tokens names the connections that wait for a reply. The decision
 	// goroutine gives them out, the disk goroutine takes them back.
--- a/internal/ctrl/msgs/msgs.go
+++ b/internal/ctrl/msgs/msgs.go
@@ -3,6 +3,8 @@
 package msgs
 
 import (
+	"fmt"
+
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/bundle/chain"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
@@ -42,6 +44,11 @@
 	Signature []byte
 }
 
+// SignedBytes returns what the operator signs.
+func (m *MemberChange) SignedBytes() []byte {
+	return fmt.Appendf(nil, "monsooncleat member %s %s %t", m.ID, m.Name, m.Remove)
+}
+
 // Status asks for the state of the versions.
 type Status struct{}
 
--- /dev/null
+++ b/internal/entry/core/load.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/host/homes"
+	"monsooncleat.example/monsooncleat/internal/serve/lease"
+	"monsooncleat.example/monsooncleat/internal/wire/codec"
+)
+
+const (
+	// askSpan is the span between two rounds of lease asks, and hurrySpan the
+	// least span when requests wait.
+	askSpan   = 500 * clock.Millis(1)
+	hurrySpan = 50 * clock.Millis(1)
+	// Callers that were refused come back after a span that grows with the
+	// share of refusals, spread by half in both directions.
+	minRetryAfter = 200 * clock.Millis(1)
+	maxRetryAfter = 30 * clock.Second
+)
+
+// loadMeter counts what a service served and refused in the present and the
+// last second.
+type loadMeter struct {
+	served, refused         int
+	lastServed, lastRefused int
+	turn                    clock.Millis
+}
+
+func (m *loadMeter) roll(now clock.Millis) {
+	if now-m.turn < clock.Second {
+		return
+	}
+	m.turn = now
+	m.lastServed, m.lastRefused = m.served, m.refused
+	m.served, m.refused = 0, 0
+}
+
+// retryAfter returns when a refused caller should come back, so that the
+// callers refused in a second return over as long as the service needs for them.
+func (c *Core) retryAfter(s *service) clock.Millis {
+	m := &s.load
+	served := max(1, m.served+m.lastServed)
+	refused := m.refused + m.lastRefused
+	span := minRetryAfter + clock.Second*clock.Millis(refused)/clock.Millis(served)
+	span = min(span, maxRetryAfter)
+	return span/2 + clock.Millis(c.rand.Int64N(int64(span)))
+}
+
+// askLeases asks the keepers for slots: now and then, and soon when requests
+// wait for want of them.
+func (c *Core) askLeases() {
+	hurry := false
+	for name, s := range c.services {
+		s.load.roll(c.now)
+		hurry = hurry || c.holder.Starved(c.now, name)
+	}
+	if c.now < c.askAt && !(hurry && c.now >= c.hurryAt) {
+		return
+	}
+	c.askAt, c.hurryAt = c.now+askSpan, c.now+hurrySpan
+	c.warmUp()
+	for keeper, ask := range c.holder.Asks(c.now, c.keeperOf) {
+		if keeper == c.opts.Name {
+			c.onLeaseGrant(c.keeper.OnAsk(c.now, ask), keeper)
+			continue
+		}
+		c.frameTo(keeper, codec.LeaseAsk, ask)
+	}
+	for _, s := range c.services {
+		c.drainQueue(s)
+	}
+}
+
+// warmUp raises the limits of servers that are still cold.
+func (c *Core) warmUp() {
+	limits := map[string]int{}
+	for name, s := range c.services {
+		if s.place == nil {
+			continue
+		}
+		for _, b := range s.place.Backends() {
+			srv := c.roster.Find(b.Name)
+			if srv != nil && srv.Info().Service == name && c.homes.Home(homes.Bucket(serverHash(b.Name))) == c.opts.Name {
+				limits[b.Name] = c.slotsOf(s, srv)
+			}
+		}
+	}
+	c.keeper.SetLimits(c.now, limits)
+}
+
+func (c *Core) onLeaseAsk(ask *lease.Ask) {
+	if grant := c.keeper.OnAsk(c.now, ask); grant != nil {
+		grant.From = c.opts.Name
+		c.frameTo(ask.From, codec.LeaseGrant, grant)
+	}
+}
+
+func (c *Core) onLeaseGrant(grant *lease.Grant, from string) {
+	if grant == nil {
+		return
+	}
+	grant.From = from
+	c.holder.OnGrant(grant)
+	for _, s := range c.services {
+		if len(s.queue) > 0 {
+			c.drainQueue(s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/core/view.go
@@ -0,0 +1,186 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+	"monsooncleat.example/monsooncleat/internal/flow/table"
+	"monsooncleat.example/monsooncleat/internal/host/homes"
+	"monsooncleat.example/monsooncleat/internal/host/member"
+	"monsooncleat.example/monsooncleat/internal/serve/lease"
+	"monsooncleat.example/monsooncleat/internal/serve/place"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
+)
+
+// service is what the host holds for one service of the bundle in force.
+type service struct {
+	spec *spec.Service
+	id   table.ID
+	// place is the default placement, and ids the numbers of its backends.
+	place    *place.Table
+	backends []place.Backend
+	ids      []table.ID
+	// counts holds the flows that this host is home to, by server.
+	counts map[table.ID]int
+	total  int
+	queue  []*entry
+	load   loadMeter
+	tokens float64
+}
+
+func (s *service) forget() {
+	clear(s.counts)
+	s.total = 0
+	s.queue = nil
+}
+
+func (s *service) add(server table.ID, n int) {
+	s.counts[server] += n
+	s.total += n
+}
+
+// lookAround brings the tables up to date after the membership, the roster or
+// the bundle changed.
+func (c *Core) lookAround() {
+	changed := false
+	if v := c.group.Version(); v != c.viewed {
+		c.viewed = v
+		c.viewAt = c.now
+		c.viewHosts()
+		changed = true
+	}
+	if v := c.roster.Version(); v != c.rostered {
+		c.rostered = v
+		changed = true
+	}
+	if changed {
+		c.viewServers()
+	}
+}
+
+func (c *Core) viewHosts() {
+	var hosts []homes.Host
+	for _, m := range c.group.Members() {
+		if m.State > member.Suspect {
+			continue
+		}
+		hosts = append(hosts, homes.Host{Name: m.Name, Serves: m.Serves})
+		c.boots[m.Name] = c.names.ID(fmt.Sprintf("%s#%d", m.Name, m.Boot))
+		if addr, err := netip.ParseAddrPort(m.Fabric); err == nil {
+			c.addrs[m.Name] = addr
+		}
+	}
+	old := c.homes
+	c.homes = homes.New(hosts)
+	self := c.opts.Name
+	for b := range homes.Buckets {
+		owns := c.homes.Home(b) == self || c.homes.Next(b) == self
+		owned := old != nil && (old.Home(b) == self || old.Next(b) == self)
+		if owns && !owned {
+			c.since[b] = c.now
+		}
+	}
+	c.copies.restart()
+}
+
+// viewServers rebuilds the placement of the services whose servers changed,
+// and tells the lease machines what is there.
+func (c *Core) viewServers() {
+	limits := map[string]int{}
+	for name, s := range c.services {
+		pool := c.roster.Pool(name)
+		s.setPool(c, pool)
+		if s.spec.Kind() != spec.Request {
+			continue
+		}
+		var backends []lease.Backend
+		for _, srv := range pool {
+			i := srv.Info()
+			backends = append(backends, lease.Backend{Name: i.Name, Weight: max(1, i.Weight)})
+			if c.keeperOf(i.Name) == c.opts.Name {
+				limits[i.Name] = c.slotsOf(s, srv)
+			}
+		}
+		c.holder.SetPool(name, backends)
+	}
+	c.keeper.SetLimits(c.now, limits)
+	c.copies.restart()
+}
+
+func (s *service) setPool(c *Core, pool []*roster.Server) {
+	backends := make([]place.Backend, 0, len(pool))
+	for _, srv := range pool {
+		i := srv.Info()
+		backends = append(backends, place.Backend{Name: i.Name, Weight: max(1, i.Weight)})
+	}
+	if s.place != nil && slices.Equal(backends, s.backends) {
+		return
+	}
+	s.backends = backends
+	s.place = place.New(s.spec.Buckets(), backends)
+	s.ids = s.ids[:0]
+	for _, b := range s.place.Backends() {
+		s.ids = append(s.ids, c.names.ID(b.Name))
+	}
+}
+
+// slotsOf returns the requests that a server may run at once: fewer while it
+// is cold.
+func (c *Core) slotsOf(s *service, srv *roster.Server) int {
+	i := srv.Info()
+	slots := s.spec.Slots()
+	if i.Slots > 0 {
+		slots = min(slots, int(i.Slots))
+	}
+	return max(1, int(srv.Warmth(c.now)*float64(slots)))
+}
+
+// install replaces the services by those of a bundle. What is kept for a
+// service of the same name stays.
+func (c *Core) install(b *spec.Bundle, old *spec.Bundle) {
+	next := map[string]*service{}
+	for _, sp := range b.Services() {
+		if !slices.Contains(sp.Centres(), c.opts.Centre) {
+			continue
+		}
+		s := c.services[sp.Name()]
+		if s == nil {
+			s = &service{id: c.names.ID(sp.Name()), counts: map[table.ID]int{}, tokens: retryBurst}
+		}
+		if s.spec != nil && s.spec.Buckets() != sp.Buckets() {
+			s.place = nil
+		}
+		s.spec = sp
+		next[sp.Name()] = s
+	}
+	for name, s := range c.services {
+		if next[name] == nil {
+			c.refuseQueue(s)
+		}
+	}
+	c.services = next
+	c.noteMoves(b, old)
+	c.viewServers()
+}
+
+// noteMoves remembers which addresses changed their service, because a packet
+// in the middle of an unknown flow to one of them may belong to either.
+func (c *Core) noteMoves(b, old *spec.Bundle) {
+	if old == nil {
+		return
+	}
+	for _, s := range old.Services() {
+		for _, a := range s.Addresses() {
+			if now := b.Lookup(a); now != nil && now.Name() != s.Name() {
+				c.moved[a] = c.now
+			}
+		}
+	}
+}
+
+// keeperOf returns the host that grants the slots of a server.
+func (c *Core) keeperOf(server string) string {
+	return c.homes.Home(homes.Bucket(serverHash(server)))
+}
--- /dev/null
+++ b/internal/entry/daemon/admin.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"monsooncleat.example/monsooncleat/internal/base/admin"
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	maxAnnounce   = 4096
+)
+
+// errBadAnnouncement is returned for an announcement that lacks a field.
+var errBadAnnouncement = errors.New("want name, service, address as IP and port, and start")
+
+// stats is a copy of the counters that other goroutines may read.
+type stats struct {
+	values [64]atomic.Uint64
+	flows  atomic.Int64
+}
+
+func (s *stats) copy(c *core.Core) {
+	for i := range core.CounterCount {
+		s.values[i].Store(c.Counters().Get(core.Counter(i)))
+	}
+	s.flows.Store(int64(c.Flows()))
+}
+
+func (d *Daemon) publish() {
+	for i := range core.CounterCount {
+		d.metrics.Gauge(core.Counter(i).String(), func() int64 { return int64(d.stats.values[i].Load()) })
+	}
+	d.metrics.Gauge("flows", d.stats.flows.Load)
+	d.metrics.Gauge("packetRingDepth", func() int64 { return int64(d.packets.Depth()) })
+	d.metrics.Gauge("packetRingRefused", func() int64 { return int64(d.packets.Refused()) })
+	d.metrics.Gauge("answerRingDepth", func() int64 { return int64(d.answers.Depth()) })
+	d.metrics.Gauge("answerRingRefused", func() int64 { return int64(d.answers.Refused()) })
+	d.metrics.Gauge("eventRingDepth", func() int64 { return int64(d.events.Depth()) })
+	d.metrics.Gauge("eventRingRefused", func() int64 { return int64(d.events.Refused()) })
+	d.metrics.Gauge("peerRingDepth", func() int64 { return int64(d.peers.Depth()) })
+	d.metrics.Gauge("framesDropped", func() int64 { return int64(d.peers.Dropped()) })
+	d.metrics.Gauge("controlBytesIn", func() int64 { return int64(d.server.BytesIn() + d.peers.BytesIn()) })
+	d.metrics.Gauge("controlBytesOut", func() int64 { return int64(d.server.BytesOut() + d.peers.BytesOut()) })
+	d.metrics.Gauge("sendErrors", func() int64 { return int64(d.sendErr.Load()) })
+}
+
+// serveAnnounce takes the announcements of backend servers.
+func (d *Daemon) serveAnnounce(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/announce", d.onAnnounce)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return admin.ServeHTTP(ctx, d.settings.Announce.String(), server)
+}
+
+func (d *Daemon) onAnnounce(w http.ResponseWriter, r *http.Request) {
+	var a roster.Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounce))
+	if err := dec.Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := checkAnnouncement(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !d.events.Offer(event{announce: &a}) {
+		http.Error(w, ErrBusy.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]clock.Millis{"nextMs": roster.Beat})
+}
+
+func checkAnnouncement(a *roster.Announcement) error {
+	if _, err := netip.ParseAddrPort(a.Address); err != nil || a.Name == "" || a.Service == "" || a.Start <= 0 {
+		return errBadAnnouncement
+	}
+	return nil
+}
+
+// state runs on the decision goroutine.
+func (d *Daemon) state(now clock.Millis) *core.Dump {
+	v := d.core.Dump(now)
+	v.Rings = map[string]int{
+		"packets": d.packets.Depth(), "answers": d.answers.Depth(),
+		"events": d.events.Depth(), "peers": d.peers.Depth(), "releases": d.releases.Depth(),
+	}
+	v.Metrics = d.metrics.Values()
+	return v
+}
+
+func (d *Daemon) dump(ctx context.Context) (any, error) {
+	answer := make(chan any, 1)
+	if !d.events.Offer(event{ask: answer}) {
+		return nil, eris.Wrap(ErrBusy, "dump")
+	}
+	select {
+	case v := <-answer:
+		return v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/internal/flow/table/table.go
+++ b/internal/flow/table/table.go
@@ -42,12 +42,15 @@
 	Seen    clock.Millis
 	Service ID
 	Server  ID
-	// Holder is the host that last took a copy of the record.
-	Holder  ID
+	// Holder is the host that last took a copy of the record, at Copied.
+	Holder ID
+	Copied clock.Millis
+	// Origin is the fabric endpoint through which the caller is reached.
+	Origin  ID
 	Version uint32
 	// ISN is the initial sequence number of the caller.
 	ISN uint32
-	// Seq and Ack are the latest of the caller.
+	// Seq is what the caller sends next, Ack what it expects next.
 	Seq   uint32
 	Ack   uint32
 	State State
--- a/internal/host/homes/homes.go
+++ b/internal/host/homes/homes.go
@@ -23,6 +23,7 @@
 // Table holds the owner and the successor of each bucket.
 type Table struct {
 	hosts  []Host
+	owned  map[string]int
 	home   [Buckets]int16
 	next   [Buckets]int16
 	former [Buckets]int16
@@ -31,13 +32,14 @@
 // New returns the table over hosts, which all hosts of equal view compute
 // alike.
 func New(hosts []Host) *Table {
-	t := &Table{hosts: hosts}
+	t := &Table{hosts: hosts, owned: map[string]int{}}
 	seeds := make([]uint64, len(hosts))
 	for i, h := range hosts {
 		seeds[i] = hash.String(h.Name)
 	}
 	for b := range Buckets {
 		t.rank(b, seeds)
+		t.owned[t.Home(b)]++
 	}
 	return t
 }
@@ -82,6 +84,9 @@
 	return ""
 }
 
+// Share returns the part of the buckets that the named host owns.
+func (t *Table) Share(name string) float64 { return float64(t.owned[name]) / Buckets }
+
 func (t *Table) name(i int16) string {
 	if i < 0 {
 		return ""
--- a/internal/host/member/group.go
+++ b/internal/host/member/group.go
@@ -134,7 +134,7 @@
 func (g *Group) Digest() uint64 {
 	var sum uint64
 	for _, m := range g.Members() {
-		if m.State == Alive || m.State == Suspect {
+		if m.Serves && m.State <= Suspect {
 			sum = hash.Mix(sum, hash.Mix(hash.String(m.Name), m.Boot))
 		}
 	}
@@ -149,7 +149,7 @@
 	others := false
 	for name, p := range g.peers {
 		switch p.info.State {
-		case Alive, Suspect, Leaving:
+		case Alive, Suspect:
 			alive++
 			known++
 			others = true
@@ -171,8 +171,16 @@
 	return 2*alive < known
 }
 
-// Leave tells the others that this host stops being home to anything.
-func (g *Group) Leave() { g.announceSelf(Leaving) }
+// Serve tells the others whether this host may be home to anything.
+func (g *Group) Serve(serves bool) {
+	if g.self.Serves != serves {
+		g.self.Serves = serves
+		g.announceSelf(g.self.State)
+	}
+}
+
+// Joined reports whether another host has answered a sync.
+func (g *Group) Joined() bool { return g.joined }
 
 // Depart tells the others that this host is gone.
 func (g *Group) Depart() {
@@ -229,7 +237,7 @@
 		g.peers[m.Name] = p
 		g.order = append(g.order, m.Name)
 	}
-	if !known || p.info.State != m.State || p.info.Boot != m.Boot || p.info.Fabric != m.Fabric {
+	if !known || p.info.State != m.State || p.info.Boot != m.Boot || p.info.Serves != m.Serves || p.info.Fabric != m.Fabric {
 		p.changedAt = g.now
 		g.version++
 	}
--- a/internal/host/member/probe.go
+++ b/internal/host/member/probe.go
@@ -129,7 +129,7 @@
 	var usable []*peer
 	for _, name := range g.order {
 		p := g.peers[name]
-		if p != nil && p.info.State <= Leaving && name != except {
+		if p != nil && p.info.State == Alive && name != except {
 			usable = append(usable, p)
 		}
 	}
--- a/internal/host/member/types.go
+++ b/internal/host/member/types.go
@@ -11,8 +11,6 @@
 // States, in the order in which they override each other at one incarnation.
 const (
 	Alive State = iota
-	// Leaving hosts relay and hand over, but are home to nothing.
-	Leaving
 	// Suspect hosts did not answer and will be declared dead.
 	Suspect
 	Dead
@@ -27,7 +25,7 @@
 	return stateNames[s]
 }
 
-var stateNames = [...]string{"alive", "leaving", "suspect", "dead", "left"}
+var stateNames = [...]string{"alive", "suspect", "dead", "left"}
 
 // Info is what hosts tell each other about one host.
 type Info struct {
@@ -38,6 +36,9 @@
 	// Boot changes when the host lost what it held: at a restart, or when it
 	// comes back after having been declared dead.
 	Boot uint64
+	// Serves is false for a host that is not yet ready or is leaving: it
+	// relays and hands over, but owns nothing.
+	Serves bool
 	// Incarnation orders what is said about one host.
 	Incarnation uint64
 	State       State
--- a/internal/serve/lease/keeper.go
+++ b/internal/serve/lease/keeper.go
@@ -54,14 +54,6 @@
 	}
 }
 
-// Found lifts the waiting time of a server that has just come up, for which
-// no earlier keeper can have granted anything.
-func (k *Keeper) Found(name string) {
-	if s := k.servers[name]; s != nil {
-		s.since = -Term
-	}
-}
-
 // OnAsk answers one ask. It returns nil for an ask that came out of order.
 func (k *Keeper) OnAsk(now clock.Millis, ask *Ask) *Grant {
 	if ask.Seq <= k.seqs[ask.From] {
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -79,26 +79,34 @@
 
 // Default returns the name of the backend for a key's hash, or "".
 func (t *Table) Default(key uint64) string {
+	if i := t.Index(key); i >= 0 {
+		return t.backends[i].Name
+	}
+	return ""
+}
+
+// Backends returns the backends with weight, sorted by name.
+func (t *Table) Backends() []Backend { return t.backends }
+
+// Index returns the position in Backends of the default for a key's hash, or
+// -1 when there is no backend.
+func (t *Table) Index(key uint64) int {
 	if len(t.slots) == 0 {
-		return ""
+		return -1
 	}
-	return t.backends[t.slots[key%uint64(len(t.slots))]].Name
+	return int(t.slots[key%uint64(len(t.slots))])
 }
 
-// Choice returns the name of the n-th choice for a key's hash. Choice 0 is the
-// default; later ones may repeat a backend.
-func (t *Table) Choice(key uint64, n int) string {
+// Choice returns the position of the n-th choice for a key's hash, or -1.
+// Choice 0 is the default; later ones may repeat a backend.
+func (t *Table) Choice(key uint64, n int) int {
 	if n == 0 {
-		return t.Default(key)
+		return t.Index(key)
 	}
-	return t.Default(hash.Mix(key, uint64(n)))
+	return t.Index(hash.Mix(key, uint64(n)))
 }
 
-// Share returns the part of all weight that the named backend has, from 0 to 1.
-func (t *Table) Share(name string) float64 {
-	i, ok := slices.BinarySearchFunc(t.backends, name, func(b Backend, n string) int { return strings.Compare(b.Name, n) })
-	if !ok {
-		return 0
-	}
+// Share returns the part of all weight that the backend at position i has.
+func (t *Table) Share(i int) float64 {
 	return float64(t.backends[i].Weight) / float64(t.total)
 }
--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -38,12 +38,12 @@
 	Sync
 	SyncReply
 	Exceptions
-	Requests
 	LeaseAsk
 	LeaseGrant
 	Pull
 	PullReply
 	Leave
+	Applied
 )
 
 // Encode returns the body of message v. It panics when v cannot be encoded,
--- a/internal/wire/envel/envel.go
+++ b/internal/wire/envel/envel.go
@@ -49,15 +49,21 @@
 type Request struct {
 	// ID names the request. A resend carries the same ID.
 	ID string `msgpack:"id"`
-	// Attempt counts the home's tries. Callers leave it zero.
-	Attempt uint32 `msgpack:"attempt"`
+	// Try counts the times that the caller came back after notRun. A resend
+	// of the same try carries the same number.
+	Try uint32 `msgpack:"try,omitempty"`
+	// Attempt names one sending to a server. Callers leave it zero.
+	Attempt uint64 `msgpack:"attempt,omitempty"`
+	// Caller is the caller's IP address, which the home fills in.
+	Caller string `msgpack:"caller,omitempty"`
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool `msgpack:"idempotent"`
 	// Since is the time that has passed since the first send.
 	Since clock.Millis `msgpack:"since"`
 	// Deadline is the time left for an answer to be of use.
 	Deadline clock.Millis `msgpack:"deadline"`
-	// Cancel asks the server to forget the attempt if it has not begun.
+	// Cancel asks the server how the attempt ended, and to forget it if it
+	// has not begun.
 	Cancel bool `msgpack:"cancel,omitempty"`
 	// Body is the request itself.
 	Body []byte `msgpack:"body"`
@@ -65,15 +71,18 @@
 
 // Answer is what a server returns, and what the home passes to the caller.
 type Answer struct {
-	// ID and Attempt name the request and the try that is answered.
+	// ID, Try and Attempt are those of the request that is answered.
 	ID      string `msgpack:"id"`
-	Attempt uint32 `msgpack:"attempt"`
+	Try     uint32 `msgpack:"try,omitempty"`
+	Attempt uint64 `msgpack:"attempt,omitempty"`
 	// Outcome is the ending.
 	Outcome Outcome `msgpack:"outcome"`
 	// RetryAfter is when to come back after NotRun, counted from receipt.
 	RetryAfter clock.Millis `msgpack:"retryAfter,omitempty"`
 	// InFlight is the server's own count of requests it is running.
 	InFlight uint32 `msgpack:"inFlight,omitempty"`
+	// Server is the name of the server that answered.
+	Server string `msgpack:"server,omitempty"`
 	// Body is the answer itself.
 	Body []byte `msgpack:"body,omitempty"`
 }
--- a/internal/wire/geneve/geneve.go
+++ b/internal/wire/geneve/geneve.go
@@ -29,10 +29,9 @@
 	FlagAsked uint8 = 1 << iota
 	// FlagAskPrevious asks the receiver to look up its records as previous home.
 	FlagAskPrevious
-	// FlagShadow asks the successor to note a request before passing it on.
-	FlagShadow
-	// FlagToServer marks a request whose next hop is the named server.
-	FlagToServer
+	// FlagNote asks the successor of a request's home to note the request and
+	// to pass it on to the server, whose address stands in Origin.
+	FlagNote
 )
 
 // Relay is the view that an entry host attaches to a packet which it relays.
--- /dev/null
+++ b/internal/wire/link/datagram.go
@@ -0,0 +1,78 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// receiveBuffer is the socket's receive buffer in bytes.
+const receiveBuffer = 4 << 20
+
+// Datagram is one received datagram. Its bytes go back to the pool with Free.
+type Datagram struct {
+	From netip.AddrPort
+	Data []byte
+	pool *sync.Pool
+}
+
+// Free gives the datagram's buffer back. Data must not be used afterwards.
+func (d *Datagram) Free() {
+	d.Data = d.Data[:0]
+	d.pool.Put(d)
+}
+
+// DatagramServer receives datagrams on one UDP address.
+type DatagramServer struct {
+	gnet.BuiltinEventEngine
+	addr    string
+	handler func(*Datagram)
+	engine  gnet.Engine
+	booted  chan struct{}
+	pool    sync.Pool
+}
+
+// NewDatagramServer returns a DatagramServer that hands each datagram to
+// handler, which must not block and must free it.
+func NewDatagramServer(addr string, handler func(*Datagram)) *DatagramServer {
+	s := &DatagramServer{addr: addr, handler: handler, booted: make(chan struct{})}
+	s.pool.New = func() any { return &Datagram{pool: &s.pool} }
+	return s
+}
+
+// Run serves until ctx is done.
+func (s *DatagramServer) Run(ctx context.Context) error {
+	s.booted = make(chan struct{})
+	return RunEngine(ctx, s, "udp://"+s.addr, s.booted, func() gnet.Engine { return s.engine })
+}
+
+// OnBoot implements gnet.EventHandler.
+func (s *DatagramServer) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	close(s.booted)
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (s *DatagramServer) OnTraffic(c gnet.Conn) gnet.Action {
+	b, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	from, ok := c.RemoteAddr().(*net.UDPAddr)
+	if !ok {
+		return gnet.None
+	}
+	d, ok := s.pool.Get().(*Datagram)
+	if !ok {
+		return gnet.None
+	}
+	ap := from.AddrPort()
+	d.From = netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+	d.Data = append(d.Data[:0], b...)
+	s.handler(d)
+	return gnet.None
+}
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -57,7 +57,7 @@
 func RunEngine(ctx context.Context, h gnet.EventHandler, addr string, booted <-chan struct{}, engine func() gnet.Engine) error {
 	done := make(chan error, 1)
 	go func() {
-		done <- gnet.Run(h, addr, gnet.WithReuseAddr(true), gnet.WithLogger(quiet{}))
+		done <- gnet.Run(h, addr, gnet.WithReuseAddr(true), gnet.WithSocketRecvBuffer(receiveBuffer), gnet.WithLogger(quiet{}))
 	}()
 	select {
 	case err := <-done:
