lease: transfer leases when a server's keeper changes

Cause: a new keeper grants nothing for a term, so each restart of an entry host starved a share of the servers; and a new home refused requests that the leaving home still had queued, which then ran: the doubled request.

Ruled out: too few slots (the load needs 5 of 48), lost datagrams (no lost request). The first frame to a restarted peer was lost on a stale connection.

--- a/examples/local/run.go
+++ b/examples/local/run.go
@@ -171,6 +171,7 @@
 type entryDump struct {
 	Version int  `json:"version"`
 	Serving bool `json:"serving"`
+	Waits   int  `json:"leaseWaits"`
 	Members []struct {
 		State  string `json:"state"`
 		Serves bool   `json:"serves"`
@@ -234,7 +235,7 @@
 // waitServers waits until all entry hosts know each other and all servers.
 func (r *runner) waitServers() error {
 	return r.waitEntries(func(d *entryDump) bool {
-		return d.serving() == r.opts.entries && d.up() == r.opts.servers
+		return d.serving() == r.opts.entries && d.up() == r.opts.servers && d.Waits == 0
 	})
 }
 
--- a/internal/ask/ledger/ledger.go
+++ b/internal/ask/ledger/ledger.go
@@ -74,6 +74,8 @@
 	Deadline clock.Millis
 	// Attempts are the sendings to servers, the latest last.
 	Attempts []Attempt
+	// SentAt is when the latest attempt left.
+	SentAt clock.Millis
 	// Inquired says that the servers were asked how the attempts ended.
 	Inquired bool
 	Answer   envel.Answer
--- a/internal/entry/core/asks.go
+++ b/internal/entry/core/asks.go
@@ -27,7 +27,8 @@
 	maxTries   = 3
 	// minAttempt is the shortest time that an idempotent attempt may take.
 	minAttempt = 250 * clock.Millis(1)
-	// inquireWait is how long a server may take to say how an attempt ended.
+	// inquireWait is how long an attempt may take before the server is asked
+	// about it, and how long the server may take to tell a new home.
 	inquireWait = 500 * clock.Millis(1)
 	// sinceMargin allows for the time that a packet travels.
 	sinceMargin = 100 * clock.Millis(1)
@@ -85,13 +86,16 @@
 	c.fresh(s, key, req, ret, certain)
 }
 
-// certain reports whether this host would know if the request had been sent to
-// a server before: the previous home said that it had not, or this host has
-// been home or successor since before the request was first sent.
+// certain reports whether this host would know if another home had taken the
+// request: the previous home said that it had not, or it is gone and this host
+// has been home or successor since before the request was first sent.
 func (c *Core) certain(bucket int, req *envel.Request, in *arrival) bool {
 	if in.has(geneve.FlagAsked) || c.opts.Off.Notes {
 		return true
 	}
+	if former := c.homes.Former(bucket); former != "" && former != c.opts.Name && !c.opts.Off.Ask {
+		return false
+	}
 	since := c.since[bucket]
 	return since <= c.born || c.now-req.Since-sinceMargin >= since
 }
@@ -211,7 +215,7 @@
 	}
 	a := ledger.Attempt{Number: c.rand.Uint64(), Server: server, Open: true}
 	e.Attempts = append(e.Attempts, a)
-	e.Stage = ledger.Sent
+	e.Stage, e.SentAt = ledger.Sent, c.now
 	c.pending[a.Number] = e
 	left := e.Deadline - c.now
 	wire := envel.Request{
@@ -225,7 +229,7 @@
 		c.deadline.Add(c.now+max(minAttempt, left/3), due{dueAttempt, e.Key, a.Number})
 		return
 	}
-	c.deadline.Add(c.now+left*4/5, due{dueInquire, e.Key, a.Number})
+	c.deadline.Add(c.now+inquireWait, due{dueInquire, e.Key, a.Number})
 }
 
 func (c *Core) sendToServer(e *entry, server netip.AddrPort, packet []byte) {
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -237,6 +237,11 @@
 
 // Idle reports whether a leaving host has nothing left to finish.
 func (c *Core) Idle() bool {
+	for _, s := range c.services {
+		if len(s.queue) > 0 {
+			return false
+		}
+	}
 	return c.leaving && len(c.pending) == 0 && c.copies.empty() && c.now-c.viewAt >= leaveWait
 }
 
--- a/internal/entry/core/dump.go
+++ b/internal/entry/core/dump.go
@@ -17,22 +17,25 @@
 	ReleaseSeq uint64       `json:"releaseSeq"`
 	// ControlSilentFor is how long no control host in touch with a quorum was
 	// heard, in milliseconds.
-	ControlSilentFor clock.Millis      `json:"controlSilentForMs"`
-	Serving          bool              `json:"serving"`
-	Leaving          bool              `json:"leaving"`
-	Fenced           bool              `json:"fenced"`
-	Fetches          bool              `json:"fetches"`
-	View             uint64            `json:"view"`
-	Members          []DumpHost        `json:"members"`
-	Servers          []DumpServer      `json:"servers"`
-	Services         []DumpService     `json:"services"`
-	Leases           []lease.Lease     `json:"leases"`
-	Flows            int               `json:"flows"`
-	Requests         int               `json:"requests"`
-	RefusedTries     int               `json:"refusedTries"`
-	Counters         map[string]uint64 `json:"counters"`
-	Rings            map[string]int    `json:"rings,omitempty"`
-	Metrics          any               `json:"metrics,omitempty"`
+	ControlSilentFor clock.Millis  `json:"controlSilentForMs"`
+	Serving          bool          `json:"serving"`
+	Leaving          bool          `json:"leaving"`
+	Fenced           bool          `json:"fenced"`
+	Fetches          bool          `json:"fetches"`
+	View             uint64        `json:"view"`
+	Members          []DumpHost    `json:"members"`
+	Servers          []DumpServer  `json:"servers"`
+	Services         []DumpService `json:"services"`
+	// LeaseWaits is the count of servers for which this host, their keeper,
+	// may not grant leases yet.
+	LeaseWaits   int               `json:"leaseWaits"`
+	Leases       []lease.Lease     `json:"leases"`
+	Flows        int               `json:"flows"`
+	Requests     int               `json:"requests"`
+	RefusedTries int               `json:"refusedTries"`
+	Counters     map[string]uint64 `json:"counters"`
+	Rings        map[string]int    `json:"rings,omitempty"`
+	Metrics      any               `json:"metrics,omitempty"`
 }
 
 // DumpHost is one entry host in a dump.
@@ -76,7 +79,7 @@
 		ReleaseSeq: c.holderOf.Position().Seq, Digest: c.holderOf.Position().Digest,
 		ControlSilentFor: now - c.control.heardAt, Serving: c.serving, Leaving: c.leaving,
 		Fenced: c.group.Fenced(now), Fetches: c.fetcher() == self.Name, View: c.group.Digest(),
-		Leases: c.holder.Leases(), Flows: c.flows.Len(), Requests: c.ledger.Len(),
+		LeaseWaits: c.keeper.Waiting(now), Leases: c.holder.Leases(), Flows: c.flows.Len(), Requests: c.ledger.Len(),
 		RefusedTries: c.refused.Len(), Counters: c.counters.All(),
 	}
 	for _, m := range c.group.Members() {
--- a/internal/entry/core/endings.go
+++ b/internal/entry/core/endings.go
@@ -182,6 +182,7 @@
 	case dueInquire:
 		if at := e.Attempt(d.attempt); at != nil && at.Open {
 			c.cancel(s, e, at)
+			c.deadline.Add(c.now+(c.now-e.SentAt), d)
 		}
 	case dueDeadline:
 		c.giveUp(s, e)
--- a/internal/entry/core/load.go
+++ b/internal/entry/core/load.go
@@ -15,7 +15,7 @@
 	// Callers that were refused come back after a span that grows with the
 	// share of refusals, spread by half in both directions.
 	minRetryAfter = 200 * clock.Millis(1)
-	maxRetryAfter = 30 * clock.Second
+	maxRetryAfter = 10 * clock.Second
 )
 
 // loadMeter counts what a service served and refused in the present and the
@@ -23,7 +23,9 @@
 type loadMeter struct {
 	served, refused         int
 	lastServed, lastRefused int
-	turn                    clock.Millis
+	// best is the most served in a second lately. It falls by a tenth a second.
+	best int
+	turn clock.Millis
 }
 
 func (m *loadMeter) roll(now clock.Millis) {
@@ -31,6 +33,7 @@
 		return
 	}
 	m.turn = now
+	m.best = max(m.best*9/10, m.served)
 	m.lastServed, m.lastRefused = m.served, m.refused
 	m.served, m.refused = 0, 0
 }
@@ -39,9 +42,10 @@
 // callers refused in a second return over as long as the service needs for them.
 func (c *Core) retryAfter(s *service) clock.Millis {
 	m := &s.load
-	served := max(1, m.served+m.lastServed)
-	refused := m.refused + m.lastRefused
-	span := minRetryAfter + clock.Second*clock.Millis(refused)/clock.Millis(served)
+	span := minRetryAfter
+	if m.best > 0 {
+		span += clock.Second * clock.Millis(m.refused+m.lastRefused) / clock.Millis(m.best)
+	}
 	span = min(span, maxRetryAfter)
 	return span/2 + clock.Millis(c.rand.Int64N(int64(span)))
 }
@@ -73,7 +77,7 @@
 
 // warmUp raises the limits of servers that are still cold.
 func (c *Core) warmUp() {
-	limits := map[string]int{}
+	limits := map[string]lease.Limit{}
 	for name, s := range c.services {
 		if s.place == nil {
 			continue
@@ -81,7 +85,7 @@
 		for _, b := range s.place.Backends() {
 			srv := c.roster.Find(b.Name)
 			if srv != nil && srv.Info().Service == name && c.homes.Home(homes.Bucket(serverHash(b.Name))) == c.opts.Name {
-				limits[b.Name] = c.slotsOf(s, srv)
+				limits[b.Name] = c.limitOf(s, srv)
 			}
 		}
 	}
--- a/internal/entry/core/peers.go
+++ b/internal/entry/core/peers.go
@@ -102,6 +102,8 @@
 		handle(c, body, c.onLeaseAsk)
 	case codec.LeaseGrant:
 		handle(c, body, func(m *lease.Grant) { c.onLeaseGrant(m, m.From) })
+	case codec.LeaseTransfer:
+		handle(c, body, func(m *lease.Transfer) { c.keeper.Import(c.now, m) })
 	case codec.Pull:
 		handle(c, body, c.onPull)
 	case codec.PullReply:
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -12,6 +12,7 @@
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/serve/place"
 	"monsooncleat.example/monsooncleat/internal/serve/roster"
+	"monsooncleat.example/monsooncleat/internal/wire/codec"
 )
 
 // service is what the host holds for one service of the bundle in force.
@@ -88,7 +89,7 @@
 // viewServers rebuilds the placement of the services whose servers changed,
 // and tells the lease machines what is there.
 func (c *Core) viewServers() {
-	limits := map[string]int{}
+	limits := map[string]lease.Limit{}
 	for name, s := range c.services {
 		pool := c.roster.Pool(name)
 		s.setPool(c, pool)
@@ -100,11 +101,14 @@
 			i := srv.Info()
 			backends = append(backends, lease.Backend{Name: i.Name, Weight: max(1, i.Weight)})
 			if c.keeperOf(i.Name) == c.opts.Name {
-				limits[i.Name] = c.slotsOf(s, srv)
+				limits[i.Name] = c.limitOf(s, srv)
 			}
 		}
 		c.holder.SetPool(name, backends)
 	}
+	for host, t := range c.keeper.Export(c.now, c.keeperOf, c.opts.Name) {
+		c.frameTo(host, codec.LeaseTransfer, t)
+	}
 	c.keeper.SetLimits(c.now, limits)
 	c.copies.restart()
 }
@@ -126,6 +130,11 @@
 	}
 }
 
+func (c *Core) limitOf(s *service, srv *roster.Server) lease.Limit {
+	fresh := srv.Young(c.now, lease.Term) && c.now-c.viewAt > lease.Term
+	return lease.Limit{Slots: c.slotsOf(s, srv), New: fresh}
+}
+
 // slotsOf returns the requests that a server may run at once: fewer while it
 // is cold.
 func (c *Core) slotsOf(s *service, srv *roster.Server) int {
--- a/internal/serve/lease/keeper.go
+++ b/internal/serve/lease/keeper.go
@@ -24,33 +24,107 @@
 	holders map[string]*holding
 }
 
+// arrival is a transfer with the time it came.
+type arrival struct {
+	holders []TransferHolder
+	at      clock.Millis
+}
+
 // Keeper grants leases on the servers that this host keeps. It is not safe for
 // concurrent use.
 type Keeper struct {
 	servers map[string]*kept
+	// arrived are transfers for servers that this host does not keep yet.
+	arrived map[string]arrival
 	seqs    map[string]uint64
 }
 
 // NewKeeper returns a Keeper without servers.
 func NewKeeper() *Keeper {
-	return &Keeper{servers: map[string]*kept{}, seqs: map[string]uint64{}}
+	return &Keeper{servers: map[string]*kept{}, arrived: map[string]arrival{}, seqs: map[string]uint64{}}
+}
+
+// Limit is what a keeper needs to know of a server.
+type Limit struct {
+	Slots int
+	// New says that no other host can have granted slots of the server.
+	New bool
 }
 
-// SetLimits tells which servers this host keeps and the slots of each. A
-// server new to this keeper gets no fresh grants for a term, so that the
-// leases of the keeper before have ended.
-func (k *Keeper) SetLimits(now clock.Millis, limits map[string]int) {
+// SetLimits tells which servers this host keeps. A server that had another
+// keeper gets no fresh grants until that one has transferred what it granted,
+// or for a term, after which those grants have ended.
+func (k *Keeper) SetLimits(now clock.Millis, limits map[string]Limit) {
 	maps.DeleteFunc(k.servers, func(name string, _ *kept) bool {
 		_, keep := limits[name]
 		return !keep
 	})
+	maps.DeleteFunc(k.arrived, func(_ string, a arrival) bool { return now-a.at >= Term })
 	for name, limit := range limits {
 		s := k.servers[name]
 		if s == nil {
 			s = &kept{since: now, holders: map[string]*holding{}}
+			if limit.New {
+				s.since = now - Term
+			}
 			k.servers[name] = s
+			if a, ok := k.arrived[name]; ok {
+				s.restore(a)
+				delete(k.arrived, name)
+			}
 		}
-		s.limit = limit
+		s.limit = limit.Slots
+	}
+}
+
+// restore takes over the leases of the keeper before.
+func (s *kept) restore(a arrival) {
+	for _, t := range a.holders {
+		if h := s.holders[t.Host]; h == nil {
+			s.holders[t.Host] = &holding{count: t.Count, expires: a.at + t.Left}
+		}
+	}
+	s.since = a.at - Term
+}
+
+// Export returns what the next keepers have to know, by their names. Next maps
+// a server to its keeper. The keeper must not be asked for those servers again.
+func (k *Keeper) Export(now clock.Millis, next func(server string) string, self string) map[string]*Transfer {
+	out := map[string]*Transfer{}
+	for name, s := range k.servers {
+		to := next(name)
+		if to == self || to == "" || now-s.since < Term {
+			continue
+		}
+		t := out[to]
+		if t == nil {
+			t = &Transfer{From: self}
+			out[to] = t
+		}
+		t.Servers = append(t.Servers, TransferServer{Name: name, Holders: s.export(now)})
+	}
+	return out
+}
+
+func (s *kept) export(now clock.Millis) []TransferHolder {
+	var out []TransferHolder
+	for host, h := range s.holders {
+		if h.expires > now && h.count > 0 {
+			out = append(out, TransferHolder{host, h.count, h.expires - now})
+		}
+	}
+	return out
+}
+
+// Import takes what the keeper before sends.
+func (k *Keeper) Import(now clock.Millis, t *Transfer) {
+	for _, srv := range t.Servers {
+		a := arrival{srv.Holders, now}
+		if s := k.servers[srv.Name]; s != nil {
+			s.restore(a)
+			continue
+		}
+		k.arrived[srv.Name] = a
 	}
 }
 
@@ -144,5 +218,16 @@
 	return 0
 }
 
+// Waiting returns the count of servers for which nothing may be granted yet.
+func (k *Keeper) Waiting(now clock.Millis) int {
+	n := 0
+	for _, s := range k.servers {
+		if now-s.since < Term {
+			n++
+		}
+	}
+	return n
+}
+
 // Len returns the count of servers kept.
 func (k *Keeper) Len() int { return len(k.servers) }
--- a/internal/serve/lease/types.go
+++ b/internal/serve/lease/types.go
@@ -37,6 +37,26 @@
 	More int
 }
 
+// Transfer moves the knowledge of leases to the next keeper of some servers.
+type Transfer struct {
+	From    string
+	Servers []TransferServer
+}
+
+// TransferServer is one server that changes its keeper.
+type TransferServer struct {
+	Name    string
+	Holders []TransferHolder
+}
+
+// TransferHolder is one holder's lease.
+type TransferHolder struct {
+	Host  string
+	Count int
+	// Left is the time that the lease still counts.
+	Left clock.Millis
+}
+
 // Grant answers an Ask.
 type Grant struct {
 	From    string
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -115,6 +115,12 @@
 	return min(1, max(0.1, float64(now-s.seenAt)/float64(SlowStart)))
 }
 
+// Young reports whether this start of the server was first seen here less than
+// span ago, on a host that was up before.
+func (s *Server) Young(now, span clock.Millis) bool {
+	return s.cold && now-s.seenAt < span
+}
+
 // Roster is one host's list of servers. It is not safe for concurrent use.
 type Roster struct {
 	self    string
--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -44,6 +44,7 @@
 	PullReply
 	Leave
 	Applied
+	LeaseTransfer
 )
 
 // Encode returns the body of message v. It panics when v cannot be encoded,
--- a/internal/wire/link/peers.go
+++ b/internal/wire/link/peers.go
@@ -104,10 +104,16 @@
 	}
 }
 
+// write sends body. A connection that the peer closed since the last frame is
+// dialed again once, because a restarted peer would else miss the first frame.
 func (s *sender) write(body []byte) bool {
-	if s.conn == nil && !s.dial() {
-		return false
+	if s.conn != nil && s.writeOnce(body) {
+		return true
 	}
+	return s.dial() && s.writeOnce(body)
+}
+
+func (s *sender) writeOnce(body []byte) bool {
 	b := s.encoder.Append(nil, body)
 	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := s.conn.Write(b); err != nil {
