member: tell everyone at once when a host starts or stops owning keys

Cause: views differed for up to a gossip round; a leaving host and its heir relayed packets to each other until the hop limit, and asks that ran out of hops were answered unknown. A joining host was asked as if it were leaving.

Ruled out: fencing (counted apart: 0), lost ledger entries (0 late answers).

Phases are joining, serving, leaving.

--- a/examples/local/run.go
+++ b/examples/local/run.go
@@ -89,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.keepDumps()
 	r.stopAll()
 	return r.judge(report, results)
 }
@@ -173,8 +174,8 @@
 	Serving bool `json:"serving"`
 	Waits   int  `json:"leaseWaits"`
 	Members []struct {
-		State  string `json:"state"`
-		Serves bool   `json:"serves"`
+		State string `json:"state"`
+		Phase string `json:"phase"`
 	} `json:"members"`
 	Servers []struct {
 		Name  string `json:"name"`
@@ -185,7 +186,7 @@
 func (d *entryDump) serving() int {
 	n := 0
 	for _, m := range d.Members {
-		if m.State == "alive" && m.Serves {
+		if m.State == "alive" && m.Phase == "serving" {
 			n++
 		}
 	}
@@ -339,6 +340,15 @@
 	return &report, results, json.Unmarshal(b, &results)
 }
 
+// keepDumps stores the state of each entry host beside its log.
+func (r *runner) keepDumps() {
+	for i := range r.entries {
+		if out, err := r.tool("dump", r.entry(i, portAdmin)); err == nil {
+			_ = r.write(fmt.Sprintf("e%d.json", i+1), out)
+		}
+	}
+}
+
 func (r *runner) stopAll() {
 	for _, p := range r.procs {
 		if p.running() {
--- a/internal/entry/core/asks.go
+++ b/internal/entry/core/asks.go
@@ -78,6 +78,9 @@
 	certain := c.certain(bucket, req, in)
 	if !certain {
 		if target := c.askTarget(bucket, in, s.spec.Ledger()); target != "" {
+			if c.looped(in) {
+				return
+			}
 			c.counters.Add(RequestsAsked, 1)
 			c.relay(target, p, in, askFlag)
 			return
@@ -145,6 +148,9 @@
 	fenced := c.group.Fenced(c.now) && !c.opts.Off.Fence
 	if !req.Idempotent && (fenced || !certain) {
 		c.counters.Add(RequestsUncertain, 1)
+		if fenced {
+			c.counters.Add(RequestsFenced, 1)
+		}
 		c.answer(ret, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.Unknown})
 		return
 	}
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -199,7 +199,7 @@
 	alone := len(c.opts.Seeds) == 0 || c.now-c.born >= joinWait
 	if c.group.Joined() || alone {
 		c.serving = true
-		c.group.Serve(true)
+		c.group.Enter(member.Serving)
 	}
 }
 
@@ -231,7 +231,7 @@
 	c.now = now
 	c.leaving = true
 	c.serving = false
-	c.group.Serve(false)
+	c.group.Enter(member.Leaving)
 	c.lookAround()
 }
 
--- a/internal/entry/core/counters.go
+++ b/internal/entry/core/counters.go
@@ -30,6 +30,7 @@
 	RequestsNoted
 	RequestsNoteRefused
 	RequestsUncertain
+	RequestsFenced
 	RequestsClashed
 	RequestsSent
 	RequestsAnswered
@@ -54,7 +55,7 @@
 	"noService", "tooManyHops", "unroutable", "crossedPrevented", "flowsOpened", "flowsAdopted", "flowsAsked",
 	"flowsUnknown", "flowsRefused", "flowsServerGone", "flowsCopied", "flowsProbed", "flowsSilent",
 	"requestsTaken", "requestsJoined", "requestsAsked", "requestsNoted", "requestsNoteRefused",
-	"requestsUncertain", "requestsClashed", "requestsSent", "requestsAnswered", "requestsRefused",
+	"requestsUncertain", "requestsFenced", "requestsClashed", "requestsSent", "requestsAnswered", "requestsRefused",
 	"requestsUnknown", "requestsDropped", "answersLate", "attemptsSilent", "serverSheds", "retries", "cancels",
 	"releasesAccepted", "releasesRefused", "deposed",
 }
--- a/internal/entry/core/dump.go
+++ b/internal/entry/core/dump.go
@@ -42,7 +42,7 @@
 type DumpHost struct {
 	Name        string       `json:"name"`
 	State       string       `json:"state"`
-	Serves      bool         `json:"serves"`
+	Phase       string       `json:"phase"`
 	Boot        uint64       `json:"boot"`
 	Incarnation uint64       `json:"incarnation"`
 	InForce     spec.Version `json:"inForce"`
@@ -98,7 +98,7 @@
 }
 
 func (c *Core) dumpHost(m *member.Info) DumpHost {
-	h := DumpHost{Name: m.Name, State: m.State.String(), Serves: m.Serves, Boot: m.Boot, Incarnation: m.Incarnation}
+	h := DumpHost{Name: m.Name, State: m.State.String(), Phase: m.Phase.String(), Boot: m.Boot, Incarnation: m.Incarnation}
 	if m.Name == c.opts.Name {
 		h.InForce = c.inForce()
 	} else if n := c.peers[m.Name]; n != nil {
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -79,6 +79,9 @@
 		return
 	}
 	if target := c.askTarget(bucket, in, handover); target != "" {
+		if c.looped(in) {
+			return
+		}
 		c.counters.Add(FlowsAsked, 1)
 		c.relay(target, p, in, askFlag)
 		return
--- a/internal/entry/core/packet.go
+++ b/internal/entry/core/packet.go
@@ -12,7 +12,7 @@
 )
 
 // maxHops is how many entry hosts one packet may pass.
-const maxHops = 4
+const maxHops = 8
 
 // arrival is how a packet came to this host.
 type arrival struct {
@@ -92,8 +92,7 @@
 	if in.has(geneve.FlagAskPrevious) {
 		return false
 	}
-	if in.relayed && in.relay.Hops >= maxHops {
-		c.counters.Add(TooManyHops, 1)
+	if c.looped(in) {
 		return true
 	}
 	c.relay(home, p, in, 0)
@@ -110,11 +109,22 @@
 	c.send(c.addrs[host], p.Raw, &r)
 }
 
+// looped reports whether a packet has passed so many hosts that it must not be
+// relayed again. It is dropped: the views differ for a moment, and the sender
+// will repeat it.
+func (c *Core) looped(in *arrival) bool {
+	if in.relay.Hops < maxHops {
+		return false
+	}
+	c.counters.Add(TooManyHops, 1)
+	return true
+}
+
 // askTarget returns the host that may know a key of bucket which this host, its
 // home, does not: a leaving host that owned it, or the successor while this
 // host owns the bucket for less than span. It returns "" when there is none.
 func (c *Core) askTarget(bucket int, in *arrival, span clock.Millis) string {
-	if in.has(geneve.FlagAsked) || c.opts.Off.Ask || in.relay.Hops >= maxHops {
+	if in.has(geneve.FlagAsked) || c.opts.Off.Ask {
 		return ""
 	}
 	if former := c.homes.Former(bucket); former != "" && former != c.opts.Name {
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -67,7 +67,11 @@
 	index  map[string]map[table.ID]int
 }
 
-func (k *copier) restart() { k.busy = true }
+// restart begins a new sweep after a change.
+func (c *Core) restartSweep() {
+	c.copies.busy, c.copies.behind = true, false
+	c.flows.Rewind()
+}
 
 // urgent queues the flow of r to be copied at the next tick.
 func (k *copier) urgent(r *table.Record) {
@@ -125,10 +129,21 @@
 		c.removeFlow(r)
 		return
 	}
+	if c.homes.Home(bucket) != c.opts.Name {
+		c.disown(r)
+	}
 	c.copyFlow(r)
 	c.checkSilence(r)
 }
 
+// disown makes a record of a flow that has another home now a copy.
+func (c *Core) disown(r *table.Record) {
+	if !r.Has(table.Replica) {
+		c.count(r, -1)
+		r.Flags |= table.Replica
+	}
+}
+
 func (c *Core) expired(r *table.Record) bool {
 	age := c.now - r.Seen
 	switch {
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -67,7 +67,7 @@
 		if m.State > member.Suspect {
 			continue
 		}
-		hosts = append(hosts, homes.Host{Name: m.Name, Serves: m.Serves})
+		hosts = append(hosts, homes.Host{Name: m.Name, Serves: m.Phase == member.Serving, Leaving: m.Phase == member.Leaving})
 		c.boots[m.Name] = c.names.ID(fmt.Sprintf("%s#%d", m.Name, m.Boot))
 		if addr, err := netip.ParseAddrPort(m.Fabric); err == nil {
 			c.addrs[m.Name] = addr
@@ -83,7 +83,7 @@
 			c.since[b] = c.now
 		}
 	}
-	c.copies.restart()
+	c.restartSweep()
 }
 
 // viewServers rebuilds the placement of the services whose servers changed,
@@ -110,7 +110,7 @@
 		c.frameTo(host, codec.LeaseTransfer, t)
 	}
 	c.keeper.SetLimits(c.now, limits)
-	c.copies.restart()
+	c.restartSweep()
 }
 
 func (s *service) setPool(c *Core, pool []*roster.Server) {
--- a/internal/flow/table/table.go
+++ b/internal/flow/table/table.go
@@ -216,5 +216,8 @@
 	return false
 }
 
+// Rewind makes the next Sweep start at the beginning.
+func (t *Table) Rewind() { t.cursor = 0 }
+
 // Clear removes all records.
 func (t *Table) Clear() { *t = *New() }
--- a/internal/host/homes/homes.go
+++ b/internal/host/homes/homes.go
@@ -15,9 +15,10 @@
 // Host is a candidate for homes.
 type Host struct {
 	Name string
-	// Serves is false for a host that is leaving: it owns nothing, but may
-	// still hold what it owned before.
+	// Serves is set for a host that may own buckets.
 	Serves bool
+	// Leaving is set for a host that may still hold what it owned before.
+	Leaving bool
 }
 
 // Table holds the owner and the successor of each bucket.
@@ -49,7 +50,7 @@
 	var homeScore, nextScore, topScore uint64
 	for i, seed := range seeds {
 		score := hash.Mix(seed, uint64(bucket))
-		if top == none || score > topScore {
+		if t.counts(i) && (top == none || score > topScore) {
 			top, topScore = i, score
 		}
 		if !t.hosts[i].Serves {
@@ -66,6 +67,9 @@
 	t.home[bucket], t.next[bucket], t.former[bucket] = int16(home), int16(next), int16(top)
 }
 
+// counts reports whether the host at position i owns buckets or did so lately.
+func (t *Table) counts(i int) bool { return t.hosts[i].Serves || t.hosts[i].Leaving }
+
 // Bucket returns the bucket of a key's hash.
 func Bucket(key uint64) int { return int(key >> 52) }
 
@@ -78,7 +82,7 @@
 
 // Former returns the name of the leaving host that owned bucket before, or "".
 func (t *Table) Former(bucket int) string {
-	if i := t.former[bucket]; i >= 0 && !t.hosts[i].Serves {
+	if i := t.former[bucket]; i >= 0 && t.hosts[i].Leaving {
 		return t.hosts[i].Name
 	}
 	return ""
--- a/internal/host/member/group.go
+++ b/internal/host/member/group.go
@@ -134,7 +134,7 @@
 func (g *Group) Digest() uint64 {
 	var sum uint64
 	for _, m := range g.Members() {
-		if m.Serves && m.State <= Suspect {
+		if m.Phase == Serving && m.State <= Suspect {
 			sum = hash.Mix(sum, hash.Mix(hash.String(m.Name), m.Boot))
 		}
 	}
@@ -171,11 +171,21 @@
 	return 2*alive < known
 }
 
-// Serve tells the others whether this host may be home to anything.
-func (g *Group) Serve(serves bool) {
-	if g.self.Serves != serves {
-		g.self.Serves = serves
+// Enter tells the others that this host is in another phase. They are told at
+// once, because keys change their owners.
+func (g *Group) Enter(p Phase) {
+	if g.self.Phase != p {
+		g.self.Phase = p
 		g.announceSelf(g.self.State)
+		g.tellAll()
+	}
+}
+
+func (g *Group) tellAll() {
+	for _, p := range g.peers {
+		if p.info.State <= Suspect {
+			g.send(p.info.Peer, codec.Tell, g.self)
+		}
 	}
 }
 
@@ -185,11 +195,7 @@
 // Depart tells the others that this host is gone.
 func (g *Group) Depart() {
 	g.announceSelf(Left)
-	for _, p := range g.peers {
-		if p.info.State <= Suspect {
-			g.send(p.info.Peer, codec.Leave, g.self)
-		}
-	}
+	g.tellAll()
 }
 
 func (g *Group) announceSelf(s State) {
@@ -237,7 +243,7 @@
 		g.peers[m.Name] = p
 		g.order = append(g.order, m.Name)
 	}
-	if !known || p.info.State != m.State || p.info.Boot != m.Boot || p.info.Serves != m.Serves || p.info.Fabric != m.Fabric {
+	if !known || p.info.State != m.State || p.info.Boot != m.Boot || p.info.Phase != m.Phase || p.info.Fabric != m.Fabric {
 		p.changedAt = g.now
 		g.version++
 	}
--- a/internal/host/member/probe.go
+++ b/internal/host/member/probe.go
@@ -160,7 +160,7 @@
 		if m, err := codec.Decode[Sync](body); err == nil {
 			g.onSync(m, codec.KindOf(body) == codec.Sync)
 		}
-	case codec.Leave:
+	case codec.Tell:
 		if m, err := codec.Decode[Info](body); err == nil {
 			g.learn(m)
 		}
--- a/internal/host/member/types.go
+++ b/internal/host/member/types.go
@@ -27,6 +27,22 @@
 
 var stateNames = [...]string{"alive", "suspect", "dead", "left"}
 
+// Phase is how far a host is in its life. Only Serving hosts own keys; the
+// others relay.
+type Phase uint8
+
+// Phases.
+const (
+	// Joining hosts do not yet know what they need to serve.
+	Joining Phase = iota
+	Serving
+	// Leaving hosts hand over what they owned.
+	Leaving
+)
+
+// String returns the phase in lower case.
+func (p Phase) String() string { return [...]string{"joining", "serving", "leaving"}[min(p, Leaving)] }
+
 // Info is what hosts tell each other about one host.
 type Info struct {
 	Name string
@@ -36,9 +52,8 @@
 	// Boot changes when the host lost what it held: at a restart, or when it
 	// comes back after having been declared dead.
 	Boot uint64
-	// Serves is false for a host that is not yet ready or is leaving: it
-	// relays and hands over, but owns nothing.
-	Serves bool
+	// Phase tells whether the host may own keys.
+	Phase Phase
 	// Incarnation orders what is said about one host.
 	Incarnation uint64
 	State       State
--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -42,7 +42,7 @@
 	LeaseGrant
 	Pull
 	PullReply
-	Leave
+	Tell
 	Applied
 	LeaseTransfer
 )
