lease: keep an even part of the slots beyond the need

Cause: a host held just what it needed, so when another died the rest could not grow for a term while the dead keeper's grants were waited for.

Ruled out: retry budget, queue bound.

--- a/examples/local/run.go
+++ b/examples/local/run.go
@@ -349,7 +349,13 @@
 	}
 }
 
+// stopAll ends the hosts gracefully, all at once. The stand-ins are killed: the
+// callers' last packets may be lost with a killed host, and a server would wait
+// for them.
 func (r *runner) stopAll() {
+	for _, p := range r.servers {
+		p.kill()
+	}
 	for _, p := range r.procs {
 		if p.running() {
 			_ = p.cmd.Process.Signal(os.Interrupt)
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -63,16 +63,21 @@
 
 func (c *Core) viewHosts() {
 	var hosts []homes.Host
+	serving := 0
 	for _, m := range c.group.Members() {
 		if m.State > member.Suspect {
 			continue
 		}
 		hosts = append(hosts, homes.Host{Name: m.Name, Serves: m.Phase == member.Serving, Leaving: m.Phase == member.Leaving})
+		if m.Phase == member.Serving {
+			serving++
+		}
 		c.boots[m.Name] = c.names.ID(fmt.Sprintf("%s#%d", m.Name, m.Boot))
 		if addr, err := netip.ParseAddrPort(m.Fabric); err == nil {
 			c.addrs[m.Name] = addr
 		}
 	}
+	c.holder.SetHosts(serving)
 	old := c.homes
 	c.homes = homes.New(hosts)
 	self := c.opts.Name
@@ -99,7 +104,7 @@
 		var backends []lease.Backend
 		for _, srv := range pool {
 			i := srv.Info()
-			backends = append(backends, lease.Backend{Name: i.Name, Weight: max(1, i.Weight)})
+			backends = append(backends, lease.Backend{Name: i.Name, Weight: max(1, i.Weight), Slots: c.slotsOf(s, srv)})
 			if c.keeperOf(i.Name) == c.opts.Name {
 				limits[i.Name] = c.limitOf(s, srv)
 			}
--- a/internal/serve/lease/holder.go
+++ b/internal/serve/lease/holder.go
@@ -19,6 +19,9 @@
 	// is avoided, once it has done so silentLimit times in a row.
 	coolSilent  = clock.Second
 	silentLimit = 3
+	// sharePart is the percentage of all slots that hosts keep without need.
+	// The rest stays with the keepers for a host that comes or gets busy.
+	sharePart = 70
 	maxCool     = 2 * clock.Second
 )
 
@@ -38,6 +41,7 @@
 type held struct {
 	name    string
 	weight  uint32
+	slots   int
 	granted int
 	used    int
 	expires clock.Millis
@@ -90,6 +94,7 @@
 	byID  map[string]*held
 	seq   uint64
 	sent  map[string]sentAsk
+	hosts int
 }
 
 type sentAsk struct {
@@ -106,10 +111,14 @@
 	}
 }
 
+// SetHosts tells how many hosts share the slots.
+func (h *Holder) SetHosts(n int) { h.hosts = n }
+
 // Backend is a server that new work may go to.
 type Backend struct {
 	Name   string
 	Weight uint32
+	Slots  int
 }
 
 // SetPool tells the servers of a service. A server that is not among them gets
@@ -126,7 +135,7 @@
 			p.servers[b.Name] = s
 			h.byID[b.Name] = s
 		}
-		s.gone, s.weight = false, b.Weight
+		s.gone, s.weight, s.slots = false, b.Weight, b.Slots
 	}
 	maps.DeleteFunc(p.servers, func(name string, s *held) bool {
 		if s.gone && s.used == 0 {
@@ -232,6 +241,22 @@
 	return p.peak + 1
 }
 
+// share returns the slots that the pool keeps beyond its need while nobody
+// else needs them: an even part, so that the loss of a host does not leave the
+// others short. A pool without work keeps none.
+func (p *pool) share(need, hosts int) int {
+	if need == 0 || hosts == 0 {
+		return 0
+	}
+	sum := 0
+	for _, s := range p.servers {
+		if !s.gone {
+			sum += s.slots
+		}
+	}
+	return sum * sharePart / 100 / hosts
+}
+
 // Starved reports whether requests of a service wait for want of leases.
 func (h *Holder) Starved(now clock.Millis, service string) bool {
 	p := h.pool(service)
@@ -264,8 +289,9 @@
 	if need == 0 && have == 0 {
 		return
 	}
-	surplus := max(0, have-need)
-	deficit := max(0, need-have)
+	wanted := max(need, p.share(need, h.hosts))
+	surplus := max(0, have-wanted)
+	deficit := max(0, wanted-have)
 	wishes := h.wishes(p, deficit)
 	for _, s := range p.ordered() {
 		keeper := keeperOf(s.name)
--- a/internal/serve/lease/keeper.go
+++ b/internal/serve/lease/keeper.go
@@ -187,8 +187,8 @@
 	return granted
 }
 
-// reclaimFor takes one slot at its next ask from the holder that is best off
-// for its need, when that leaves it no worse off than the one asking.
+// reclaimFor takes slots, at its next ask, from the holder that is best off for
+// its need, as many as leave it no worse off than the one asking.
 func (s *kept) reclaimFor(from string, poor *holding) {
 	rich := ""
 	for _, name := range slices.Sorted(maps.Keys(s.holders)) {
@@ -204,9 +204,11 @@
 		return
 	}
 	h := s.holders[rich]
-	if (h.have-1)*poor.need >= (poor.have+1)*h.need {
-		h.reclaim = 1
+	if poor.have >= poor.need || (h.have-1)*poor.need < (poor.have+1)*h.need {
+		return
 	}
+	even := (h.have*poor.need - poor.have*h.need) / (h.need + poor.need)
+	h.reclaim = min(max(1, even), h.count, poor.need-poor.have)
 }
 
 // Granted returns the most slots of a server that may be in use, over all
--- a/internal/stand/caller/ask.go
+++ b/internal/stand/caller/ask.go
@@ -14,6 +14,7 @@
 
 const (
 	resendAfter = 250 * time.Millisecond
+	resendMost  = 500 * time.Millisecond
 	// lateWait is how long after its deadline an answer is still waited for
 	// before the request counts as lost.
 	lateWait   = 2 * time.Second
@@ -100,7 +101,7 @@
 				waiting = false
 			}
 		}
-		wait = min(2*wait, time.Second)
+		wait = min(2*wait, resendMost)
 	}
 }
 
