roster: give a restarted keeper time to hear from its servers

Cause: a host that restarted learned from the others that it was the keeper of some servers, had no announcement from them, and declared them gone at once. Its pool was empty and it reset the flows it was asked about.

Ruled out: copies lost at the handover (flowsCopied as expected), a wrong default (the table was empty, not different).

--- a/internal/serve/lease/holder.go
+++ b/internal/serve/lease/holder.go
@@ -22,7 +22,7 @@
 	// sharePart is the percentage of all slots that hosts keep without need.
 	// The rest stays with the keepers for a host that comes or gets busy.
 	sharePart = 70
-	maxCool     = 2 * clock.Second
+	maxCool   = 2 * clock.Second
 )
 
 // Ending tells how a try at a server ended.
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -188,7 +188,9 @@
 	s := r.servers[info.Name]
 	if s == nil {
 		// What stood when this host started is warm already.
-		s = &Server{seenAt: now, changedAt: now, cold: now-r.born > 2*SilentAfter}
+		// Its keeper may be this host in its former life, to which the server
+		// has yet to announce itself again.
+		s = &Server{seenAt: now, changedAt: now, beatAt: now, cold: now-r.born > 2*SilentAfter}
 		r.servers[info.Name] = s
 	} else {
 		if s.info.Start != info.Start || s.info.State == Gone && info.State == Up {
