member: let an isolated host stand aside and rejoin as a newcomer

Cause: a host cut off from the others took them for dead, owned all keys, adopted flows by default and refused requests that the others then ran; at its return its claims made healthy hosts give up what they held.

Ruled out: lost copies (flows broke only on packets that the isolated host took), handover time (10 s was enough once the view was right).

A host that lost the majority takes no new work for 30 s, its word counts only about itself, and only such a host starts over. A host tells the fabric by /ready on the admin listener.

--- a/internal/base/admin/admin.go
+++ b/internal/base/admin/admin.go
@@ -57,9 +57,14 @@
 	http http.Server
 }
 
-// New returns a Server for addr. Extra handlers are added by path.
-func New(addr string, metrics *Metrics, dump Dumper) *Server {
+// New returns a Server for addr. Ready tells whether the process takes work.
+func New(addr string, metrics *Metrics, dump Dumper, ready func() bool) *Server {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(metrics.Values())
--- a/internal/ctrl/daemon/daemon.go
+++ b/internal/ctrl/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -62,6 +63,8 @@
 	peers   *link.Peers
 	server  *link.Server
 	metrics *admin.Metrics
+	// current is set while the host is in touch with a quorum.
+	current atomic.Bool
 
 	// tokens names the connections that wait for a reply. The decision
 	// goroutine gives them out, the disk goroutine takes them back.
@@ -133,7 +136,7 @@
 	tree.Start("listener", d.server.Run)
 	tree.Start("disk", d.persist)
 	tree.Start("decisions", d.decide)
-	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump).Run)
+	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump, d.current.Load).Run)
 	d.log.Info("Control host is up.", "name", d.settings.Name, "listen", d.settings.Listen())
 	<-tree.Done()
 	err := tree.Stop()
@@ -164,6 +167,7 @@
 		case e := <-d.events.Items():
 			d.take(e)
 		}
+		d.current.Store(d.core.Node().Current(d.clock.Now()))
 		out := d.core.Take()
 		if !out.Empty() && !d.batches.Offer(out) {
 			d.log.Error("Disk is too slow. This host stands aside.")
--- a/internal/entry/core/asks.go
+++ b/internal/entry/core/asks.go
@@ -75,6 +75,10 @@
 	if c.answerAsk(bucket, p, in) {
 		return
 	}
+	if c.standsAside() {
+		c.counters.Add(StoodAside, 1)
+		return
+	}
 	certain := c.certain(bucket, req, in)
 	if !certain {
 		if target := c.askTarget(bucket, in, s.spec.Ledger()); target != "" {
@@ -145,7 +149,7 @@
 // fresh takes a request that is not known here.
 func (c *Core) fresh(s *service, key ledger.Key, req *envel.Request, ret ledger.Return, certain bool) {
 	c.counters.Add(RequestsTaken, 1)
-	fenced := c.group.Fenced(c.now) && !c.opts.Off.Fence
+	fenced := c.fenced()
 	if !req.Idempotent && (fenced || !certain) {
 		c.counters.Add(RequestsUncertain, 1)
 		if fenced {
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -103,14 +103,18 @@
 	group  *member.Group
 	homes  *homes.Table
 	viewed uint64
-	viewAt clock.Millis
-	since  [homes.Buckets]clock.Millis
-	addrs  map[string]netip.AddrPort
+	// fencedAt is when the host lost the majority, or zero.
+	fencedAt clock.Millis
+	viewAt   clock.Millis
+	since    [homes.Buckets]clock.Millis
+	addrs    map[string]netip.AddrPort
 	// boots gives a number to each start of each host.
 	boots   map[string]table.ID
 	peers   map[string]*peerNews
 	serving bool
 	leaving bool
+	// joinFrom is when the host began to look for the others.
+	joinFrom clock.Millis
 
 	roster    *roster.Roster
 	rostered  uint64
@@ -149,7 +153,7 @@
 // New returns the Core of a host that holds nothing.
 func New(opts Options, now clock.Millis, r *rand.Rand) *Core {
 	c := &Core{
-		opts: opts, rand: r, now: now, born: now,
+		opts: opts, rand: r, now: now, born: now, joinFrom: now,
 		addrs: map[string]netip.AddrPort{}, boots: map[string]table.ID{}, peers: map[string]*peerNews{},
 		roster: roster.New(opts.Name, now), services: map[string]*service{},
 		holder: lease.NewHolder(opts.Name, opts.Boot, r), keeper: lease.NewKeeper(),
@@ -165,10 +169,6 @@
 	return c
 }
 
-// joinWait is how long a starting host waits for a seed before it takes
-// itself for the first of its data centre.
-const joinWait = 3 * clock.Second
-
 // Tick tells the time. Call it about every 20 ms.
 func (c *Core) Tick(now clock.Millis) {
 	c.now = now
@@ -176,8 +176,9 @@
 	if c.group.TakeDeposed() {
 		c.startOver()
 	}
+	c.noteFence()
 	c.startServing()
-	c.roster.Tick(now, c.hostLives)
+	c.roster.Tick(now, !c.fenced(), c.hostLives)
 	c.lookAround()
 	c.requestsDue()
 	c.sweep()
@@ -196,13 +197,40 @@
 	if c.serving || c.leaving || c.holderOf.Bundle() == nil {
 		return
 	}
-	alone := len(c.opts.Seeds) == 0 || c.now-c.born >= joinWait
+	alone := len(c.opts.Seeds) == 0 || c.now-c.joinFrom >= serveAlone
 	if c.group.Joined() || alone {
 		c.serving = true
 		c.group.Enter(member.Serving)
 	}
 }
 
+// serveAlone is how long a host that lost the majority leaves the work to the
+// others, before it takes them for dead and serves what it can.
+const serveAlone = 30 * clock.Second
+
+func (c *Core) noteFence() {
+	switch {
+	case !c.group.Fenced(c.now) || c.opts.Off.Fence:
+		c.fencedAt = 0
+	case c.fencedAt == 0:
+		c.fencedAt = c.now
+	}
+}
+
+// fenced reports whether the host must not vouch for what others may do.
+func (c *Core) fenced() bool {
+	return !c.opts.Off.Fence && c.group.Fenced(c.now)
+}
+
+// standsAside reports whether the host takes no new work, because the others
+// have probably taken over what it owned. Their callers' packets reach them.
+func (c *Core) standsAside() bool {
+	return c.fenced() && (c.fencedAt == 0 || c.now-c.fencedAt < serveAlone)
+}
+
+// Ready reports whether the fabric should send packets to this host.
+func (c *Core) Ready() bool { return c.serving && !c.standsAside() }
+
 // startOver drops what the host held, after the others had declared it dead
 // and taken over. Records that it kept could be older than theirs.
 func (c *Core) startOver() {
@@ -219,10 +247,9 @@
 			c.ledger.Remove(e)
 		}
 	})
-	c.group.Reboot(c.opts.Boot)
-	for b := range c.since {
-		c.since[b] = c.now
-	}
+	c.serving, c.joinFrom = false, c.now
+	c.group.Rejoin(c.opts.Boot)
+	c.lookAround()
 }
 
 // Leave begins a graceful end: the host stops being home to anything and
--- a/internal/entry/core/counters.go
+++ b/internal/entry/core/counters.go
@@ -44,6 +44,7 @@
 	Cancels
 	ReleasesAccepted
 	ReleasesRefused
+	StoodAside
 	Deposed
 )
 
@@ -57,7 +58,7 @@
 	"requestsTaken", "requestsJoined", "requestsAsked", "requestsNoted", "requestsNoteRefused",
 	"requestsUncertain", "requestsFenced", "requestsClashed", "requestsSent", "requestsAnswered", "requestsRefused",
 	"requestsUnknown", "requestsDropped", "answersLate", "attemptsSilent", "serverSheds", "retries", "cancels",
-	"releasesAccepted", "releasesRefused", "deposed",
+	"releasesAccepted", "releasesRefused", "stoodAside", "deposed",
 }
 
 // String returns the counter's name in metrics and dumps.
--- a/internal/entry/core/dump.go
+++ b/internal/entry/core/dump.go
@@ -21,6 +21,7 @@
 	Serving          bool          `json:"serving"`
 	Leaving          bool          `json:"leaving"`
 	Fenced           bool          `json:"fenced"`
+	Ready            bool          `json:"ready"`
 	Fetches          bool          `json:"fetches"`
 	View             uint64        `json:"view"`
 	Members          []DumpHost    `json:"members"`
@@ -78,7 +79,7 @@
 		Role: "entry", Name: c.opts.Name, DataCentre: c.opts.Centre, Version: c.inForce(),
 		ReleaseSeq: c.holderOf.Position().Seq, Digest: c.holderOf.Position().Digest,
 		ControlSilentFor: now - c.control.heardAt, Serving: c.serving, Leaving: c.leaving,
-		Fenced: c.group.Fenced(now), Fetches: c.fetcher() == self.Name, View: c.group.Digest(),
+		Fenced: c.fenced(), Ready: c.Ready(), Fetches: c.fetcher() == self.Name, View: c.group.Digest(),
 		LeaseWaits: c.keeper.Waiting(now), Leases: c.holder.Leases(), Flows: c.flows.Len(), Requests: c.ledger.Len(),
 		RefusedTries: c.refused.Len(), Counters: c.counters.All(),
 	}
--- a/internal/entry/core/endings.go
+++ b/internal/entry/core/endings.go
@@ -67,9 +67,10 @@
 }
 
 // giveUp ends e with what is certain: that it did not run, or that it may have.
+// A host that lost the majority can't tell whether another one has run it.
 func (c *Core) giveUp(s *service, e *entry) {
 	a := envel.Answer{Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)}
-	if e.MayHaveRun() {
+	if e.MayHaveRun() || c.fenced() && !e.Request.Idempotent {
 		a = envel.Answer{Outcome: envel.Unknown}
 	}
 	c.finish(s, e, a)
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -78,6 +78,10 @@
 	if c.answerAsk(bucket, p, in) {
 		return
 	}
+	if c.standsAside() {
+		c.counters.Add(StoodAside, 1)
+		return
+	}
 	if target := c.askTarget(bucket, in, handover); target != "" {
 		if c.looped(in) {
 			return
--- a/internal/entry/daemon/admin.go
+++ b/internal/entry/daemon/admin.go
@@ -29,6 +29,7 @@
 type stats struct {
 	values [64]atomic.Uint64
 	flows  atomic.Int64
+	ready  atomic.Bool
 }
 
 func (s *stats) copy(c *core.Core) {
@@ -36,6 +37,7 @@
 		s.values[i].Store(c.Counters().Get(core.Counter(i)))
 	}
 	s.flows.Store(int64(c.Flows()))
+	s.ready.Store(c.Ready())
 }
 
 func (d *Daemon) publish() {
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -160,7 +160,7 @@
 	tree.Start("decisions", d.decide)
 	tree.Start("releases", d.store)
 	tree.Start("announce", d.serveAnnounce)
-	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump).Run)
+	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump, d.stats.ready.Load).Run)
 	d.log.Info("Entry host is up.", "name", d.settings.Name, "fabric", d.settings.Fabric)
 	select {
 	case <-tree.Done():
--- a/internal/host/member/group.go
+++ b/internal/host/member/group.go
@@ -63,6 +63,9 @@
 	rumors  rumor.Set[string, Info]
 	joined  bool
 	heardAt clock.Millis
+	startAt clock.Millis
+	// cutOffAt is when this host was last without a majority.
+	cutOffAt clock.Millis
 	// deposed is set when the group had declared this host dead.
 	deposed bool
 	version uint64
@@ -74,7 +77,7 @@
 func New(self Info, seeds []string, timing Timing, load Piggyback, now clock.Millis, r *rand.Rand) *Group {
 	self.State = Alive
 	return &Group{
-		self: self, timing: timing, rand: r, load: load, seeds: seeds, now: now,
+		self: self, timing: timing, rand: r, load: load, seeds: seeds, now: now, startAt: now,
 		peers: map[string]*peer{}, relays: map[uint64]relayed{}, heardAt: now, version: 1,
 	}
 }
@@ -161,6 +164,9 @@
 			}
 		}
 	}
+	if now-g.startAt < g.timing.Remember {
+		known = max(known, len(g.seeds)+1)
+	}
 	if others && now-g.heardAt > g.timing.FenceAfter {
 		return true
 	}
@@ -205,10 +211,16 @@
 	g.rumors.Put(g.self.Name, g.self)
 }
 
-// Reboot gives this host a new boot number after it lost what it held.
-func (g *Group) Reboot(boot uint64) {
-	g.self.Boot = boot
-	g.announceSelf(g.self.State)
+// Rejoin makes this host a newcomer with a new boot number, after the others
+// had declared it dead. What it believed of them meanwhile is forgotten.
+func (g *Group) Rejoin(boot uint64) {
+	g.peers = map[string]*peer{}
+	g.order = nil
+	g.rumors = rumor.Set[string, Info]{}
+	g.joined, g.syncAt = false, g.now
+	g.startAt, g.heardAt, g.cutOffAt = g.now, g.now, 0
+	g.self.Boot, g.self.Phase = boot, Joining
+	g.announceSelf(Alive)
 }
 
 func (g *Group) send(to string, kind codec.Kind, v any) {
@@ -219,10 +231,16 @@
 	return g.rumors.Take(maxGossip, len(g.peers)+1)
 }
 
-// merge takes what another host says about the members.
-func (g *Group) merge(members []Info) {
+// merge takes what another host says about the members. A host that counts as
+// dead here is heard about itself alone: while it was cut off it may have taken
+// others for dead.
+func (g *Group) merge(from string, members []Info) {
+	p := g.peers[from]
+	dead := p != nil && p.info.State == Dead
 	for i := range members {
-		g.learn(&members[i])
+		if !dead || members[i].Name == from || members[i].Name == g.self.Name {
+			g.learn(&members[i])
+		}
 	}
 }
 
@@ -254,12 +272,25 @@
 	g.rumors.Put(m.Name, *m)
 }
 
+// cutOffLately reports whether this host lost the majority a short time ago, so
+// that the others may have taken over what it held. A host that never lost it
+// just denies its death.
+func (g *Group) cutOffLately() bool {
+	return g.cutOffAt != 0 && g.now-g.cutOffAt < syncSpan
+}
+
+func (g *Group) noteCutOff() {
+	if g.Fenced(g.now) {
+		g.cutOffAt = g.now
+	}
+}
+
 // refute answers what others say about this host itself.
 func (g *Group) refute(m *Info) {
 	if m.Incarnation < g.self.Incarnation || *m == g.self {
 		return
 	}
-	if m.State == Dead && g.self.State != Left {
+	if m.State == Dead && g.cutOffLately() {
 		g.deposed = true
 	}
 	if m.Incarnation > g.self.Incarnation || m.State > g.self.State {
--- a/internal/host/member/probe.go
+++ b/internal/host/member/probe.go
@@ -19,6 +19,7 @@
 // Tick tells the time. Call it several times in a probe period.
 func (g *Group) Tick(now clock.Millis) {
 	g.now = now
+	g.noteCutOff()
 	g.expire()
 	if g.now >= g.syncAt {
 		g.sync()
@@ -143,6 +144,7 @@
 // of this package.
 func (g *Group) Frame(now clock.Millis, body []byte) bool {
 	g.now = now
+	g.noteCutOff()
 	switch codec.KindOf(body) {
 	case codec.Ping:
 		if m, err := codec.Decode[Ping](body); err == nil {
@@ -171,7 +173,7 @@
 }
 
 func (g *Group) onPing(m *Ping) {
-	g.merge(m.Members)
+	g.merge(m.From, m.Members)
 	g.mergeLoad(m.From, m.Load)
 	p := g.peers[m.From]
 	if p == nil {
@@ -203,7 +205,7 @@
 }
 
 func (g *Group) onAck(m *Ack) {
-	g.merge(m.Members)
+	g.merge(m.From, m.Members)
 	g.mergeLoad(m.From, m.Load)
 	if r, ok := g.relays[m.Seq]; ok && m.Target == m.From {
 		delete(g.relays, m.Seq)
@@ -222,7 +224,7 @@
 }
 
 func (g *Group) onPingReq(m *PingReq) {
-	g.merge(m.Members)
+	g.merge(m.From, m.Members)
 	target := g.peers[m.Target]
 	if target == nil || g.peers[m.From] == nil {
 		return
@@ -234,7 +236,7 @@
 
 func (g *Group) onSync(m *Sync, reply bool) {
 	g.joined = true
-	g.merge(m.Members)
+	g.merge(m.From, m.Members)
 	g.mergeLoad(m.From, m.Load)
 	p := g.peers[m.From]
 	if !reply || p == nil {
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -90,6 +90,9 @@
 	seenAt    clock.Millis
 	changedAt clock.Millis
 	cold      bool
+	// orphanAt is when this host found that nobody vouches for the server any
+	// more, or zero. It is this host's own finding and is not passed on.
+	orphanAt clock.Millis
 }
 
 // Info returns what the data centre knows of the server.
@@ -99,10 +102,13 @@
 func (s *Server) ChangedAt() clock.Millis { return s.changedAt }
 
 // Usable reports whether the server may get new work.
-func (s *Server) Usable() bool { return s.info.State == Up }
+func (s *Server) Usable() bool { return s.info.State == Up && s.orphanAt == 0 }
 
 // Ended reports whether the server is gone so long that its flows are lost.
 func (s *Server) Ended(now clock.Millis) bool {
+	if s.orphanAt != 0 {
+		return now-s.orphanAt >= ResetAfter
+	}
 	return s.info.State == Gone && now-s.changedAt >= ResetAfter
 }
 
@@ -204,6 +210,7 @@
 		r.version++
 	}
 	s.info = *info
+	r.setOrphan(s, 0)
 	r.rumors.Put(info.Name, *info)
 }
 
@@ -215,11 +222,13 @@
 }
 
 // Tick finds servers that fell silent. KeeperLives tells whether a host can
-// still vouch for its servers.
-func (r *Roster) Tick(now clock.Millis, keeperLives func(name string) bool) {
+// still vouch for its servers. A host that is cut off from the others, and so
+// not trusted, finds nothing about their servers.
+func (r *Roster) Tick(now clock.Millis, trusted bool, keeperLives func(name string) bool) {
 	for name, s := range r.servers {
 		switch {
 		case s.info.State == Gone:
+			s.orphanAt = 0
 			if now-s.changedAt > forgetAfter {
 				delete(r.servers, name)
 			}
@@ -227,14 +236,22 @@
 			if now-s.beatAt > SilentAfter {
 				r.declareGone(now, s)
 			}
-		case keeperLives(s.info.Keeper):
+		case keeperLives(s.info.Keeper) || !trusted:
 			s.beatAt = now
-		case now-max(s.beatAt, s.changedAt) > OrphanAfter:
-			r.declareGone(now, s)
+			r.setOrphan(s, 0)
+		case now-max(s.beatAt, s.changedAt) > OrphanAfter && s.orphanAt == 0:
+			r.setOrphan(s, now)
 		}
 	}
 }
 
+func (r *Roster) setOrphan(s *Server, at clock.Millis) {
+	if (s.orphanAt == 0) != (at == 0) {
+		r.version++
+	}
+	s.orphanAt = at
+}
+
 func (r *Roster) declareGone(now clock.Millis, s *Server) {
 	info := s.info
 	info.State = Gone
@@ -263,9 +280,9 @@
 	for _, s := range r.servers {
 		switch {
 		case s.info.Service != service:
-		case s.info.State == Up:
+		case s.Usable():
 			up = append(up, s)
-		case s.info.State == Gone && s.beatAt > 0:
+		case s.info.State != Draining:
 			silent = append(silent, s)
 		}
 	}
