entry: adopt flows by the placement that their former home knew

Cause: when a home died and the servers changed before it was missed, its heir placed unknown flows by the new table, which the dead home had never seen and so had copied no exceptions against.

Ruled out: copy budget (flowsCopied far below it), handover window.

Before (internal/proof/matrix TestPairsOfFaults): 5 of 324 pairs broke flows. After: 0 of 324. A host that dies and comes back unseen is vouched for by its successor, which kept the older table.

--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -107,7 +107,11 @@
 	fencedAt clock.Millis
 	viewAt   clock.Millis
 	since    [homes.Buckets]clock.Millis
-	addrs    map[string]netip.AddrPort
+	// owner is the start of a host that owns each bucket, and heirAt the time
+	// up to which the owner before it followed the roster.
+	owner  [homes.Buckets]table.ID
+	heirAt [homes.Buckets]clock.Millis
+	addrs  map[string]netip.AddrPort
 	// boots gives a number to each start of each host.
 	boots   map[string]table.ID
 	peers   map[string]*peerNews
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -75,6 +75,9 @@
 
 func (c *Core) unknownFlow(s *service, p *inner.Packet, in *arrival, hash uint64) {
 	bucket := c.bucketOf(hash)
+	if in.has(askFlag) && c.vouch(s, p, in, hash) {
+		return
+	}
 	if c.answerAsk(bucket, p, in) {
 		return
 	}
@@ -121,6 +124,26 @@
 	c.forward(r, p, in)
 }
 
+// vouch forwards a packet of an unknown flow that the new home asks about, when
+// this host knows that the home's default is not that of the owner before. It
+// reports whether it did.
+func (c *Core) vouch(s *service, p *inner.Packet, in *arrival, hash uint64) bool {
+	if s == nil || p.Key.Proto() != inner.TCP || p.Opens() || !c.adoptable(s, p) {
+		return false
+	}
+	server := c.adopt(s, hash)
+	i := s.place.Index(hash)
+	if server == 0 || i < 0 || s.ids[i] == server || c.flows.Len() >= c.opts.MaxFlows {
+		return false
+	}
+	r := c.addFlow(s, p, hash, server)
+	r.Flags |= table.Adopted
+	c.disown(r)
+	c.touch(r, p, in)
+	c.forward(r, p, in)
+	return true
+}
+
 // adoptable reports whether a packet in the middle of an unknown flow may go to
 // the default server. It may not when its address has lately changed service.
 func (c *Core) adoptable(s *service, p *inner.Packet) bool {
@@ -149,15 +172,28 @@
 	return i < 0 || s.ids[i] != r.Server
 }
 
+// adopt returns the server for a flow in its middle, or zero: the default of
+// the time when the owner of its key before could last copy exceptions.
+func (c *Core) adopt(s *service, hash uint64) table.ID {
+	at := c.heirAt[c.bucketOf(hash)]
+	p := &s.placement
+	if c.now-at < s.spec.Idle() {
+		p = s.placementAt(at)
+	}
+	if i := p.place.Index(hash); i >= 0 {
+		return p.ids[i]
+	}
+	return 0
+}
+
 // choose returns the server for a new flow, or zero. A flow in its middle goes
-// to its default whatever the load.
+// to a server whatever the load.
 func (c *Core) choose(s *service, hash uint64, opens bool) table.ID {
-	first := s.place.Index(hash)
-	if first < 0 {
-		return 0
-	}
 	if !opens {
-		return s.ids[first]
+		return c.adopt(s, hash)
+	}
+	if s.place.Len() == 0 {
+		return 0
 	}
 	for n := range choices {
 		if i := s.place.Choice(hash, n); c.mayTake(s, i) {
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 
+	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/homes"
@@ -19,10 +20,9 @@
 type service struct {
 	spec *spec.Service
 	id   table.ID
-	// place is the default placement, and ids the numbers of its backends.
-	place    *place.Table
-	backends []place.Backend
-	ids      []table.ID
+	placement
+	// past are the placements before, the latest last.
+	past []placement
 	// counts holds the flows that this host is home to, by server.
 	counts map[table.ID]int
 	total  int
@@ -31,6 +31,29 @@
 	tokens float64
 }
 
+// placement is a default placement with the numbers of its backends.
+type placement struct {
+	place    *place.Table
+	backends []place.Backend
+	ids      []table.ID
+	// until is when it was replaced.
+	until clock.Millis
+}
+
+// keptPlacements is how many replaced placements a service remembers.
+const keptPlacements = 4
+
+// placementAt returns the placement that was in force at the given time, or
+// the oldest one known.
+func (s *service) placementAt(at clock.Millis) *placement {
+	for i := range s.past {
+		if s.past[i].until > at {
+			return &s.past[i]
+		}
+	}
+	return &s.placement
+}
+
 func (s *service) forget() {
 	clear(s.counts)
 	s.total = 0
@@ -82,6 +105,13 @@
 	c.homes = homes.New(hosts)
 	self := c.opts.Name
 	for b := range homes.Buckets {
+		if owner := c.boots[c.homes.Home(b)]; owner != c.owner[b] {
+			c.heirAt[b] = c.now
+			if old != nil {
+				c.heirAt[b] -= c.lagOf(old.Home(b), c.homes.Home(b))
+			}
+			c.owner[b] = owner
+		}
 		owns := c.homes.Home(b) == self || c.homes.Next(b) == self
 		owned := old != nil && (old.Home(b) == self || old.Next(b) == self)
 		if owns && !owned {
@@ -91,6 +121,20 @@
 	c.restartSweep()
 }
 
+// lagOf returns how long ago the owner of keys that now belong to heir could
+// last follow changes of the roster. A dead one fell silent before it was
+// missed, and one that inherits from itself had died unseen.
+func (c *Core) lagOf(owner, heir string) clock.Millis {
+	if m, ok := c.group.Find(owner); ok && (m.State == member.Dead || owner == heir) {
+		t := c.opts.Timing
+		return t.Period + 2*t.AckWait + t.SuspectFor + tellLag
+	}
+	return 0
+}
+
+// tellLag is about the time that a change takes to reach all hosts.
+const tellLag = 300 * clock.Millis(1)
+
 // viewServers rebuilds the placement of the services whose servers changed,
 // and tells the lease machines what is there.
 func (c *Core) viewServers() {
@@ -127,9 +171,12 @@
 	if s.place != nil && slices.Equal(backends, s.backends) {
 		return
 	}
-	s.backends = backends
-	s.place = place.New(s.spec.Buckets(), backends)
-	s.ids = s.ids[:0]
+	if s.place != nil && s.place.Len() > 0 {
+		s.placement.until = c.now
+		s.past = append(s.past, s.placement)
+		s.past = s.past[max(0, len(s.past)-keptPlacements):]
+	}
+	s.placement = placement{place: place.New(s.spec.Buckets(), backends), backends: backends}
 	for _, b := range s.place.Backends() {
 		s.ids = append(s.ids, c.names.ID(b.Name))
 	}
