entry: copy flows whose address belongs to another service now

Cause: a flow of an address that a bundle moved sat at its own service's default, so it was no exception; when its home died the heir found the address's new service and reset the flow.

Before: TestServicesStayApart broke 17 of 100 flows.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -167,11 +167,26 @@
 	return r
 }
 
+// isException reports whether another host, which knows nothing of the flow,
+// would place it elsewhere: S is the service of the flow, or nil when the bundle
+// in force has it no more.
 func (c *Core) isException(s *service, r *table.Record) bool {
+	if s == nil || c.ownerOf(&r.Key) != s {
+		return true
+	}
 	i := s.place.Index(r.Hash())
 	return i < 0 || s.ids[i] != r.Server
 }
 
+// ownerOf returns the service that owns the address of a flow, or nil.
+func (c *Core) ownerOf(key *inner.Key) *service {
+	sp := c.holderOf.Bundle().Lookup(spec.Address{Proto: key.Proto(), AddrPort: key.Dst()})
+	if sp == nil {
+		return nil
+	}
+	return c.services[sp.Name()]
+}
+
 // adopt returns the server for a flow in its middle, or zero: the default of
 // the time when the owner of its key before could last copy exceptions.
 func (c *Core) adopt(s *service, hash uint64) table.ID {
--- a/internal/entry/core/packet.go
+++ b/internal/entry/core/packet.go
@@ -67,10 +67,7 @@
 		c.passNoted(p, in)
 		return
 	}
-	var s *service
-	if sp := b.Lookup(spec.Address{Proto: p.Key.Proto(), AddrPort: p.Key.Dst()}); sp != nil {
-		s = c.services[sp.Name()]
-	}
+	s := c.ownerOf(&p.Key)
 	if s != nil && s.spec.Kind() == spec.Request {
 		c.request(s, p, in)
 		return
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -117,12 +117,9 @@
 		c.removeFlow(r)
 		return
 	}
-	s := c.services[c.names.Name(r.Service)]
-	if s != nil {
-		r.Flags &^= table.Exception
-		if c.isException(s, r) {
-			r.Flags |= table.Exception
-		}
+	r.Flags &^= table.Exception
+	if c.isException(c.services[c.names.Name(r.Service)], r) {
+		r.Flags |= table.Exception
 	}
 	bucket := c.bucketOf(r.Hash())
 	if c.homes.Home(bucket) != c.opts.Name && c.homes.Next(bucket) != c.opts.Name && c.now-c.viewAt > keepFormer && !c.leaving {
