lease: measure the need by arrivals and move one slot at a time

Cause: the need was the peak of queued work, which the slots held bound: a host with many leases seemed to need many. Each keeper took slots back at once, so a host lost all of its leases in one round, and the slot taken back was granted to its former holder again.

Little's law gives the need; a holder presses for one server a round; the slot taken back is kept for it.

--- a/internal/ask/ledger/ledger.go
+++ b/internal/ask/ledger/ledger.go
@@ -56,6 +56,7 @@
 type Attempt struct {
 	Number uint64
 	Server string
+	SentAt clock.Millis
 	// Open says that the attempt occupies a slot.
 	Open bool
 	// NotRun says that the server certainly did not run it.
@@ -74,8 +75,6 @@
 	Deadline clock.Millis
 	// Attempts are the sendings to servers, the latest last.
 	Attempts []Attempt
-	// SentAt is when the latest attempt left.
-	SentAt clock.Millis
 	// Inquired says that the servers were asked how the attempts ended.
 	Inquired bool
 	Answer   envel.Answer
--- a/internal/entry/core/asks.go
+++ b/internal/entry/core/asks.go
@@ -7,6 +7,7 @@
 	"monsooncleat.example/monsooncleat/internal/ask/ledger"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/hash"
+	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -19,6 +20,9 @@
 	maxDeadline     = 30 * clock.Second
 	// queueWait is the longest that a request waits for a slot.
 	queueWait = clock.Second
+	// queueSpan is the wait that a request may expect when it is let into the
+	// queue; one that would wait longer is refused at once.
+	queueSpan = 200 * clock.Millis(1)
 	// minQueue is how many requests of a service may wait when this host
 	// holds few or no leases.
 	minQueue = 4
@@ -149,6 +153,7 @@
 // fresh takes a request that is not known here.
 func (c *Core) fresh(s *service, key ledger.Key, req *envel.Request, ret ledger.Return, certain bool) {
 	c.counters.Add(RequestsTaken, 1)
+	c.holder.Arrive(c.now, s.spec.Name())
 	fenced := c.fenced()
 	if !req.Idempotent && (fenced || !certain) {
 		c.counters.Add(RequestsUncertain, 1)
@@ -177,7 +182,7 @@
 	if c.opts.Off.Shed {
 		return false
 	}
-	return len(s.queue) >= max(minQueue, c.holder.Slots(c.now, s.spec.Name()))
+	return len(s.queue) >= max(minQueue, c.holder.Turnover(c.now, s.spec.Name(), queueSpan))
 }
 
 // enqueue sends e to a server at once when a slot is free, or lets it wait.
@@ -219,13 +224,13 @@
 	srv := c.roster.Find(server)
 	if srv == nil || srv.Info().Service != s.spec.Name() && !c.opts.Off.Apart {
 		c.counters.Add(CrossedPrevented, 1)
-		c.holder.Release(c.now, server, lease0)
+		c.holder.Release(c.now, s.spec.Name(), server, 0, lease.Shed)
 		c.finish(s, e, envel.Answer{Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)})
 		return
 	}
-	a := ledger.Attempt{Number: c.rand.Uint64(), Server: server, Open: true}
+	a := ledger.Attempt{Number: c.rand.Uint64(), Server: server, SentAt: c.now, Open: true}
 	e.Attempts = append(e.Attempts, a)
-	e.Stage, e.SentAt = ledger.Sent, c.now
+	e.Stage = ledger.Sent
 	c.pending[a.Number] = e
 	left := e.Deadline - c.now
 	wire := envel.Request{
--- a/internal/entry/core/endings.go
+++ b/internal/entry/core/endings.go
@@ -10,9 +10,6 @@
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
 
-// lease0 gives a slot back without a word on the server.
-const lease0 = lease.Answered
-
 // Answer takes a datagram that a backend server sent to the answers address.
 func (c *Core) Answer(now clock.Millis, data []byte) {
 	c.now = now
@@ -33,12 +30,12 @@
 		return
 	}
 	if a.Outcome != envel.NotRun {
-		c.closeAttempt(at, lease.Answered)
+		c.closeAttempt(e, at, lease.Answered)
 		c.finish(s, e, *a)
 		return
 	}
 	at.NotRun = true
-	c.closeAttempt(at, lease.Shed)
+	c.closeAttempt(e, at, lease.Shed)
 	c.counters.Add(ServerSheds, 1)
 	if e.Stage == ledger.Queued || slices.ContainsFunc(e.Attempts, func(o ledger.Attempt) bool { return o.Open }) {
 		return
@@ -46,10 +43,10 @@
 	c.again(s, e)
 }
 
-func (c *Core) closeAttempt(at *ledger.Attempt, ending lease.Ending) {
+func (c *Core) closeAttempt(e *entry, at *ledger.Attempt, ending lease.Ending) {
 	if at.Open {
 		at.Open = false
-		c.holder.Release(c.now, at.Server, ending)
+		c.holder.Release(c.now, e.Key.Service, at.Server, c.now-at.SentAt, ending)
 	}
 }
 
@@ -84,7 +81,7 @@
 		delete(c.pending, at.Number)
 		if at.Open {
 			c.cancel(s, e, at)
-			c.closeAttempt(at, lease.Silent)
+			c.closeAttempt(e, at, lease.Silent)
 		}
 	}
 	c.countEnding(s, a.Outcome)
@@ -176,14 +173,14 @@
 	case dueAttempt:
 		if at := e.Attempt(d.attempt); at != nil && at.Open {
 			c.cancel(s, e, at)
-			c.closeAttempt(at, lease.Silent)
+			c.closeAttempt(e, at, lease.Silent)
 			c.counters.Add(AttemptsSilent, 1)
 			c.retryOrWait(s, e)
 		}
 	case dueInquire:
 		if at := e.Attempt(d.attempt); at != nil && at.Open {
 			c.cancel(s, e, at)
-			c.deadline.Add(c.now+(c.now-e.SentAt), d)
+			c.deadline.Add(c.now+(c.now-at.SentAt), d)
 		}
 	case dueDeadline:
 		c.giveUp(s, e)
--- a/internal/proof/matrix/restart_test.go
+++ b/internal/proof/matrix/restart_test.go
@@ -34,6 +34,7 @@
 // standard returns a world of entry hosts and servers that is ready for work.
 func standard(seed uint64, hosts, perService, slots int, off core.Mechanisms) *world {
 	w := newWorld(seed, off)
+	w.slow = true
 	w.control.roll(1, bundleText(1))
 	for i := range hosts {
 		w.startHost(i, hosts)
--- a/internal/proof/matrix/servers_test.go
+++ b/internal/proof/matrix/servers_test.go
@@ -32,6 +32,7 @@
 	served   int
 	flows    map[inner.Key]bool
 	opened   int
+	unknown  int
 	attempts map[uint64]bool
 	answers  map[uint64]*envel.Answer
 	runs     map[string]int
@@ -120,6 +121,7 @@
 		delete(s.flows, p.Key)
 		s.w.callers.reset(p.Key)
 	case !known:
+		s.unknown++
 		s.w.callers.misrouted(p.Key, s, from)
 	case p.Flags&inner.FIN != 0:
 		delete(s.flows, p.Key)
--- a/internal/serve/lease/holder.go
+++ b/internal/serve/lease/holder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -10,8 +11,12 @@
 )
 
 const (
-	// needSpan is how long a peak of work counts as need.
-	needSpan = 2 * clock.Second
+	// idleSpan is how long a service without requests keeps its need.
+	idleSpan = 2 * clock.Second
+	// rateSpan is the span over which arrivals are counted, and holdWeight the
+	// weight of one request in the mean time that a slot is held.
+	rateSpan   = 500 * clock.Millis(1)
+	holdWeight = 0.05
 	// coolShed is how long a server that shed a request is avoided, times the
 	// sheds in a row.
 	coolShed = 100 * clock.Millis(1)
@@ -62,9 +67,13 @@
 type pool struct {
 	servers map[string]*held
 	queued  int
-	// peak is the most work lately, and peakAt when it was.
-	peak   int
-	peakAt clock.Millis
+	// arrived counts the requests since turnAt; rate is their mean number in a
+	// millisecond, and hold the mean time that one holds a slot.
+	arrived   int
+	turnAt    clock.Millis
+	arrivedAt clock.Millis
+	rate      float64
+	hold      float64
 }
 
 func (p *pool) used() int {
@@ -196,12 +205,15 @@
 	return cmp.Compare(uint64(a.used)*uint64(b.weight), uint64(b.used)*uint64(a.weight))
 }
 
-// Release gives a slot back.
-func (h *Holder) Release(now clock.Millis, server string, ending Ending) {
+// Release gives a slot back that was held for the given span.
+func (h *Holder) Release(now clock.Millis, service, server string, span clock.Millis, ending Ending) {
 	s := h.byID[server]
 	if s == nil {
 		return
 	}
+	if p := h.pool(service); ending == Answered {
+		p.noteHold(span)
+	}
 	s.used = max(0, s.used-1)
 	switch ending {
 	case Answered:
@@ -221,24 +233,49 @@
 func (h *Holder) SetQueued(now clock.Millis, service string, queued int) {
 	p := h.pool(service)
 	p.queued = queued
-	p.note(now)
 }
 
-func (p *pool) note(now clock.Millis) {
-	work := p.used() + p.queued
-	if work >= p.peak || now-p.peakAt > needSpan {
-		p.peak, p.peakAt = work, now
+// Arrive counts a request to service, whether or not it will be served.
+func (h *Holder) Arrive(now clock.Millis, service string) {
+	p := h.pool(service)
+	p.turn(now)
+	p.arrived++
+	p.arrivedAt = now
+}
+
+func (p *pool) noteHold(span clock.Millis) {
+	if p.hold == 0 {
+		p.hold = max(1, float64(span))
+		return
 	}
+	p.hold += (float64(span) - p.hold) * holdWeight
 }
 
-// need returns the slots that the pool should have: its recent peak and one
-// in reserve, or none after a span without work.
+func (p *pool) turn(now clock.Millis) {
+	span := now - p.turnAt
+	if span < rateSpan {
+		return
+	}
+	rate := float64(p.arrived) / float64(span)
+	if span < 2*rateSpan {
+		rate = (rate + p.rate) / 2
+	}
+	p.rate, p.arrived, p.turnAt = rate, 0, now
+}
+
+// need returns the slots that the pool should have: the work that its arrivals
+// bring, with room for their chance clusters, or none after a span without any.
 func (p *pool) need(now clock.Millis) int {
-	p.note(now)
-	if p.peak == 0 {
+	p.turn(now)
+	work := p.used() + p.queued
+	if work == 0 && now-p.arrivedAt > idleSpan {
 		return 0
 	}
-	return p.peak + 1
+	if p.hold == 0 {
+		return work + 1
+	}
+	offered := p.rate * p.hold
+	return int(math.Ceil(offered+math.Sqrt(offered))) + 1
 }
 
 // share returns the slots that the pool keeps beyond its need while nobody
@@ -266,6 +303,16 @@
 // Slots returns the slots held for a service.
 func (h *Holder) Slots(now clock.Millis, service string) int { return h.pool(service).have(now) }
 
+// Turnover returns how many requests the slots held for a service are likely to
+// finish within span.
+func (h *Holder) Turnover(now clock.Millis, service string, span clock.Millis) int {
+	p := h.pool(service)
+	if p.hold == 0 {
+		return p.have(now)
+	}
+	return int(float64(p.have(now)) * float64(span) / p.hold)
+}
+
 // Used returns the requests at work for a service.
 func (h *Holder) Used(service string) int { return h.pool(service).used() }
 
@@ -292,7 +339,10 @@
 	wanted := max(need, p.share(need, h.hosts))
 	surplus := max(0, have-wanted)
 	deficit := max(0, wanted-have)
-	wishes := h.wishes(p, deficit)
+	wishes, press := h.wishes(p, deficit)
+	if have >= need {
+		press = ""
+	}
 	for _, s := range p.ordered() {
 		keeper := keeperOf(s.name)
 		if keeper == "" {
@@ -308,7 +358,7 @@
 			continue
 		}
 		s.granted = min(s.granted, keep-back)
-		a := AskServer{Name: s.name, Held: keep - back, Used: s.used, More: wishes[s.name]}
+		a := AskServer{Name: s.name, Held: keep - back, Used: s.used, More: wishes[s.name], Press: s.name == press}
 		addTo(asks, h.self, keeper, h.seq, AskService{Name: service, Need: need, Have: have}, a)
 	}
 }
@@ -323,11 +373,11 @@
 }
 
 // wishes spreads a deficit over twice as many servers, those with free slots
-// and few leases of this host first.
-func (h *Holder) wishes(p *pool, deficit int) map[string]int {
-	out := map[string]int{}
+// and few leases of this host first. It names one of them to press for.
+func (h *Holder) wishes(p *pool, deficit int) (out map[string]int, press string) {
+	out = map[string]int{}
 	if deficit == 0 {
-		return out
+		return out, ""
 	}
 	var usable []*held
 	for _, s := range p.ordered() {
@@ -340,9 +390,10 @@
 		return cmp.Or(cmp.Compare(min(b.free, 1), min(a.free, 1)), cmp.Compare(a.granted, b.granted))
 	})
 	for i := 0; i < 2*deficit && len(usable) > 0; i++ {
-		out[usable[i%len(usable)].name]++
+		press = usable[i%len(usable)].name
+		out[press]++
 	}
-	return out
+	return out, press
 }
 
 func addTo(asks map[string]*Ask, self, keeper string, seq uint64, svc AskService, a AskServer) {
--- a/internal/serve/lease/keeper.go
+++ b/internal/serve/lease/keeper.go
@@ -19,9 +19,13 @@
 }
 
 type kept struct {
-	limit   int
-	since   clock.Millis
-	holders map[string]*holding
+	limit int
+	// heir is the holder for which a slot was taken back, and heirUntil how
+	// long it is kept for it.
+	heir      string
+	heirUntil clock.Millis
+	since     clock.Millis
+	holders   map[string]*holding
 }
 
 // arrival is a transfer with the time it came.
@@ -172,24 +176,28 @@
 	}
 	h.need, h.have, h.expires = need, have, now+Term
 	keep := max(0, a.Held-h.reclaim)
+	gives := h.reclaim > 0
 	h.reclaim = 0
 	most := max(0, s.limit-s.counted(from))
 	granted := min(keep, most)
-	if now-s.since >= Term {
-		granted = min(keep+a.More, most)
+	if now-s.since >= Term && !gives {
+		granted = max(granted, min(keep+a.More, most-s.reserved(now, from)))
+	}
+	if s.heir == from && granted > a.Held {
+		s.heir = ""
 	}
 	h.have += granted - a.Held
-	if granted < keep+a.More && a.More > 0 {
-		s.reclaimFor(from, h)
+	if granted < keep+a.More && a.Press {
+		s.reclaimFor(now, from, h)
 	}
 	// Until the holder asks again it may go on with what it held before.
 	h.count = max(a.Held, a.Used, granted)
 	return granted
 }
 
-// reclaimFor takes slots, at its next ask, from the holder that is best off for
-// its need, as many as leave it no worse off than the one asking.
-func (s *kept) reclaimFor(from string, poor *holding) {
+// reclaimFor takes a slot, at its next ask, from the holder that is best off for
+// its need, when that leaves it no worse off than the one asking.
+func (s *kept) reclaimFor(now clock.Millis, from string, poor *holding) {
 	rich := ""
 	for _, name := range slices.Sorted(maps.Keys(s.holders)) {
 		h := s.holders[name]
@@ -204,11 +212,18 @@
 		return
 	}
 	h := s.holders[rich]
-	if poor.have >= poor.need || (h.have-1)*poor.need < (poor.have+1)*h.need {
-		return
+	if poor.have < poor.need && (h.have-1)*poor.need >= (poor.have+1)*h.need {
+		h.reclaim = 1
+		s.heir, s.heirUntil = from, now+Term/2
+	}
+}
+
+// reserved returns the slots that are kept for another holder.
+func (s *kept) reserved(now clock.Millis, from string) int {
+	if s.heir == "" || s.heir == from || now >= s.heirUntil {
+		return 0
 	}
-	even := (h.have*poor.need - poor.have*h.need) / (h.need + poor.need)
-	h.reclaim = min(max(1, even), h.count, poor.need-poor.have)
+	return 1
 }
 
 // Granted returns the most slots of a server that may be in use, over all
--- a/internal/serve/lease/types.go
+++ b/internal/serve/lease/types.go
@@ -35,6 +35,10 @@
 	Held int
 	Used int
 	More int
+	// Press asks the keeper to take a slot back from a holder that is better
+	// off, when none is free. A holder presses for one server in each round,
+	// so that the keepers together don't take too much from one holder.
+	Press bool
 }
 
 // Transfer moves the knowledge of leases to the next keeper of some servers.
