roster: rebuild only the services whose servers changed

Cause: each announcement rebuilt the pools of all services by a scan of all servers: quadratic, and endless at 1,900 services (TestBytesOfServices ran into its time limit of 600 s).

--- /dev/null
+++ b/internal/entry/core/bench_test.go
@@ -0,0 +1,209 @@
+package core_test
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/bundle/chain"
+	"monsooncleat.example/monsooncleat/internal/bundle/patch"
+	"monsooncleat.example/monsooncleat/internal/bundle/sign"
+	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/host/member"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
+	"monsooncleat.example/monsooncleat/internal/wire/geneve"
+	"monsooncleat.example/monsooncleat/internal/wire/inner"
+)
+
+const centre = "oulu1"
+
+var fabric = netip.MustParseAddrPort("127.0.0.1:6081")
+
+// lone returns a core that is home to all keys of the given services, each with
+// one address and the given count of servers.
+func lone(tb testing.TB, services, servers int) *core.Core {
+	seed := sha256.Sum256([]byte("test operator"))
+	private := ed25519.NewKeyFromSeed(seed[:])
+	public, _ := private.Public().(ed25519.PublicKey)
+	c := core.New(core.Options{
+		Name: "e1", Centre: centre, Boot: 1, Fabric: "127.0.0.1:6081", Peer: "127.0.0.1:6082",
+		Answers: netip.MustParseAddrPort("127.0.0.1:6083"), Keys: sign.Ring{"matti": public},
+		MaxFlows: 2_000_000, MaxRequests: 1000, Timing: member.DefaultTiming,
+	}, 1, rand.New(rand.NewPCG(1, 1)))
+	text := bundleText(services)
+	release := chain.Release{Centre: centre, Seq: 1, Version: 1, Digest: spec.DigestOf(text), Operator: "matti"}
+	release.Signature = ed25519.Sign(private, sign.Approval(release.Version, release.Digest))
+	release.Hash = release.Sum()
+	update := &chain.Update{Releases: []chain.Release{release}, Patch: patch.Make("", text)}
+	if err := c.Restore(update); err != nil {
+		tb.Fatal(err)
+	}
+	c.Tick(2)
+	c.Sent()
+	for s := range services {
+		for i := range servers {
+			c.Announce(2, &roster.Announcement{
+				Name: fmt.Sprintf("s%d-%d", s, i), Service: fmt.Sprintf("service%d", s),
+				Address: "127.0.0.1:6084", Start: 1, Weight: 1, Connections: 1_000_000,
+			})
+		}
+	}
+	c.Sent()
+	return c
+}
+
+func serviceAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+}
+
+func bundleText(services int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version = 1\n[[dataCentre]]\nname = %q\n", centre)
+	for i := range services {
+		fmt.Fprintf(&b, "[[service]]\nname = \"service%d\"\nkind = \"stream\"\nprotocol = \"tcp\"\naddresses = [%q]\n[service.limits]\nconnections = 1000000\n", i, serviceAddr(i))
+	}
+	return b.String()
+}
+
+func callerAddr(i int) netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte{10, byte(i >> 20), byte(i >> 12), byte(i >> 4)})
+	return netip.AddrPortFrom(ip, uint16(1024+i&15))
+}
+
+func syn(i int) []byte {
+	return geneve.Append(nil, inner.BuildTCP(callerAddr(i), serviceAddr(0), inner.Segment{Flags: inner.SYN, Seq: 1}), nil)
+}
+
+func BenchmarkKnownFlow(b *testing.B) {
+	c := lone(b, 1, 14)
+	const flows = 500_000
+	for i := range flows {
+		c.Datagram(3, fabric, syn(i))
+		c.Sent()
+	}
+	var packets [][]byte
+	for i := range 1024 {
+		// The sequence numbers differ from one round to the next, because a
+		// segment sent again and again ends a flow.
+		seg := inner.Segment{Flags: inner.ACK, Seq: uint32(2 + i/512), Ack: 1, Payload: make([]byte, 200)}
+		packets = append(packets, geneve.Append(nil, inner.BuildTCP(callerAddr(i%512*977), serviceAddr(0), seg), nil))
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		c.Datagram(4, fabric, packets[n&1023])
+		n++
+		c.Sent()
+	}
+}
+
+func BenchmarkNewFlow(b *testing.B) {
+	c := lone(b, 1, 14)
+	var packets [][]byte
+	for i := range 1_000_000 {
+		packets = append(packets, syn(i))
+	}
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		if n == len(packets) {
+			b.StopTimer()
+			c = lone(b, 1, 14)
+			n = 0
+			b.StartTimer()
+		}
+		c.Datagram(4, fabric, packets[n])
+		n++
+		c.Sent()
+	}
+}
+
+// BenchmarkTick measures the periodic work of a host that holds flows.
+func BenchmarkTick(b *testing.B) {
+	for _, flows := range []int{0, 27_000, 500_000} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
+			c := lone(b, 1, 14)
+			for i := range flows {
+				c.Datagram(3, fabric, syn(i))
+				c.Sent()
+			}
+			now := clock.Millis(100)
+			b.ReportAllocs()
+			for b.Loop() {
+				now++
+				c.Tick(now)
+				c.Take()
+				c.Sent()
+			}
+		})
+	}
+}
+
+// BenchmarkServerChange measures the rebuilding of the tables after one server
+// of one service changed, by the count of services and servers.
+func BenchmarkServerChange(b *testing.B) {
+	for _, size := range [][2]int{{4, 14}, {80, 3}, {317, 3}, {1900, 3}} {
+		b.Run(fmt.Sprintf("services=%d,servers=%d", size[0], size[0]*size[1]), func(b *testing.B) {
+			c := lone(b, size[0], size[1])
+			weight := uint32(1)
+			for b.Loop() {
+				weight++
+				c.Announce(4, &roster.Announcement{
+					Name: "s0-0", Service: "service0", Address: "127.0.0.1:6084", Start: 1, Weight: weight, Connections: 1_000_000,
+				})
+				c.Sent()
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// TestBytesPerFlow holds 500,000 flows, at the least favourable moment of the
+// index too.
+func TestBytesPerFlow(t *testing.T) {
+	c := qt.New(t)
+	k := lone(t, 1, 14)
+	before := heap()
+	worst := 0.0
+	for i := range 500_000 {
+		k.Datagram(3, fabric, syn(i))
+		k.Sent()
+		if n := k.Flows(); n == 27_000 || n == 100_000 || n == 393_217 || n == 500_000 {
+			bytes := float64(heap()-before) / float64(n)
+			worst = max(worst, bytes)
+			t.Logf("measure: %d flows take %.0f bytes each", n, bytes)
+		}
+	}
+	c.Check(k.Flows(), qt.Equals, 500_000)
+	c.Check(worst <= 200, qt.IsTrue)
+	runtime.KeepAlive(k)
+}
+
+// TestBytesOfServices measures what the services of a bundle and their servers
+// take on one host.
+func TestBytesOfServices(t *testing.T) {
+	for _, size := range [][2]int{{4, 14}, {80, 3}, {317, 3}, {1900, 3}} {
+		before := heap()
+		k := lone(t, size[0], size[1])
+		after := heap()
+		t.Logf("measure: %d services with %d servers take %.2f MB, the bundle's text %.1f kB",
+			size[0], size[0]*size[1], float64(after-before)/1e6, float64(len(bundleText(size[0])))/1e3)
+		runtime.KeepAlive(k)
+	}
+}
--- a/internal/entry/core/load.go
+++ b/internal/entry/core/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/bundle/spec"
 	"monsooncleat.example/monsooncleat/internal/host/homes"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/codec"
@@ -62,7 +63,7 @@
 		return
 	}
 	c.askAt, c.hurryAt = c.now+askSpan, c.now+hurrySpan
-	c.warmUp()
+	c.setLimits()
 	for keeper, ask := range c.holder.Asks(c.now, c.keeperOf) {
 		if keeper == c.opts.Name {
 			c.onLeaseGrant(c.keeper.OnAsk(c.now, ask), keeper)
@@ -75,11 +76,12 @@
 	}
 }
 
-// warmUp raises the limits of servers that are still cold.
-func (c *Core) warmUp() {
+// setLimits tells the keeper of leases which servers this host keeps, and their
+// slots, of which a cold server has fewer.
+func (c *Core) setLimits() {
 	limits := map[string]lease.Limit{}
 	for name, s := range c.services {
-		if s.place == nil {
+		if s.place == nil || s.spec.Kind() != spec.Request {
 			continue
 		}
 		for _, b := range s.place.Backends() {
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -68,19 +68,16 @@
 // lookAround brings the tables up to date after the membership, the roster or
 // the bundle changed.
 func (c *Core) lookAround() {
-	changed := false
+	all := false
 	if v := c.group.Version(); v != c.viewed {
 		c.viewed = v
 		c.viewAt = c.now
 		c.viewHosts()
-		changed = true
+		all = true
 	}
-	if v := c.roster.Version(); v != c.rostered {
+	if v := c.roster.Version(); v != c.rostered || all {
 		c.rostered = v
-		changed = true
-	}
-	if changed {
-		c.viewServers()
+		c.viewServers(c.roster.TakeChanged(), all)
 	}
 }
 
@@ -135,11 +132,13 @@
 // tellLag is about the time that a change takes to reach all hosts.
 const tellLag = 300 * clock.Millis(1)
 
-// viewServers rebuilds the placement of the services whose servers changed,
+// viewServers rebuilds the placement of the services that changed, or of all,
 // and tells the lease machines what is there.
-func (c *Core) viewServers() {
-	limits := map[string]lease.Limit{}
+func (c *Core) viewServers(changed map[string]bool, all bool) {
 	for name, s := range c.services {
+		if !all && !changed[name] {
+			continue
+		}
 		pool := c.roster.Pool(name)
 		s.setPool(c, pool)
 		if s.spec.Kind() != spec.Request {
@@ -149,16 +148,13 @@
 		for _, srv := range pool {
 			i := srv.Info()
 			backends = append(backends, lease.Backend{Name: i.Name, Weight: max(1, i.Weight), Slots: c.slotsOf(s, srv)})
-			if c.keeperOf(i.Name) == c.opts.Name {
-				limits[i.Name] = c.limitOf(s, srv)
-			}
 		}
 		c.holder.SetPool(name, backends)
 	}
 	for host, t := range c.keeper.Export(c.now, c.keeperOf, c.opts.Name) {
 		c.frameTo(host, codec.LeaseTransfer, t)
 	}
-	c.keeper.SetLimits(c.now, limits)
+	c.setLimits()
 	c.restartSweep()
 }
 
@@ -223,7 +219,7 @@
 	}
 	c.services = next
 	c.noteMoves(b, old)
-	c.viewServers()
+	c.viewServers(nil, true)
 }
 
 // noteMoves remembers which addresses changed their service, because a packet
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -131,19 +131,37 @@
 type Roster struct {
 	self    string
 	servers map[string]*Server
-	rumors  rumor.Set[string, Info]
-	version uint64
-	born    clock.Millis
+	// services groups the servers, and changed names the services whose
+	// servers changed since the last TakeChanged.
+	services map[string]map[string]*Server
+	changed  map[string]bool
+	rumors   rumor.Set[string, Info]
+	version  uint64
+	born     clock.Millis
 }
 
 // New returns the empty roster of the host called self.
 func New(self string, now clock.Millis) *Roster {
-	return &Roster{self: self, servers: map[string]*Server{}, version: 1, born: now}
+	return &Roster{self: self, servers: map[string]*Server{}, services: map[string]map[string]*Server{}, changed: map[string]bool{}, version: 1, born: now}
 }
 
 // Version returns a number that changes with each change of the list.
 func (r *Roster) Version() uint64 { return r.version }
 
+// TakeChanged returns the services whose servers changed since the last call.
+func (r *Roster) TakeChanged() map[string]bool {
+	changed := r.changed
+	r.changed = map[string]bool{}
+	return changed
+}
+
+func (r *Roster) touch(service string) {
+	if service != "" {
+		r.changed[service] = true
+		r.version++
+	}
+}
+
 // Find returns the server called name, or nil.
 func (r *Roster) Find(name string) *Server { return r.servers[name] }
 
@@ -207,7 +225,15 @@
 		}
 	}
 	if s.info.Name == "" || visible(&s.info, info) {
-		r.version++
+		r.touch(s.info.Service)
+		r.touch(info.Service)
+	}
+	if s.info.Service != info.Service {
+		delete(r.services[s.info.Service], info.Name)
+		if r.services[info.Service] == nil {
+			r.services[info.Service] = map[string]*Server{}
+		}
+		r.services[info.Service][info.Name] = s
 	}
 	s.info = *info
 	r.setOrphan(s, 0)
@@ -231,6 +257,7 @@
 			s.orphanAt = 0
 			if now-s.changedAt > forgetAfter {
 				delete(r.servers, name)
+				delete(r.services[s.info.Service], name)
 			}
 		case s.info.Keeper == r.self:
 			if now-s.beatAt > SilentAfter {
@@ -247,7 +274,7 @@
 
 func (r *Roster) setOrphan(s *Server, at clock.Millis) {
 	if (s.orphanAt == 0) != (at == 0) {
-		r.version++
+		r.touch(s.info.Service)
 	}
 	s.orphanAt = at
 }
@@ -277,9 +304,8 @@
 // that missing announcements alone never empty a pool.
 func (r *Roster) Pool(service string) []*Server {
 	var up, silent []*Server
-	for _, s := range r.servers {
+	for _, s := range r.services[service] {
 		switch {
-		case s.info.Service != service:
 		case s.Usable():
 			up = append(up, s)
 		case s.info.State != Draining:
