--- a/internal/proof/ctrl/faults_test.go
+++ b/internal/proof/ctrl/faults_test.go
@@ -93,6 +93,7 @@
 					f.run(w, name)
 					w.run(15 * clock.Second)
 					w.settle()
+					verdicts.Note(f.name, step.name+", "+role, len(w.faults) == 0 && ended == 2)
 					c.Check(w.faults, qt.HasLen, 0)
 					c.Check(ended, qt.Equals, 2)
 					c.Check(w.winners, qt.HasLen, 4)
--- a/internal/proof/matrix/faults_test.go
+++ b/internal/proof/matrix/faults_test.go
@@ -110,6 +110,7 @@
 					b.run(w)
 				}
 				w.callers.settle(25 * clock.Second)
+				verdicts.Note(a.name, b.name, len(w.faults) == 0)
 				c.Check(w.faults, qt.HasLen, 0)
 			})
 		}
--- /dev/null
+++ b/internal/proof/matrix/main_test.go
@@ -0,0 +1,37 @@
+package matrix_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"monsooncleat.example/monsooncleat/internal/proof/report"
+)
+
+var writeTo = flag.String("faults", "", "`FILE` for the table of pairs of faults")
+
+var verdicts = report.New(
+	"Pairs of faults on entry hosts and servers",
+	"go test ./internal/proof/matrix -run PairsOfFaults -faults FILE",
+	caseNames(), caseNames())
+
+func caseNames() []string {
+	var names []string
+	for _, fc := range faultCases {
+		names = append(names, fc.name)
+	}
+	return names
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	if *writeTo != "" {
+		if err := verdicts.Write(*writeTo); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
