--- a/internal/base/admin/admin.go
+++ b/internal/base/admin/admin.go
@@ -51,6 +51,24 @@
 // fails when the process does not answer in time.
 type Dumper func(ctx context.Context) (any, error)
 
+// ErrBusy is returned when the goroutine that owns the state takes no question.
+var ErrBusy = errors.New("event ring is full")
+
+// Ask hands a channel for the answer to offer, which reports whether the
+// question was taken, and waits for the answer.
+func Ask(ctx context.Context, offer func(answer chan<- any) bool) (any, error) {
+	answer := make(chan any, 1)
+	if !offer(answer) {
+		return nil, ErrBusy
+	}
+	select {
+	case v := <-answer:
+		return v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // Server is the admin listener of a process.
 type Server struct {
 	addr string
--- a/internal/cli/cmds/daemons.go
+++ b/internal/cli/cmds/daemons.go
@@ -5,36 +5,31 @@
 	"fmt"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/conf/node"
 	ctrl "monsooncleat.example/monsooncleat/internal/ctrl/daemon"
 	entry "monsooncleat.example/monsooncleat/internal/entry/daemon"
 )
 
+// daemon is a process that serves until its context is done.
+type daemon interface {
+	Run(ctx context.Context) error
+}
+
 func runEntry(ctx context.Context, e *env, args []string) error {
-	fs := e.newFlags("entry")
-	path := fs.String("settings", "entry.toml", "settings `FILE`")
-	factory := logFlags(fs)
-	if err := parse(fs, args, 0); err != nil {
-		return err
-	}
-	f, err := factory(e.err)
-	if err != nil {
-		return err
-	}
-	settings, err := node.LoadEntry(*path)
-	if err != nil {
-		return err
-	}
-	d, err := entry.New(settings, clock.New(), f)
-	if err != nil {
-		return err
-	}
-	return d.Run(ctx)
+	return runDaemon(ctx, e, "entry", args, node.LoadEntry, entry.New)
 }
 
 func runControl(ctx context.Context, e *env, args []string) error {
-	fs := e.newFlags("control")
-	path := fs.String("settings", "control.toml", "settings `FILE`")
+	return runDaemon(ctx, e, "control", args, node.LoadControl, ctrl.New)
+}
+
+// runDaemon loads the settings that args name and runs the daemon made of them.
+func runDaemon[S any, D daemon](ctx context.Context, e *env, name string, args []string,
+	load func(path string) (S, error), create func(S, clock.Source, *logs.Factory) (D, error),
+) error {
+	fs := e.newFlags(name)
+	path := fs.String("settings", name+".toml", "settings `FILE`")
 	factory := logFlags(fs)
 	if err := parse(fs, args, 0); err != nil {
 		return err
@@ -43,11 +38,11 @@
 	if err != nil {
 		return err
 	}
-	settings, err := node.LoadControl(*path)
+	settings, err := load(*path)
 	if err != nil {
 		return err
 	}
-	d, err := ctrl.New(settings, clock.New(), f)
+	d, err := create(settings, clock.New(), f)
 	if err != nil {
 		return err
 	}
--- a/internal/ctrl/daemon/daemon.go
+++ b/internal/ctrl/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"errors"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -13,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"monsooncleat.example/monsooncleat/internal/agree/disk"
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/admin"
@@ -34,9 +31,6 @@
 	maxTokens = 8192
 )
 
-// ErrBusy is returned when the decision goroutine does not take a question.
-var ErrBusy = errors.New("event ring is full")
-
 // event is what reaches the decision goroutine. One of the fields is set.
 type event struct {
 	body      []byte
@@ -306,14 +300,7 @@
 }
 
 func (d *Daemon) dump(ctx context.Context) (any, error) {
-	answer := make(chan any, 1)
-	if !d.events.Offer(event{ask: answer}) {
-		return nil, eris.Wrap(ErrBusy, "dump")
-	}
-	select {
-	case v := <-answer:
-		return v, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return admin.Ask(ctx, func(answer chan<- any) bool {
+		return d.events.Offer(event{ask: answer})
+	})
 }
--- a/internal/entry/daemon/admin.go
+++ b/internal/entry/daemon/admin.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/entry/core"
@@ -78,7 +76,7 @@
 		return
 	}
 	if !d.events.Offer(event{announce: &a}) {
-		http.Error(w, ErrBusy.Error(), http.StatusServiceUnavailable)
+		http.Error(w, admin.ErrBusy.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -104,14 +102,7 @@
 }
 
 func (d *Daemon) dump(ctx context.Context) (any, error) {
-	answer := make(chan any, 1)
-	if !d.events.Offer(event{ask: answer}) {
-		return nil, eris.Wrap(ErrBusy, "dump")
-	}
-	select {
-	case v := <-answer:
-		return v, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return admin.Ask(ctx, func(answer chan<- any) bool {
+		return d.events.Offer(event{ask: answer})
+	})
 }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -39,9 +39,6 @@
 	departPause = 100 * time.Millisecond
 )
 
-// ErrBusy is returned when the decision goroutine does not take a question.
-var ErrBusy = errors.New("event ring is full")
-
 // event is what reaches the decision goroutine besides datagrams. One of the
 // fields is set.
 type event struct {
