entry, proof: remove what stood twice and what nothing called

Accessors and fields that nothing read are gone (member and roster ChangedAt, Keeper.Granted and Len, ring Size, ackedAt, peerNews.at).

--- a/internal/base/ring/ring.go
+++ b/internal/base/ring/ring.go
@@ -33,8 +33,5 @@
 // Depth returns the count of items waiting.
 func (r *Ring[T]) Depth() int { return len(r.items) }
 
-// Size returns the most items the ring holds.
-func (r *Ring[T]) Size() int { return cap(r.items) }
-
 // Refused returns the count of items refused since the ring was made.
 func (r *Ring[T]) Refused() uint64 { return r.refused.Load() }
--- a/internal/entry/core/asks.go
+++ b/internal/entry/core/asks.go
@@ -199,6 +199,15 @@
 	c.drainQueue(s)
 }
 
+// drainQueues sends what waits for a slot and can have one now.
+func (c *Core) drainQueues() {
+	for _, s := range c.order {
+		if len(s.queue) > 0 {
+			c.drainQueue(s)
+		}
+	}
+}
+
 func (c *Core) drainQueue(s *service) {
 	name := s.spec.Name()
 	for len(s.queue) > 0 {
--- a/internal/entry/core/endings.go
+++ b/internal/entry/core/endings.go
@@ -157,11 +157,7 @@
 		c.fallsDue(s, e, d)
 	}
 	c.ledger.Expire(c.now)
-	for _, s := range c.order {
-		if len(s.queue) > 0 {
-			c.drainQueue(s)
-		}
-	}
+	c.drainQueues()
 }
 
 func (c *Core) fallsDue(s *service, e *entry, d due) {
--- a/internal/entry/core/load.go
+++ b/internal/entry/core/load.go
@@ -6,7 +6,6 @@
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
-	"monsooncleat.example/monsooncleat/internal/host/homes"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/codec"
 )
@@ -91,7 +90,7 @@
 		}
 		for _, b := range s.place.Backends() {
 			srv := c.roster.Find(b.Name)
-			if srv != nil && srv.Info().Service == name && c.homes.Home(homes.Bucket(serverHash(b.Name))) == c.opts.Name {
+			if srv != nil && srv.Info().Service == name && c.keeperOf(b.Name) == c.opts.Name {
 				limits[b.Name] = c.limitOf(s, srv)
 			}
 		}
@@ -112,9 +111,5 @@
 	}
 	grant.From = from
 	c.holder.OnGrant(grant)
-	for _, s := range c.order {
-		if len(s.queue) > 0 {
-			c.drainQueue(s)
-		}
-	}
+	c.drainQueues()
 }
--- a/internal/entry/core/peers.go
+++ b/internal/entry/core/peers.go
@@ -31,7 +31,6 @@
 type peerNews struct {
 	seq     uint64
 	inForce spec.Version
-	at      clock.Millis
 }
 
 // news travels with the probes of the membership.
@@ -66,7 +65,7 @@
 		return
 	}
 	c.roster.Merge(c.now, n.Servers)
-	c.peers[from] = &peerNews{seq: n.Seq, inForce: n.InForce, at: c.now}
+	c.peers[from] = &peerNews{seq: n.Seq, inForce: n.InForce}
 	if n.Seq > c.holderOf.Position().Seq {
 		c.pull(from)
 	}
@@ -183,7 +182,7 @@
 }
 
 func (c *Core) onApplied(m *applied) {
-	c.peers[m.From] = &peerNews{seq: m.Seq, inForce: m.InForce, at: c.now}
+	c.peers[m.From] = &peerNews{seq: m.Seq, inForce: m.InForce}
 }
 
 // Restore puts the release in force that the host had stored.
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -117,7 +117,6 @@
 			c.since[b] = c.now
 		}
 	}
-	c.restartSweep()
 }
 
 // lagOf returns how long ago the last owner of a bucket could follow changes of
--- a/internal/host/member/group.go
+++ b/internal/host/member/group.go
@@ -35,7 +35,6 @@
 	seq      uint64
 	waiting  bool
 	asked    bool
-	ackedAt  clock.Millis
 }
 
 // relayed is a probe made for another host.
@@ -126,14 +125,6 @@
 	return p.info, true
 }
 
-// ChangedAt returns when the state of a host was last learned.
-func (g *Group) ChangedAt(name string) clock.Millis {
-	if p, ok := g.peers[name]; ok {
-		return p.changedAt
-	}
-	return 0
-}
-
 // Digest returns a hash of the hosts that serve, equal on hosts of equal view.
 func (g *Group) Digest() uint64 {
 	var sum uint64
--- a/internal/host/member/probe.go
+++ b/internal/host/member/probe.go
@@ -221,7 +221,6 @@
 		return
 	}
 	p.waiting = false
-	p.ackedAt = g.now
 	g.heardAt = max(g.heardAt, p.probedAt)
 }
 
--- a/internal/proof/ctrl/main_test.go
+++ b/internal/proof/ctrl/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
 
@@ -36,12 +35,5 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	code := m.Run()
-	if *writeTo != "" {
-		if err := verdicts.Write(*writeTo); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			code = 1
-		}
-	}
-	os.Exit(code)
+	os.Exit(verdicts.Run(m, *writeTo))
 }
--- a/internal/proof/matrix/main_test.go
+++ b/internal/proof/matrix/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
 
@@ -29,12 +28,5 @@
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "40")
 	flag.Parse()
-	code := m.Run()
-	if *writeTo != "" {
-		if err := verdicts.Write(*writeTo); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			code = 1
-		}
-	}
-	os.Exit(code)
+	os.Exit(verdicts.Run(m, *writeTo))
 }
--- a/internal/proof/matrix/world_test.go
+++ b/internal/proof/matrix/world_test.go
@@ -263,7 +263,6 @@
 	private ed25519.PrivateKey
 	machine *state.Machine
 	down    bool
-	isOld   *chain.Update
 }
 
 func newControl() *control {
--- a/internal/proof/report/report.go
+++ b/internal/proof/report/report.go
@@ -61,3 +61,16 @@
 	}
 	return os.WriteFile(path, []byte(b.String()), 0o600)
 }
+
+// Run runs tests, writes m to path unless it is empty, and returns the exit code.
+func (m *Matrix) Run(tests interface{ Run() int }, path string) int {
+	code := tests.Run()
+	if path == "" {
+		return code
+	}
+	if err := m.Write(path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return code
+}
--- a/internal/serve/lease/keeper.go
+++ b/internal/serve/lease/keeper.go
@@ -230,15 +230,6 @@
 	return 1
 }
 
-// Granted returns the most slots of a server that may be in use, over all
-// holders, as far as this keeper knows.
-func (k *Keeper) Granted(name string) int {
-	if s := k.servers[name]; s != nil {
-		return s.counted("")
-	}
-	return 0
-}
-
 // Waiting returns the count of servers for which nothing may be granted yet.
 func (k *Keeper) Waiting(now clock.Millis) int {
 	n := 0
@@ -249,6 +240,3 @@
 	}
 	return n
 }
-
-// Len returns the count of servers kept.
-func (k *Keeper) Len() int { return len(k.servers) }
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -99,9 +99,6 @@
 // Info returns what the data centre knows of the server.
 func (s *Server) Info() Info { return s.info }
 
-// ChangedAt returns when the server's state was last learned.
-func (s *Server) ChangedAt() clock.Millis { return s.changedAt }
-
 // Usable reports whether the server may get new work.
 func (s *Server) Usable() bool { return s.info.State == Up && s.orphanAt == 0 }
 
