--- /dev/null
+++ b/internal/token/core/packet.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+)
+
+// Packet decides on one packet of a caller. Settled says that the host is in
+// touch with the control hosts, so that a route it does not know does not exist.
+func (c *Core) Packet(now clock.Millis, p *Packet, settled bool) Action {
+	if c.index == nil {
+		return Action{Verdict: Drop, Reason: NoConfig}
+	}
+	key := flowKey{p.From, p.To}
+	if p.Open {
+		return c.opening(now, key, p, settled)
+	}
+	return c.following(now, key, p)
+}
+
+func (c *Core) opening(now clock.Millis, key flowKey, p *Packet, settled bool) Action {
+	route := c.index.Find(p.To)
+	if route == nil {
+		if !settled {
+			return Action{Verdict: Drop, Reason: NoRoute}
+		}
+		c.stats.ResetNoRoute++
+		return Action{Verdict: Reset, Reason: NoRoute}
+	}
+	f := c.flows[key]
+	if f != nil && f.seq == p.Seq && !f.ended {
+		return c.copied(now, f, p)
+	}
+	if f != nil {
+		f.finish()
+	}
+	s := c.pick(now, route, nil)
+	if s == nil {
+		c.stats.DroppedNoServer++
+		return Action{Verdict: Drop, Reason: NoServer}
+	}
+	load := s.load.Load(now)
+	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, lastAt: now}
+	f.begin(now)
+	if len(c.flows) < c.options.MaxFlows || c.flows[key] != nil {
+		c.flows[key] = f
+	}
+	c.stats.Opened++
+	a := c.forward(s, NewFlow)
+	a.Load = load
+	return a
+}
+
+// copied decides on the copy of an opening packet. It goes to the same server,
+// which answers both alike, unless that server surely has not answered: the
+// answers of two servers would leave the caller with the token of either.
+func (c *Core) copied(now clock.Millis, f *flow, p *Packet) Action {
+	f.lastAt = now
+	s := f.server
+	if f.open {
+		return c.forward(s, NoReason)
+	}
+	if s.load.Unanswered(now, f.openedAt) {
+		c.stats.Avoided++
+	}
+	lost := s.load.Avoided(now) || s.record.Silent() || s.over(now) || p.Ack >= 2 && s.load.Doubted()
+	if lost {
+		if other := c.pick(now, f.route, s); other != nil && other != s {
+			f.move(other)
+			f.others = true
+			c.stats.Moved++
+			return c.forward(other, MovedFlow)
+		}
+	}
+	return c.forward(s, NoReason)
+}
+
+// pick chooses the server of a new flow, or nil when there is none. A server to
+// leave out may be named.
+func (c *Core) pick(now clock.Millis, route *routes.Route, without *server) *server {
+	list := c.services[route.Pick(c.rand.Uint64())]
+	if len(list) == 0 {
+		for _, t := range route.Targets {
+			if t.Weight > 0 && len(c.services[t.Service]) > 0 {
+				list = c.services[t.Service]
+				break
+			}
+		}
+	}
+	if without != nil {
+		kept := make([]*server, 0, len(list))
+		for _, s := range list {
+			if s != without {
+				kept = append(kept, s)
+			}
+		}
+		list = kept
+	}
+	at := c.policy.Pick(now, list, func(s *server) *choose.Backend { return s.load })
+	if at < 0 {
+		return nil
+	}
+	return list[at]
+}
+
+func (c *Core) forward(s *server, reason Reason) Action {
+	c.stats.Forwarded++
+	return Action{
+		Verdict: Forward, Reason: reason, Server: s.record.Address, Number: s.record.Number,
+		Token: s.token, ServerID: s.id,
+	}
+}
+
+// following decides on a packet after the opening one.
+func (c *Core) following(now clock.Millis, key flowKey, p *Packet) Action {
+	if _, gone := c.removed[p.To]; gone {
+		c.stats.ResetRemoved++
+		c.drop(key)
+		return Action{Verdict: Reset, Reason: RouteRemoved}
+	}
+	s, known := c.book.Find(p.Token)
+	f := c.flows[key]
+	reason := NoReason
+	if f != nil && f.open && near(p.Ack, f.ack) && (!known || s != f.server) {
+		// The caller received a token of a server that does not hold the flow.
+		s, known, reason = f.server, true, CorrectedToken
+		c.stats.Corrected++
+	}
+	if !known {
+		c.stats.DroppedUnknown++
+		return Action{Verdict: Drop, Reason: UnknownToken}
+	}
+	if s.over(now) {
+		c.stats.ResetEnded++
+		c.drop(key)
+		return Action{Verdict: Reset, Reason: ServerEnded}
+	}
+	if f == nil || f.open && !near(p.Ack, f.ack) {
+		f = c.adopt(now, key, s, p)
+	}
+	c.note(now, f, s, p)
+	return c.forward(s, reason)
+}
+
+// adopt begins to remember a flow that was opened through another host.
+func (c *Core) adopt(now clock.Millis, key flowKey, s *server, p *Packet) *flow {
+	if old := c.flows[key]; old != nil {
+		old.finish()
+	}
+	f := &flow{
+		server: s, route: c.index.Find(p.To), openedAt: now, lastAt: now, open: true,
+		ack: p.Ack, data: p.Seq,
+	}
+	if len(c.flows) < c.options.MaxFlows || c.flows[key] != nil {
+		c.flows[key] = f
+	}
+	return f
+}
+
+func (c *Core) drop(key flowKey) {
+	if f := c.flows[key]; f != nil {
+		f.finish()
+		delete(c.flows, key)
+	}
+}
+
+// note reads from a packet how far the flow's requests are. A request is in
+// progress from its data, or from the opening packet, until the caller
+// acknowledges the first bytes of the response.
+func (c *Core) note(now clock.Millis, f *flow, s *server, p *Packet) {
+	f.lastAt = now
+	if !f.open {
+		f.open = true
+		f.move(s)
+		f.ack, f.data = p.Ack, p.Seq
+		s.load.Answered(now)
+		c.stats.Answered++
+	}
+	if p.Abort || p.Close {
+		f.finish()
+		f.ended = true
+		return
+	}
+	if after(p.Ack, f.ack) {
+		f.ack = p.Ack
+		f.finish()
+		s.load.Answered(now)
+	}
+	if end := p.Seq + uint32(p.Length); p.Length > 0 && after(end, f.data) {
+		f.data = end
+		f.begin(now)
+	}
+}
