--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -49,6 +49,8 @@
 	votes   map[ID]bool
 	peers   map[ID]*progress
 	since   clock.Millis
+	// leaderCommit is the highest commit index heard from a leader.
+	leaderCommit uint64
 
 	out        Output
 	stateDirty bool
@@ -279,3 +281,22 @@
 
 // Entries returns the entries after the latest snapshot.
 func (n *Node) Entries() []Entry { return slices.Clone(n.log.entries) }
+
+// LastReply returns the time at which the latest answered message to follower
+// id was sent, or the time since which this node leads if that is later.
+func (n *Node) LastReply(id ID) clock.Millis {
+	if p := n.peers[id]; p != nil {
+		return max(p.ackedSend, n.since)
+	}
+	return n.since
+}
+
+// Synced reports whether the node has committed all that it knows its leader to
+// have committed.
+func (n *Node) Synced() bool {
+	if n.role == Leader {
+		term, ok := n.log.term(n.log.commit)
+		return ok && term == n.state.Term
+	}
+	return n.leader != "" && n.log.commit >= n.leaderCommit
+}
--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -69,6 +69,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.heardAt = n.now
+	n.leaderCommit = max(n.leaderCommit, m.Commit)
 	n.resetElection()
 	return true
 }
--- a/internal/wire/link/peers.go
+++ b/internal/wire/link/peers.go
@@ -80,6 +80,17 @@
 	p.wg.Wait()
 }
 
+// Reset closes the connection to addr, so that the next frame dials again. Its
+// caller has found that replies no longer come.
+func (p *Peers) Reset(addr string) {
+	p.mu.Lock()
+	s := p.peers[addr]
+	p.mu.Unlock()
+	if s != nil {
+		s.reset.Store(true)
+	}
+}
+
 // sender owns the connection to one address.
 type sender struct {
 	owner   *Peers
@@ -88,6 +99,8 @@
 	conn    net.Conn
 	encoder *frame.Encoder
 	retryAt time.Time
+	// reset asks the sender to dial again before the next frame.
+	reset atomic.Bool
 }
 
 func (s *sender) run() {
@@ -107,6 +120,9 @@
 // write sends body. A connection that the peer closed since the last frame is
 // dialed again once, because a restarted peer would else miss the first frame.
 func (s *sender) write(body []byte) bool {
+	if s.reset.Swap(false) {
+		s.hangUp()
+	}
 	if s.conn != nil && s.writeOnce(body) {
 		return true
 	}
@@ -128,7 +144,7 @@
 	if time.Now().Before(s.retryAt) {
 		return false
 	}
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: boundSilence}
 	conn, err := d.DialContext(s.owner.ctx, "tcp", s.addr)
 	if err != nil {
 		s.retryAt = time.Now().Add(redialPause)
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -54,10 +54,11 @@
 
 // RunEngine runs a gnet event handler until ctx is done. The handler closes
 // booted from OnBoot, after which engine returns its engine.
-func RunEngine(ctx context.Context, h gnet.EventHandler, addr string, booted <-chan struct{}, engine func() gnet.Engine) error {
+func RunEngine(ctx context.Context, h gnet.EventHandler, addr string, booted <-chan struct{}, engine func() gnet.Engine, more ...gnet.Option) error {
 	done := make(chan error, 1)
+	options := append([]gnet.Option{gnet.WithReuseAddr(true), gnet.WithSocketRecvBuffer(receiveBuffer), gnet.WithLogger(quiet{})}, more...)
 	go func() {
-		done <- gnet.Run(h, addr, gnet.WithReuseAddr(true), gnet.WithSocketRecvBuffer(receiveBuffer), gnet.WithLogger(quiet{}))
+		done <- gnet.Run(h, addr, options...)
 	}()
 	select {
 	case err := <-done:
