--- /dev/null
+++ b/internal/dir/core/roster.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/token/mint"
+)
+
+// tell is an announcement that a quorum has to hold before it is acknowledged.
+type tell struct {
+	ticket Ticket
+	record fleet.Record
+	until  clock.Millis
+	sentAt clock.Millis
+	held   map[raft.ID]bool
+}
+
+// Announce takes a server's announcement. That a server leaves is acknowledged
+// once a quorum knows it; the rest is repeated by the server anyway.
+func (c *Core) Announce(now clock.Millis, t Ticket, r fleet.Record) {
+	c.now = now
+	outcome := c.fleet.Apply(now, now, r, true)
+	if outcome == fleet.Changed {
+		c.noteServer("Server announced.", &r)
+	}
+	if r.State == fleet.Ready {
+		c.answer(t, Done, nil)
+		return
+	}
+	c.tell(t, r)
+}
+
+func (c *Core) noteServer(text string, r *fleet.Record) {
+	c.note(text, "id", r.ID, "started", int64(r.Started), "seq", r.Seq, "state", r.State.String(),
+		"service", r.Service, "address", r.Address.String())
+}
+
+// Leave takes a server's word that it has left.
+func (c *Core) Leave(now clock.Millis, t Ticket, id string) {
+	c.now = now
+	r, known := c.fleet.Leave(now, id)
+	if !known {
+		r = fleet.Record{ID: id, State: fleet.Left}
+	}
+	c.noteServer("Server left.", &r)
+	c.tell(t, r)
+}
+
+func (c *Core) tell(t Ticket, r fleet.Record) {
+	c.number++
+	w := &tell{ticket: t, record: r, until: c.now + callSpan, held: map[raft.ID]bool{}}
+	c.tells[c.number] = w
+	c.sendTell(c.number, w)
+	c.settleTell(c.number, w)
+}
+
+func (c *Core) sendTell(number uint64, w *tell) {
+	w.sentAt = c.now
+	for _, id := range c.node.Conf().Voters {
+		if id != c.options.ID && !w.held[id] {
+			m := &msgs.Tell{From: c.options.ID, Number: number, Record: w.record}
+			c.prompt(addressOf(id), &msgs.Envelope{Tell: m})
+		}
+	}
+}
+
+// settleTell acknowledges an announcement that a quorum of the voters holds.
+func (c *Core) settleTell(number uint64, w *tell) {
+	voters, held := c.node.Conf().Voters, 0
+	for _, id := range voters {
+		if id == c.options.ID || w.held[id] {
+			held++
+		}
+	}
+	if len(voters) == 0 || held <= len(voters)/2 {
+		return
+	}
+	delete(c.tells, number)
+	c.answer(w.ticket, Done, nil)
+}
+
+func (c *Core) expireTells() {
+	for number, w := range c.tells {
+		if c.now >= w.until {
+			delete(c.tells, number)
+			c.answer(w.ticket, Unavailable, nil)
+		} else if c.now-w.sentAt >= retrySpan {
+			c.sendTell(number, w)
+		}
+	}
+}
+
+func (c *Core) onTell(m *msgs.Tell) {
+	if m.Record.Started == 0 && m.Record.State == fleet.Left {
+		c.fleet.Leave(c.now, m.Record.ID)
+	} else {
+		c.fleet.Apply(c.now, c.now, m.Record, false)
+	}
+	c.prompt(addressOf(m.From), &msgs.Envelope{TellReply: &msgs.TellReply{From: c.options.ID, Number: m.Number}})
+}
+
+func (c *Core) onTellReply(m *msgs.TellReply) {
+	if w := c.tells[m.Number]; w != nil {
+		w.held[m.From] = true
+		c.settleTell(m.Number, w)
+	}
+}
+
+// exchange asks the other control hosts for announcements, and marks servers
+// that ceased to make any.
+func (c *Core) exchange() {
+	if c.now >= c.syncAt {
+		c.syncAt = c.now + syncSpan
+		conf := c.node.Conf()
+		for _, id := range append(conf.Voters, conf.Learners...) {
+			if id != c.options.ID {
+				p := c.peerOf(id)
+				m := &msgs.Sync{From: c.options.ID, Run: p.run, Since: p.position}
+				c.prompt(addressOf(id), &msgs.Envelope{Sync: m})
+			}
+		}
+	}
+	if c.now < c.expireAt || c.now < c.quietTo {
+		return
+	}
+	c.expireAt = c.now + expireSpan
+	for _, id := range c.fleet.Expire(c.now) {
+		s := c.fleet.Find(id)
+		c.note("Server is silent.", "id", id, "service", s.Service, "silentFor", int64(c.now-s.Heard()))
+	}
+}
+
+func (c *Core) peerOf(id raft.ID) *peer {
+	p := c.peers[id]
+	if p == nil {
+		p = &peer{}
+		c.peers[id] = p
+	}
+	return p
+}
+
+func (c *Core) onSync(m *msgs.Sync) {
+	since := m.Since
+	if m.Run != c.options.Run {
+		since = 0
+	}
+	r := &msgs.SyncReply{From: c.options.ID, Run: c.options.Run, Position: c.fleet.Position(), Loads: c.ownLoads("")}
+	for _, s := range c.fleet.TouchedSince(since) {
+		r.News = append(r.News, c.news(s))
+	}
+	c.prompt(addressOf(m.From), &msgs.Envelope{SyncReply: r})
+}
+
+func (c *Core) news(s *fleet.Server) msgs.News {
+	return msgs.News{Record: s.Record, Age: c.now - s.Heard(), Silent: s.Silent(), Ended: s.Ended()}
+}
+
+func (c *Core) onSyncReply(m *msgs.SyncReply) {
+	p := c.peerOf(m.From)
+	p.run, p.position = m.Run, m.Position
+	p.loads = report{c.now, m.Loads}
+	for i := range m.News {
+		n := &m.News[i]
+		if n.Age < 0 || n.Silent {
+			continue
+		}
+		c.fleet.Apply(c.now, c.now-n.Age, n.Record, false)
+	}
+}
+
+// ownLoads returns the sum of the loads that entry hosts other than without
+// report here.
+func (c *Core) ownLoads(without string) map[mint.Token]float64 {
+	sum := map[mint.Token]float64{}
+	for name, r := range c.reports {
+		switch {
+		case c.now-r.at > loadAge:
+			delete(c.reports, name)
+		case name != without:
+			addLoads(sum, r.loads)
+		}
+	}
+	return sum
+}
+
+func addLoads(sum, loads map[mint.Token]float64) {
+	for token, load := range loads {
+		sum[token] += load
+	}
+}
+
+// onFetch gives an entry host what it does not have yet.
+func (c *Core) onFetch(from Token, m *msgs.Fetch) {
+	c.reports[m.Name] = report{c.now, m.Loads}
+	since := m.Since
+	if m.Run != c.options.Run {
+		since = 0
+	}
+	r := &msgs.FetchReply{
+		Number: m.Number, Current: c.Current(), Run: c.options.Run, Position: c.fleet.Position(),
+		Version: c.newest.Table.Version, Loads: c.ownLoads(m.Name),
+	}
+	for _, p := range c.peers {
+		if c.now-p.loads.at <= loadAge {
+			addLoads(r.Loads, p.loads.loads)
+		}
+	}
+	for _, s := range c.fleet.ChangedSince(since) {
+		r.News = append(r.News, c.news(s))
+	}
+	if c.newest.Table.Version > m.Version {
+		r.Table = &c.newest.Table
+	}
+	conf := c.node.Conf()
+	for _, id := range append(conf.Voters, conf.Learners...) {
+		r.Controls = append(r.Controls, addressOf(id))
+	}
+	c.reply(from, &msgs.Envelope{FetchReply: r})
+}
--- /dev/null
+++ b/internal/dir/daemon/metrics.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/base/admin"
+)
+
+// publish makes the counters of a control host readable.
+func (d *Daemon) publish() {
+	gauges := map[string]func() int64{
+		"eventRingDepth":   func() int64 { return int64(d.events.Depth()) },
+		"eventRingRefused": func() int64 { return int64(d.events.Refused()) },
+		"diskRingDepth":    func() int64 { return int64(d.batches.Depth()) },
+		"controlBytesIn":   func() int64 { return int64(d.server.BytesIn() + d.peers.BytesIn()) },
+		"controlBytesOut":  func() int64 { return int64(d.server.BytesOut() + d.peers.BytesOut()) },
+		"framesDropped":    func() int64 { return int64(d.peers.Dropped()) },
+	}
+	for name, read := range gauges {
+		d.metrics.Gauge(name, read)
+	}
+}
+
+// Dump is the state of a control host.
+type Dump struct {
+	Role     string    `json:"role"`
+	Name     string    `json:"name"`
+	ID       raft.ID   `json:"id"`
+	LogRole  string    `json:"logRole"`
+	Current  bool      `json:"current"`
+	Failed   bool      `json:"failed"`
+	Leader   raft.ID   `json:"leader"`
+	Term     uint64    `json:"term"`
+	Commit   uint64    `json:"commit"`
+	Voters   []raft.ID `json:"voters"`
+	Learners []raft.ID `json:"learners"`
+	Version  uint64    `json:"version"`
+	Servers  int       `json:"servers"`
+	Waiting  int       `json:"waiting"`
+	Counters any       `json:"counters"`
+}
+
+// state runs on the decision goroutine.
+func (d *Daemon) state() Dump {
+	n := d.core.Node()
+	conf := n.Conf()
+	return Dump{
+		Role: "directory", Name: d.settings.Name, ID: n.ID(), LogRole: n.Role().String(),
+		Current: d.core.Current(), Failed: d.core.Failed(), Leader: n.Leader(), Term: n.Term(), Commit: n.Commit(),
+		Voters: conf.Voters, Learners: conf.Learners, Version: d.core.Version(),
+		Servers: d.core.Fleet().Len(), Waiting: d.core.Pending(), Counters: d.metrics.Values(),
+	}
+}
+
+func (d *Daemon) dump(ctx context.Context) (any, error) {
+	return admin.Ask(ctx, func(answer chan<- any) bool {
+		return d.events.Offer(event{ask: answer})
+	})
+}
--- /dev/null
+++ b/internal/dir/poll/poll.go
@@ -0,0 +1,191 @@
+// Package poll decides which control host an entry host asks for news, and what
+// of the replies it believes. It does no I/O.
+package poll
+
+import (
+	"slices"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/token/mint"
+)
+
+const (
+	// Span is the time between two questions.
+	Span = 300 * clock.Millis(1)
+	// lateSpan is how long a reply may take before the others are asked too. It
+	// covers two questions and a slow host.
+	lateSpan = 700 * clock.Millis(1)
+	// wideSpan is the time between two questions to all control hosts.
+	wideSpan = 500 * clock.Millis(1)
+	// settledSpan is how long the word of a control host in touch with a quorum
+	// counts as recent.
+	settledSpan = 1500 * clock.Millis(1)
+	// isolatedSpan is how long no control host was in touch with a quorum before
+	// the word of another one counts.
+	isolatedSpan = 2 * clock.Second
+)
+
+// Ask is a question to the control host at an address.
+type Ask struct {
+	Address string
+	Fetch   msgs.Fetch
+	// Fresh asks for a new connection, because the present one is silent.
+	Fresh bool
+}
+
+// Accepted is what an entry host takes from a reply.
+type Accepted struct {
+	News []msgs.News
+	// Silence says that the silence that the news tell of counts.
+	Silence bool
+	Table   *msgs.FetchReply
+	Loads   map[mint.Token]float64
+}
+
+type source struct {
+	run, position uint64
+	// askedAt is the time of the oldest question without a reply, or 0.
+	askedAt clock.Millis
+	number  uint64
+}
+
+// Poller decides for one entry host. It is not safe for concurrent use.
+type Poller struct {
+	name      string
+	started   clock.Millis
+	seeds     []string
+	learned   []string
+	sources   map[string]*source
+	primary   string
+	number    uint64
+	asked     map[uint64]string
+	nextAt    clock.Millis
+	wideAt    clock.Millis
+	repliedAt clock.Millis
+	currentAt clock.Millis
+}
+
+// New returns a Poller for the host of a name that knows some control hosts.
+func New(name string, seeds []string, now clock.Millis) *Poller {
+	return &Poller{
+		name: name, started: now, seeds: slices.Clone(seeds),
+		sources: map[string]*source{}, asked: map[uint64]string{},
+	}
+}
+
+// Reseed replaces the control hosts known from settings.
+func (p *Poller) Reseed(seeds []string) { p.seeds = slices.Clone(seeds) }
+
+// Restart asks all control hosts for everything again, because news were lost.
+func (p *Poller) Restart() {
+	for _, s := range p.sources {
+		s.run, s.position = 0, 0
+	}
+}
+
+// Primary returns the control host that is asked first.
+func (p *Poller) Primary() string { return p.primary }
+
+// Settled reports whether a control host in touch with a quorum replied lately.
+func (p *Poller) Settled(now clock.Millis) bool {
+	return p.currentAt > 0 && now-p.currentAt < settledSpan
+}
+
+// Isolated reports whether no control host in touch with a quorum has replied
+// for long.
+func (p *Poller) Isolated(now clock.Millis) bool {
+	return now-max(p.currentAt, p.started) > isolatedSpan
+}
+
+// CurrentAge returns the time since a control host in touch with a quorum
+// replied.
+func (p *Poller) CurrentAge(now clock.Millis) clock.Millis {
+	return now - max(p.currentAt, p.started)
+}
+
+// Tick returns the questions that are due.
+func (p *Poller) Tick(now clock.Millis, version uint64, loads map[mint.Token]float64) []Ask {
+	var asks []Ask
+	if p.primary != "" && now >= p.nextAt {
+		p.nextAt = now + Span
+		asks = append(asks, p.ask(now, p.primary, version, loads))
+	}
+	healthy := p.primary != "" && now-p.repliedAt < lateSpan && p.Settled(now)
+	if healthy || now < p.wideAt {
+		return asks
+	}
+	p.wideAt = now + wideSpan
+	for _, address := range p.addresses() {
+		if address != p.primary {
+			asks = append(asks, p.ask(now, address, version, loads))
+		}
+	}
+	return asks
+}
+
+func (p *Poller) addresses() []string {
+	out := slices.Clone(p.learned)
+	for _, s := range p.seeds {
+		if !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (p *Poller) ask(now clock.Millis, address string, version uint64, loads map[mint.Token]float64) Ask {
+	s := p.sources[address]
+	if s == nil {
+		s = &source{}
+		p.sources[address] = s
+	}
+	fresh := s.askedAt > 0 && now-s.askedAt >= lateSpan
+	if fresh || s.askedAt == 0 {
+		s.askedAt = now
+	}
+	delete(p.asked, s.number)
+	p.number++
+	s.number = p.number
+	p.asked[p.number] = address
+	return Ask{address, msgs.Fetch{
+		Name: p.name, Number: p.number, Run: s.run, Since: s.position, Version: version, Loads: loads,
+	}, fresh}
+}
+
+// Reply takes a reply and returns what counts of it. Version is the version of
+// the routing table that the host has.
+func (p *Poller) Reply(now clock.Millis, r *msgs.FetchReply, version uint64) Accepted {
+	address, ok := p.asked[r.Number]
+	if !ok {
+		return Accepted{}
+	}
+	delete(p.asked, r.Number)
+	s := p.sources[address]
+	s.run, s.position, s.askedAt = r.Run, r.Position, 0
+	if len(r.Controls) > 0 {
+		p.learned = r.Controls
+	}
+	switch {
+	case r.Current && !p.Settled(now), p.primary == "":
+		p.primary, p.nextAt = address, now+Span
+	}
+	if address == p.primary {
+		p.repliedAt = now
+	}
+	if r.Current {
+		p.currentAt = now
+	}
+	isolated := p.Isolated(now)
+	a := Accepted{News: r.News, Silence: r.Current || isolated}
+	if r.Table != nil && (r.Current || isolated && version == 0) {
+		a.Table = r
+	}
+	if address == p.primary {
+		a.Loads = r.Loads
+		if a.Loads == nil {
+			a.Loads = map[mint.Token]float64{}
+		}
+	}
+	return a
+}
