--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -41,6 +41,8 @@
 	return []command{
 		{"entry", "-settings FILE", "run an entry host", runEntry},
 		{"control", "-settings FILE", "run a control host", runControl},
+		{"relay", "[-settings FILE]", "run an entry host that routes flows by token", runRelay},
+		{"directory", "[-settings FILE]", "run a control host of the relays", runDirectory},
 		{"bundle", "publish|approve|roll|resume|status", "drive the system", runBundle},
 		{"member", "add|remove NAME", "change the control hosts", runMember},
 		{"keys", "operator|shared FILE", "make a key", runKeys},
@@ -91,7 +93,7 @@
 func usage(w io.Writer) {
 	fmt.Fprintln(w, "monsooncleat is a layer-4 load balancer.\n\nusage: monsooncleat COMMAND [flags]")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-8s %-40s %s\n", c.name, c.args, c.summary)
+		fmt.Fprintf(w, "  %-9s %-40s %s\n", c.name, c.args, c.summary)
 	}
 	fmt.Fprintln(w, "\nRun a command with -h for its flags. Exit codes: 0 done, 1 failed, 2 wrong usage.")
 }
--- /dev/null
+++ b/internal/token/daemon/metrics.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+
+	"monsooncleat.example/monsooncleat/internal/base/admin"
+	"monsooncleat.example/monsooncleat/internal/token/core"
+)
+
+// publish makes the counters of an entry host readable.
+func (d *Daemon) publish() {
+	gauges := map[string]func() int64{
+		"newsRingDepth":   func() int64 { return int64(d.news.Depth()) },
+		"newsRingRefused": func() int64 { return int64(d.news.Refused()) },
+		"controlBytesIn":  func() int64 { return int64(d.peers.BytesIn()) },
+		"controlBytesOut": func() int64 { return int64(d.peers.BytesOut()) },
+		"framesDropped":   func() int64 { return int64(d.peers.Dropped()) },
+		"configVersion":   func() int64 { return int64(d.version.Load()) },
+	}
+	for name, read := range gauges {
+		d.metrics.Gauge(name, read)
+	}
+}
+
+// Dump is the state of an entry host.
+type Dump struct {
+	Role     string     `json:"role"`
+	Name     string     `json:"name"`
+	Version  uint64     `json:"version"`
+	Servers  int        `json:"servers"`
+	Usable   int        `json:"usable"`
+	Flows    int        `json:"flows"`
+	Stats    core.Stats `json:"stats"`
+	Counters any        `json:"counters"`
+}
+
+// state runs on the forwarding goroutine.
+func (d *Daemon) state() Dump {
+	return Dump{
+		Role: "entry", Name: d.settings.Name, Version: d.core.Version(), Servers: d.core.Servers(),
+		Usable: d.core.Usable(), Flows: d.core.Flows(), Stats: d.core.Stats(), Counters: d.metrics.Values(),
+	}
+}
+
+func (d *Daemon) dump(ctx context.Context) (any, error) {
+	return admin.Ask(ctx, func(answer chan<- any) bool {
+		return d.news.Offer(news{ask: answer})
+	})
+}
