poll, dir: tell silence by all control hosts when none has a quorum

Cause: in a split of the control hosts each half hears only the servers that report to it. Ruled out: heartbeats lost, slow control hosts; each half had acknowledged its own servers all the while. Change: a server is silent when every control host that replies says so; a control host without a quorum records announcements but lets the server try another.

--- a/internal/dir/core/roster.go
+++ b/internal/dir/core/roster.go
@@ -25,11 +25,15 @@
 	if outcome == fleet.Changed {
 		c.noteServer("Server announced.", &r)
 	}
-	if r.State == fleet.Ready {
+	switch {
+	case r.State != fleet.Ready:
+		c.tell(t, r)
+	case c.Current():
 		c.answer(t, Done, nil)
-		return
+	default:
+		// The server tries another host next, which may hear more of the others.
+		c.answer(t, Unavailable, nil)
 	}
-	c.tell(t, r)
 }
 
 func (c *Core) noteServer(text string, r *fleet.Record) {
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -36,11 +36,9 @@
 
 // Accepted is what an entry host takes from a reply.
 type Accepted struct {
-	News []msgs.News
-	// Silence says that the silence that the news tell of counts.
-	Silence bool
-	Table   *msgs.FetchReply
-	Loads   map[mint.Token]float64
+	News  []msgs.News
+	Table *msgs.FetchReply
+	Loads map[mint.Token]float64
 }
 
 type source struct {
@@ -48,6 +46,12 @@
 	// askedAt is the time of the oldest question without a reply, or 0.
 	askedAt clock.Millis
 	number  uint64
+	// repliedAt is the time of the latest reply, current whether the host was in
+	// touch with a quorum then.
+	repliedAt clock.Millis
+	current   bool
+	// silent are the servers that the host no longer hears.
+	silent map[string]bool
 }
 
 // Poller decides for one entry host. It is not safe for concurrent use.
@@ -111,7 +115,7 @@
 		p.nextAt = now + Span
 		asks = append(asks, p.ask(now, p.primary, version, loads))
 	}
-	healthy := p.primary != "" && now-p.repliedAt < lateSpan && p.Settled(now)
+	healthy := p.primary != "" && !p.primaryFails(now)
 	if healthy || now < p.wideAt {
 		return asks
 	}
@@ -137,7 +141,7 @@
 func (p *Poller) ask(now clock.Millis, address string, version uint64, loads map[mint.Token]float64) Ask {
 	s := p.sources[address]
 	if s == nil {
-		s = &source{}
+		s = &source{silent: map[string]bool{}}
 		p.sources[address] = s
 	}
 	fresh := s.askedAt > 0 && now-s.askedAt >= lateSpan
@@ -162,12 +166,18 @@
 	}
 	delete(p.asked, r.Number)
 	s := p.sources[address]
+	if s.run != r.Run {
+		clear(s.silent)
+	}
 	s.run, s.position, s.askedAt = r.Run, r.Position, 0
+	s.repliedAt, s.current = now, r.Current
+	for i := range r.News {
+		s.silent[r.News[i].Record.ID] = r.News[i].Silent
+	}
 	if len(r.Controls) > 0 {
 		p.learned = r.Controls
 	}
-	switch {
-	case r.Current && !p.Settled(now), p.primary == "":
+	if p.primary == "" || r.Current && address != p.primary && p.primaryFails(now) {
 		p.primary, p.nextAt = address, now+Span
 	}
 	if address == p.primary {
@@ -177,7 +187,7 @@
 		p.currentAt = now
 	}
 	isolated := p.Isolated(now)
-	a := Accepted{News: r.News, Silence: r.Current || isolated}
+	a := Accepted{News: r.News}
 	if r.Table != nil && (r.Current || isolated && version == 0) {
 		a.Table = r
 	}
@@ -189,3 +199,26 @@
 	}
 	return a
 }
+
+// primaryFails reports whether the first control host is late with its reply, or
+// out of touch with a quorum.
+func (p *Poller) primaryFails(now clock.Millis) bool {
+	return now-p.repliedAt >= lateSpan || !p.sources[p.primary].current
+}
+
+// Silent reports whether a server has ceased to announce itself, as far as the
+// control hosts can tell. Without one in touch with a quorum, each hears only
+// its own part of a partition, so a server counts as heard while any hears it.
+// Known is false when no control host has replied lately.
+func (p *Poller) Silent(now clock.Millis, id string) (silent, known bool) {
+	settled := p.Settled(now)
+	silent = true
+	for _, s := range p.sources {
+		if s.repliedAt == 0 || now-s.repliedAt > isolatedSpan || settled && !s.current {
+			continue
+		}
+		known = true
+		silent = silent && s.silent[id]
+	}
+	return silent && known, known && (settled || p.Isolated(now))
+}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -160,11 +160,9 @@
 		news := &u.Servers[i]
 		c.fleet.Apply(now, now-news.Age, news.Record, false)
 		c.fleet.SetEnded(now, news.Record.ID, news.Ended)
-		if news.SilenceCounts {
-			c.fleet.SetSilent(now, news.Record.ID, news.Silent)
-		}
 	}
-	if len(u.Servers) > 0 {
+	changed := c.followSilence(now, u) || len(u.Servers) > 0
+	if changed {
 		c.rebuild(now)
 	}
 	if u.Loads != nil {
@@ -174,6 +172,21 @@
 	}
 }
 
+// followSilence takes over which servers are silent, and reports a change.
+func (c *Core) followSilence(now clock.Millis, u *Update) bool {
+	if u.Silence == nil {
+		return false
+	}
+	changed := false
+	c.fleet.Each(func(s *fleet.Server) {
+		if silent, known := u.Silence(s.ID); known && silent != s.Silent() {
+			c.fleet.SetSilent(now, s.ID, silent)
+			changed = true
+		}
+	})
+	return changed
+}
+
 // rebuild follows the fleet: it makes the servers that came, replaces those that
 // started again and sorts the ones in use by service.
 func (c *Core) rebuild(now clock.Millis) {
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -109,17 +109,16 @@
 	// Loads maps tokens to the mean count of requests in progress that all other
 	// hosts report. It replaces the loads before when it is not nil.
 	Loads map[mint.Token]float64
+	// Silence tells whether a server still announces itself, and whether that is
+	// known. It is not asked when it is nil.
+	Silence func(id string) (silent, known bool)
 }
 
 // ServerNews is a record with what a control host adds.
 type ServerNews struct {
 	Record fleet.Record
 	// Age is the time since the server announced itself.
-	Age    clock.Millis
-	Silent bool
+	Age clock.Millis
 	// Ended says that the incarnation is known to have ended.
 	Ended bool
-	// SilenceCounts says that the control host can tell whether the server is
-	// silent.
-	SilenceCounts bool
 }
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -85,6 +85,9 @@
 	metrics  *admin.Metrics
 	forward  *forwarder
 	seeds    chan []string
+	// servers holds the IDs of the servers known to the fetching goroutine, and
+	// when it heard of them last.
+	servers map[string]clock.Millis
 
 	version  atomic.Uint64
 	loads    atomic.Pointer[map[mint.Token]float64]
@@ -100,7 +103,7 @@
 	d := &Daemon{
 		settings: settings, clock: source, log: factory.Part("entry"), codec: codec,
 		news: ring.New[news](newsRing), replies: ring.New[[]byte](replyRing),
-		metrics: admin.NewMetrics(), seeds: make(chan []string, 1),
+		metrics: admin.NewMetrics(), seeds: make(chan []string, 1), servers: map[string]clock.Millis{},
 	}
 	d.core = core.New(core.Options{
 		Centre: settings.Centre, Looks: looks, Remote: remoteLoad, DefaultIdle: defaultIdle, MaxFlows: maxFlows,
@@ -207,13 +210,17 @@
 	if p := d.poller.Primary(); p != before {
 		d.log.Info("Control host chosen.", "address", p, "before", before, "current", m.FetchReply.Current)
 	}
-	n := news{table: a.Table, update: core.Update{Loads: a.Loads}}
+	silent := d.silence(now, a.News)
+	n := news{table: a.Table, update: core.Update{Loads: a.Loads, Silence: func(id string) (bool, bool) {
+		s, known := silent[id]
+		return s, known
+	}}}
 	if d.poller.Settled(now) {
 		n.settled = now
 	}
 	for _, s := range a.News {
 		n.update.Servers = append(n.update.Servers, core.ServerNews{
-			Record: s.Record, Age: s.Age, Silent: s.Silent, Ended: s.Ended, SilenceCounts: a.Silence,
+			Record: s.Record, Age: s.Age, Ended: s.Ended,
 		})
 	}
 	if !d.news.Offer(n) {
@@ -221,3 +228,21 @@
 		d.poller.Restart()
 	}
 }
+
+// silence returns which servers are silent. The forwarding goroutine gets a map
+// of its own, since the poller belongs to this one.
+func (d *Daemon) silence(now clock.Millis, fresh []msgs.News) map[string]bool {
+	for i := range fresh {
+		d.servers[fresh[i].Record.ID] = now
+	}
+	out := make(map[string]bool, len(d.servers))
+	for id, at := range d.servers {
+		if silent, known := d.poller.Silent(now, id); known {
+			out[id] = silent
+			if silent && now-at > forgetAfter {
+				delete(d.servers, id)
+			}
+		}
+	}
+	return out
+}
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -87,7 +87,7 @@
 	for i := range n.update.Servers {
 		s := &n.update.Servers[i]
 		f.d.log.Info("Server known.", "id", s.Record.ID, "state", s.Record.State.String(), "started", int64(s.Record.Started),
-			"seq", s.Record.Seq, "service", s.Record.Service, "address", s.Record.Address, "silent", s.Silent, "age", int64(s.Age))
+			"seq", s.Record.Seq, "service", s.Record.Service, "address", s.Record.Address, "ended", s.Ended, "age", int64(s.Age))
 	}
 	if n.table != nil && f.d.core.Configure(now, n.table.Table) {
 		f.d.version.Store(f.d.core.Version())
