--- a/internal/proof/direct/faults_test.go
+++ b/internal/proof/direct/faults_test.go
@@ -33,7 +33,8 @@
 }
 
 // TestRestartOfAllElectsSoon is the load of a power loss of all hosts: callers
-// wait for the first routing table.
+// wait for the first routing table. No leader is left to be disturbed, so an
+// election need not wait for longer than one span.
 func TestRestartOfAllElectsSoon(t *testing.T) {
 	for seed := range uint64(20) {
 		w := newWorld(t, seed, 4)
@@ -49,7 +50,7 @@
 		}
 		start := w.now
 		w.settle(syncSpan)
-		w.c.Check(w.now-start <= 1200, qt.IsTrue, qt.Commentf("seed %d: %d ms", seed, w.now-start))
+		w.c.Check(w.now-start <= election, qt.IsTrue, qt.Commentf("seed %d: %d ms", seed, w.now-start))
 		w.c.Check(w.faults, qt.HasLen, 0)
 	}
 }
@@ -231,21 +232,29 @@
 // TestAcknowledgedLeaveOutlivesItsReceiver loses the host that acknowledged that
 // a server drains: the others know it within the time of a server's drain.
 func TestAcknowledgedLeaveOutlivesItsReceiver(t *testing.T) {
+	outlived := 0
+	defer func() { qt.Check(t, outlived > 60, qt.IsTrue, qt.Commentf("%d acknowledged", outlived)) }()
 	for _, n := range []int{3, 4, 8} {
-		for at := 1; at <= n; at++ {
-			w := newWorld(t, uint64(at), n)
+		for at := 1; at <= 5*n; at++ {
+			w, at := newWorld(t, uint64(at), n), 1+at%n
 			w.run(2500)
 			w.announce(address(at), server("s-1", 1, fleet.Ready), nil)
 			w.run(1000)
 			acked := false
+			w.lost = 0.4
 			w.announce(address(at), server("s-1", 2, fleet.Draining), func(r core.Answer) { acked = r.Code == core.Done })
 			for range 1000 {
 				if w.run(1); acked {
 					break
 				}
 			}
-			w.c.Assert(acked, qt.IsTrue)
 			w.power(address(at))
+			w.lost = 0
+			if !acked {
+				// The server asks another host.
+				continue
+			}
+			outlived++
 			w.run(1500)
 			for _, a := range w.live() {
 				s := w.hosts[a].core.Fleet().Find("s-1")
