--- /dev/null
+++ b/internal/serve/fleet/fleet_test.go
@@ -0,0 +1,146 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+)
+
+var options = fleet.Options{SilentAfter: 3600, ForgetAfter: 90_000, ReuseAfter: 2000}
+
+func record(id string, started clock.Millis, seq uint64, state fleet.State) fleet.Record {
+	return fleet.Record{
+		ID: id, Number: 7, Started: started, Seq: seq, Service: "x", Slots: 2, State: state,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+}
+
+func TestApply(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  fleet.Record
+		second fleet.Record
+		want   fleet.Outcome
+		state  fleet.State
+	}{
+		{"same content", record("a", 5, 1, fleet.Ready), record("a", 5, 2, fleet.Ready), fleet.Refreshed, fleet.Ready},
+		{"drains", record("a", 5, 1, fleet.Ready), record("a", 5, 2, fleet.Draining), fleet.Changed, fleet.Draining},
+		{"late", record("a", 5, 3, fleet.Draining), record("a", 5, 2, fleet.Ready), fleet.Stale, fleet.Draining},
+		{"started again", record("a", 5, 9, fleet.Draining), record("a", 6, 1, fleet.Ready), fleet.Changed, fleet.Ready},
+		{"earlier start", record("a", 6, 1, fleet.Ready), record("a", 5, 9, fleet.Draining), fleet.Stale, fleet.Ready},
+		{"started again after it left", record("a", 5, 9, fleet.Left), record("a", 6, 1, fleet.Ready), fleet.Changed, fleet.Ready},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := fleet.New(options)
+			f.Apply(1, 1, test.first, true)
+			c.Check(f.Apply(2, 2, test.second, true), qt.Equals, test.want)
+			s := f.Find("a")
+			c.Check(s.State, qt.Equals, test.state)
+			c.Check(s.Usable(), qt.Equals, test.state == fleet.Ready)
+		})
+	}
+}
+
+func TestAddressBelongsToTheLaterStart(t *testing.T) {
+	for _, order := range [][2]int{{0, 1}, {1, 0}} {
+		c := qt.New(t)
+		records := []fleet.Record{record("old", 5, 8, fleet.Ready), record("new", 9, 1, fleet.Ready)}
+		f := fleet.New(options)
+		for _, i := range order {
+			f.Apply(1, 1, records[i], true)
+		}
+		c.Check(f.Find("old").Ended(), qt.IsTrue)
+		c.Check(f.Find("new").Usable(), qt.IsTrue)
+	}
+}
+
+// TestAddressWithoutStarts covers servers that do not say when they started: the
+// one heard while the other no longer was has the address.
+func TestAddressWithoutStarts(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(options)
+	f.Apply(1000, 1000, record("old", 0, 8, fleet.Ready), true)
+	f.Apply(3500, 3500, record("new", 0, 1, fleet.Ready), true)
+	c.Check(f.Find("old").Ended(), qt.IsTrue)
+	c.Check(f.Find("new").Usable(), qt.IsTrue)
+
+	// An announcement that a partition held up.
+	f.Apply(4000, 4000, record("old", 0, 9, fleet.Ready), true)
+	c.Check(f.Find("old").Usable(), qt.IsFalse)
+	c.Check(f.Find("new").Usable(), qt.IsTrue)
+
+	// The same on a host that did not know the old one.
+	f = fleet.New(options)
+	f.Apply(3500, 3500, record("new", 0, 1, fleet.Ready), true)
+	f.Apply(4000, 4000, record("old", 0, 9, fleet.Ready), true)
+	c.Check(f.Find("old").Usable(), qt.IsFalse)
+	c.Check(f.Find("new").Usable(), qt.IsTrue)
+}
+
+func TestSilence(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(options)
+	f.Apply(1, 1, record("a", 5, 1, fleet.Ready), true)
+	c.Check(f.Expire(3601), qt.HasLen, 0)
+	c.Check(f.Expire(3700), qt.DeepEquals, []string{"a"})
+	c.Check(f.Find("a").Usable(), qt.IsFalse)
+	c.Check(f.Apply(3800, 3800, record("a", 5, 2, fleet.Ready), true), qt.Equals, fleet.Changed)
+	c.Check(f.Find("a").Usable(), qt.IsTrue)
+	f.Leave(4000, "a")
+	f.Expire(4000 + 90_001)
+	c.Check(f.Len(), qt.Equals, 0)
+}
+
+func TestChangedSince(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(options)
+	f.Apply(1, 1, record("a", 5, 1, fleet.Ready), true)
+	at := f.Position()
+	f.Apply(2, 2, record("a", 5, 2, fleet.Ready), true)
+	c.Check(f.ChangedSince(at), qt.HasLen, 0)
+	c.Check(f.TouchedSince(at), qt.HasLen, 1)
+	f.Apply(3, 3, record("a", 5, 3, fleet.Draining), false)
+	c.Check(f.ChangedSince(at), qt.HasLen, 1)
+}
+
+// TestMergeInAnyOrder exchanges the same records in random orders: all hosts end
+// with the same state of each server.
+func TestMergeInAnyOrder(t *testing.T) {
+	c := qt.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	var records []fleet.Record
+	for _, id := range []string{"a", "b", "c"} {
+		for started := clock.Millis(1); started <= 3; started++ {
+			for seq := uint64(1); seq <= 4; seq++ {
+				rec := record(id, started*10+clock.Millis(id[0]-'a'), seq, fleet.State(1+seq/4))
+				records = append(records, rec)
+			}
+		}
+	}
+	var want map[string]string
+	for range 200 {
+		f := fleet.New(options)
+		r.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+		for i := range records {
+			f.Apply(1, 1, records[i], r.IntN(2) == 0)
+		}
+		got := map[string]string{}
+		f.Each(func(s *fleet.Server) {
+			got[s.ID] = s.State.String()
+			if s.Ended() {
+				got[s.ID] += " ended"
+			}
+		})
+		if want == nil {
+			want = got
+		}
+		c.Assert(got, qt.DeepEquals, want)
+	}
+}
--- /dev/null
+++ b/internal/token/mint/mint_test.go
@@ -0,0 +1,66 @@
+package mint_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/token/mint"
+)
+
+func TestBook(t *testing.T) {
+	c := qt.New(t)
+	b := mint.NewBook[string]()
+	for i := range 6000 {
+		b.Add(fmt.Sprintf("i-%x", i), 1, fmt.Sprint(i))
+	}
+	for i := range 6000 {
+		token := b.Write(fmt.Sprintf("i-%x", i), 1)
+		got, ok := b.Find(token)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(got, qt.Equals, fmt.Sprint(i))
+	}
+	old := b.Write("i-5", 1)
+	b.Add("i-5", 2, "again")
+	c.Check(b.Write("i-5", 2), qt.Not(qt.Equals), old)
+	got, _ := b.Find(old)
+	c.Check(got, qt.Equals, "5")
+	b.Remove("i-5", 1)
+	_, ok := b.Find(old)
+	c.Check(ok, qt.IsFalse)
+}
+
+// collide returns two IDs whose first tokens are equal.
+func collide() (a, b string) {
+	seen := map[mint.Token]string{}
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("s-%x", i)
+		token := mint.Candidate(id, 1, 0)
+		if other, taken := seen[token]; taken {
+			return other, id
+		}
+		seen[token] = id
+	}
+}
+
+func TestCollision(t *testing.T) {
+	c := qt.New(t)
+	x, y := collide()
+	b := mint.NewBook[string]()
+	b.Add(x, 1, x)
+	shared := b.Write(x, 1)
+	b.Add(y, 1, y)
+	c.Assert(b.Write(x, 1), qt.Not(qt.Equals), b.Write(y, 1))
+	for _, id := range []string{x, y} {
+		got, _ := b.Find(b.Write(id, 1))
+		c.Check(got, qt.Equals, id)
+	}
+	// All hosts read the shared token alike, whatever order they learned in.
+	other := mint.NewBook[string]()
+	other.Add(y, 1, y)
+	other.Add(x, 1, x)
+	first, _ := b.Find(shared)
+	second, _ := other.Find(shared)
+	c.Check(first, qt.Equals, second)
+}
