--- a/internal/serve/choose/policy.go
+++ b/internal/serve/choose/policy.go
@@ -12,35 +12,47 @@
 	Pick(now clock.Millis, kind Kind, candidates []T, backend func(T) *Backend) int
 }
 
-const (
-	// localUse is the mean share of busy slots up to which long flows stay in
+// Settings tune a LeastLoaded.
+type Settings struct {
+	// Looks is how many random candidates are compared. 0 compares all. The more
+	// are compared, the more hosts pick the same server before they hear of each
+	// other's flows.
+	Looks int
+	// Remote is added to the load of a server in another data centre.
+	Remote float64
+	// LocalUse is the mean share of busy slots up to which long flows stay in
 	// their data centre. Above it, evenness counts more than the distance.
-	localUse = 0.65
-	// localLoad is the load of the least loaded server of the data centre up to
-	// which a short flow stays there: a slot is free, or nearly so.
-	localLoad = 1.15
-)
+	LocalUse float64
+	// LocalLoad is the load of the least loaded server of the data centre up to
+	// which a short flow stays there.
+	LocalLoad float64
+	// ByRequests places long flows by requests in progress, like short ones.
+	ByRequests bool
+}
+
+// DefaultSettings keep flows in their data centre while slots are free there.
+// The ways weighed are in docs/DESIGN.md.
+var DefaultSettings = Settings{Looks: 2, Remote: 0.1, LocalUse: 0.65, LocalLoad: 1.15}
 
 // LeastLoaded picks the least loaded candidate of the host's data centre while
 // slots are free there, and of all otherwise. A flow within its data centre
 // outlives a partition between data centres.
 type LeastLoaded[T any] struct {
-	// looks is how many candidates are compared. 0 compares all.
-	looks int
-	// remote is added to the load of a server in another data centre.
-	remote float64
-	centre string
-	rand   *rand.Rand
+	settings Settings
+	centre   string
+	rand     *rand.Rand
 }
 
-// NewLeastLoaded returns a LeastLoaded for a host in centre that compares looks
-// candidates and adds remote to the load of those elsewhere.
-func NewLeastLoaded[T any](centre string, looks int, remote float64, r *rand.Rand) *LeastLoaded[T] {
-	return &LeastLoaded[T]{looks: looks, remote: remote, centre: centre, rand: r}
+// NewLeastLoaded returns a LeastLoaded for a host in centre.
+func NewLeastLoaded[T any](centre string, settings Settings, r *rand.Rand) *LeastLoaded[T] {
+	return &LeastLoaded[T]{settings: settings, centre: centre, rand: r}
 }
 
 // Pick implements Policy. Avoided servers are left out unless all are avoided.
 func (p *LeastLoaded[T]) Pick(now clock.Millis, kind Kind, candidates []T, backend func(T) *Backend) int {
+	if p.settings.ByRequests {
+		kind = Short
+	}
 	usable := func(b *Backend) bool { return !b.Avoided(now) }
 	local := func(b *Backend) bool { return usable(b) && b.centre == p.centre }
 	best := p.among(now, kind, candidates, backend, local)
@@ -62,7 +74,7 @@
 	local func(*Backend) bool,
 ) bool {
 	if kind == Short {
-		return backend(candidates[best]).Load(now, Short) <= localLoad
+		return backend(candidates[best]).Load(now, Short) <= p.settings.LocalLoad
 	}
 	use, n := 0.0, 0
 	for _, c := range candidates {
@@ -71,7 +83,7 @@
 			n++
 		}
 	}
-	return use <= localUse*float64(n)
+	return use <= p.settings.LocalUse*float64(n)
 }
 
 // among returns the least loaded of the candidates that may be taken, or -1.
@@ -92,12 +104,12 @@
 		}
 		load := b.Load(now, kind)
 		if b.centre != p.centre {
-			load += p.remote
+			load += p.settings.Remote
 		}
 		if best < 0 || load < bestLoad {
 			best, bestLoad = at, load
 		}
-		if looked++; p.looks > 0 && looked == p.looks {
+		if looked++; p.settings.Looks > 0 && looked == p.settings.Looks {
 			break
 		}
 	}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -37,11 +37,8 @@
 type Options struct {
 	// Centre is the data centre of this host.
 	Centre string
-	// Looks is how many servers are compared for a new flow. 0 compares all.
-	Looks int
-	// Remote is the load, in requests for each slot, that a server in another
-	// data centre must be better by.
-	Remote float64
+	// Choice tunes the choice of a server for a new flow.
+	Choice choose.Settings
 	Fleet  fleet.Options
 	// DefaultIdle is how long an idle flow is remembered when the routing table
 	// does not say.
@@ -98,7 +95,7 @@
 func New(options Options, r *rand.Rand) *Core {
 	return &Core{
 		options: options, rand: r,
-		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Looks, options.Remote, r),
+		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Choice, r),
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
 		servers: map[string]*server{}, book: mint.NewBook[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, usages: map[netip.AddrPort]*usage{},
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -39,10 +39,6 @@
 	// stopMargin is kept between the end of that span and the kill.
 	stopMargin = 1500 * clock.Millis(1)
 
-	// looks is how many servers are compared for a new flow.
-	looks = 0
-	// remoteLoad is the load by which a server elsewhere must be better.
-	remoteLoad = 0.1
 	// defaultIdle is how long an idle flow is remembered without a setting.
 	defaultIdle = 15 * clock.Second
 	// maxFlows bounds the flows remembered, at about 200 bytes each.
@@ -107,7 +103,7 @@
 		metrics: admin.NewMetrics(), seeds: make(chan []string, 1), servers: map[string]clock.Millis{},
 	}
 	d.core = core.New(core.Options{
-		Centre: settings.Centre, Looks: looks, Remote: remoteLoad, DefaultIdle: defaultIdle, MaxFlows: maxFlows,
+		Centre: settings.Centre, Choice: choose.DefaultSettings, DefaultIdle: defaultIdle, MaxFlows: maxFlows,
 		Fleet: fleet.Options{SilentAfter: never, ForgetAfter: forgetAfter, Follower: true},
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
 	d.poller = poll.New(settings.Name, settings.SeedAddresses(), source.Now())
