trace, lab, token: explain a flow from logs and compare ways in the emulator

monsooncleat explain merges the logs of many processes around one flow and names the likeliest cause; log lines carry milliseconds. monsooncleat lab prints what callers get under each load with each way of placing flows. Entry hosts publish handshake and response times, decisions by reason and flows by service.

--- a/internal/base/admin/admin.go
+++ b/internal/base/admin/admin.go
@@ -44,6 +44,13 @@
 	return v
 }
 
+// Map publishes and returns counters by label under name.
+func (m *Metrics) Map(name string) *expvar.Map {
+	v := new(expvar.Map).Init()
+	m.vars.Set(name, v)
+	return v
+}
+
 // Values returns the present values by name.
 func (m *Metrics) Values() json.RawMessage { return json.RawMessage(m.vars.String()) }
 
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -39,13 +39,16 @@
 	return &Factory{out: out, level: level, options: options}, nil
 }
 
+// TimeFormat is the form of the time at the start of each line.
+const TimeFormat = "2006-01-02T15:04:05.000"
+
 // Part returns the logger of one part. Its name is the prefix of each line.
 func (f *Factory) Part(name string) *Logger {
 	level := f.level
 	if slices.Contains(f.options.Parts, name) {
 		level = log.DebugLevel
 	}
-	opts := log.Options{Level: level, Prefix: name, ReportTimestamp: true}
+	opts := log.Options{Level: level, Prefix: name, ReportTimestamp: true, TimeFormat: TimeFormat}
 	if f.options.JSON {
 		opts.Formatter = log.JSONFormatter
 	}
--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -47,6 +47,8 @@
 		{"member", "add|remove NAME", "change the control hosts", runMember},
 		{"keys", "operator|shared FILE", "make a key", runKeys},
 		{"dump", "ADDRESS", "print the state of one process", runDump},
+		{"explain", "FLOW LOG...", "tell from logs what became of a flow", runExplain},
+		{"lab", "[-seeds COUNT] [-load NAME]", "compare ways of placing flows in an emulator", runLab},
 		{"check", "entry|control|operator|bundle FILE", "check a settings file or a bundle", runCheck},
 		{"version", "", "print the version", runVersion},
 	}
--- /dev/null
+++ b/internal/cli/trace/trace_test.go
@@ -0,0 +1,69 @@
+package trace_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/cli/trace"
+)
+
+const entryLog = `
+2026-05-24T20:31:10.000 INFO entry: Ready. version=3 servers=18
+2026-05-24T20:31:16.100 INFO entry: Flow decided. flow=100.64.0.7:4000>198.18.0.1:443 outcome=forward why=newFlow server=i-1 load=0.5 version=3
+2026-05-24T20:31:16.200 INFO entry: Flow decided. flow=100.64.0.8:4000>198.18.0.1:443 outcome=reset why=noRoute server="" version=3
+2026-05-24T20:31:19.000 INFO entry: Server known. id=i-1 state=ready ended=true
+2026-05-24T20:31:19.500 INFO entry: No answer seen. flow=100.64.0.7:4000>198.18.0.1:443 server=i-1 opened=true waited=1500
+not a line of ours
+`
+
+const controlLog = `
+   3.5 core-a-1 2026-05-24T20:31:18.000 INFO directory: Server is silent. id=i-1 service=x silentFor=3600
+   3.6 core-a-1 2026-05-24T20:31:18.100 INFO directory: Server is silent. id=i-2 service=x silentFor=3600
+`
+
+func read(c *qt.C) []trace.Line {
+	var all []trace.Line
+	for name, text := range map[string]string{"entry-1": entryLog, "control.log": controlLog} {
+		lines, err := trace.Read(name, strings.NewReader(text))
+		c.Assert(err, qt.IsNil)
+		all = append(all, lines...)
+	}
+	return all
+}
+
+func TestExplain(t *testing.T) {
+	tests := []struct {
+		flow  string
+		lines int
+		cause string
+	}{
+		{"100.64.0.7:4000", 4, "server i-1 did not answer within 1500 ms, and had ceased to announce itself."},
+		{"100.64.0.8:4000>198.18.0.1:443", 1, "reset the flow: the address had no route in the version in force."},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		s, err := trace.Explain(test.flow, read(c))
+		c.Assert(err, qt.IsNil)
+		c.Check(s.Cause, qt.Equals, test.cause)
+		c.Check(s.Lines, qt.HasLen, test.lines)
+		for i := 1; i < len(s.Lines); i++ {
+			c.Check(s.Lines[i].Time.Before(s.Lines[i-1].Time), qt.IsFalse)
+		}
+	}
+}
+
+func TestExplainUnknownFlow(t *testing.T) {
+	c := qt.New(t)
+	_, err := trace.Explain("1.2.3.4:5", read(c))
+	c.Check(err, qt.ErrorMatches, "no line tells of the flow .*")
+}
+
+func TestSource(t *testing.T) {
+	c := qt.New(t)
+	lines, err := trace.Read("control.log", strings.NewReader(controlLog))
+	c.Assert(err, qt.IsNil)
+	c.Check(lines[0].Source, qt.Equals, "core-a-1")
+	c.Check(lines[0].Field("silentFor"), qt.Equals, "3600")
+}
--- a/internal/lab/yard/yard_test.go
+++ b/internal/lab/yard/yard_test.go
@@ -11,23 +11,10 @@
 
 const seeds = 4
 
-// play returns the mean shares of requests within their aim, over all and over
-// the worst two seconds, and the mean count of requests that failed.
-func play(load yard.Load, way choose.Settings) (share, worst, failed float64) {
-	for seed := range uint64(seeds) {
-		r := yard.Run(load, way, seed)
-		share += r.Share() / seeds
-		worst += r.Worst() / seeds
-		failed += float64(r.Failed) / seeds
-	}
-	return share, worst, failed
-}
-
 func TestEachWayUnderEachLoad(t *testing.T) {
 	for _, load := range yard.Loads() {
 		for name, way := range yard.Ways() {
-			share, worst, failed := play(load, way)
-			t.Logf("%-8s %-36s in aim %.4f, worst seconds %.3f, failed %.1f", load.Name, name, share, worst, failed)
+			t.Logf("%-8s %-34s %+v", load.Name, name, yard.Summarize(load, way, seeds))
 		}
 	}
 }
@@ -37,8 +24,9 @@
 func TestPlacementServesTheFearedLoads(t *testing.T) {
 	c := qt.New(t)
 	for _, load := range yard.Loads() {
-		share, worst, failed := play(load, choose.DefaultSettings)
-		_, worstOfAll, _ := play(load, yard.Ways()["anywhere, all, by requests"])
+		got := yard.Summarize(load, choose.DefaultSettings, seeds)
+		share, worst, failed := got.InAim, got.Worst, got.Failed
+		worstOfAll := yard.Summarize(load, yard.Ways()["anywhere, all, by requests"], seeds).Worst
 		c.Check(worst > worstOfAll-0.02, qt.IsTrue, qt.Commentf("%s: worst seconds %.3f against %.3f", load.Name, worst, worstOfAll))
 		switch load.Name {
 		case "calm", "release":
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -238,19 +238,23 @@
 	return s.started != s.record.Started || s.record.EndedFor(now) > endedGrace
 }
 
-// Tick does the periodic work.
-func (c *Core) Tick(now clock.Millis) {
+// Tick does the periodic work, and returns what was given up without an answer
+// since.
+func (c *Core) Tick(now clock.Millis) []Ending {
 	c.smooth(now)
 	if now < c.sweepAt {
-		return
+		return nil
 	}
+	var endings []Ending
 	c.sweepAt = now + sweepSpan
 	idle := c.options.DefaultIdle
 	if c.index != nil && c.index.Table().IdleTimeout > 0 {
 		idle = c.index.Table().IdleTimeout
 	}
 	for key, f := range c.flows {
-		c.sweep(now, idle, key, f)
+		if c.sweep(now, idle, key, f) {
+			endings = append(endings, Ending{key.caller, key.route, f.server.id, f.open, now - f.busySince})
+		}
 	}
 	for address, u := range c.usages {
 		if u.fade(); u.idle() {
@@ -269,10 +273,13 @@
 	if len(c.fleet.Expire(now)) > 0 {
 		c.rebuild(now)
 	}
+	return endings
 }
 
-func (c *Core) sweep(now, idle clock.Millis, key flowKey, f *flow) {
-	silent := now - f.lastAt
+// sweep forgets a flow that is over, and reports whether a request was given up
+// without an answer.
+func (c *Core) sweep(now, idle clock.Millis, key flowKey, f *flow) bool {
+	silent, busy := now-f.lastAt, f.busy
 	switch {
 	case f.ended && silent > handshakeSpan, silent > idle, !f.open && silent > 2*handshakeSpan:
 		f.finish()
@@ -283,6 +290,7 @@
 	case f.busy && now-f.busySince > max(f.timeout(), handshakeSpan):
 		f.finish()
 	}
+	return busy && !f.busy
 }
 
 func (f *flow) timeout() clock.Millis {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -113,7 +113,7 @@
 	c.stats.Forwarded++
 	return Action{
 		Verdict: Forward, Reason: reason, Server: s.record.Address, Number: s.record.Number,
-		Token: s.token, ServerID: s.id,
+		Token: s.token, ServerID: s.id, Service: s.record.Service,
 	}
 }
 
@@ -144,8 +144,9 @@
 	if f == nil || f.open && !near(p.Ack, f.ack) {
 		f = c.adopt(now, key, s, p)
 	}
-	c.note(now, f, s, p)
-	return c.forward(s, reason)
+	a := c.forward(s, reason)
+	c.note(now, f, s, p, &a)
+	return a
 }
 
 // adopt begins to remember a flow that was opened through another host.
@@ -175,9 +176,10 @@
 // note reads from a packet how far the flow's requests are. A request is in
 // progress from its data, or from the opening packet, until the caller
 // acknowledges the first bytes of the response.
-func (c *Core) note(now clock.Millis, f *flow, s *server, p *Packet) {
+func (c *Core) note(now clock.Millis, f *flow, s *server, p *Packet, a *Action) {
 	f.lastAt = now
 	if !f.open {
+		a.Handshake = now - f.openedAt
 		f.open = true
 		f.move(s)
 		f.ack, f.data = p.Ack, p.Seq
@@ -192,6 +194,9 @@
 	}
 	if after(p.Ack, f.ack) {
 		f.ack = p.Ack
+		if f.busy {
+			a.Response = now - f.busySince
+		}
 		f.finish()
 		s.load.Answered(now)
 	}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -99,8 +99,26 @@
 	Token mint.Token
 	// ServerID is the ID of the server, for logs.
 	ServerID string
+	// Service is the service of the server.
+	Service string
 	// Load is the load by which the server was chosen.
 	Load float64
+	// Handshake is the time from the opening packet to its first acknowledgement,
+	// and Response the time from a request to the first acknowledgement of its
+	// response, when this packet brought them. Both are 0 otherwise.
+	Handshake clock.Millis
+	Response  clock.Millis
+}
+
+// Ending tells of a flow, or a request, that was given up without an answer.
+type Ending struct {
+	Caller   netip.AddrPort
+	Route    netip.AddrPort
+	ServerID string
+	// Opened is false for a flow whose opening packet was never answered.
+	Opened bool
+	// Waited is the time since the opening packet or the request.
+	Waited clock.Millis
 }
 
 // Update is news from the control hosts.
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -86,6 +87,13 @@
 	// when it heard of them last.
 	servers map[string]clock.Millis
 
+	handshakes *admin.Timing
+	responses  *admin.Timing
+	// reasons counts decisions by their reason, opened new flows by service.
+	reasons *expvar.Map
+	opened  *expvar.Map
+
+	stats    atomic.Pointer[core.Stats]
 	version  atomic.Uint64
 	loads    atomic.Pointer[map[mint.Token]choose.Share]
 	ready    atomic.Bool
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -38,11 +38,11 @@
 	settledAt clock.Millis
 	tickedAt  clock.Millis
 	budgets   map[core.Reason]*logs.Budget
-	sendFails uint64
+	noAnswers *logs.Budget
 }
 
 func newForwarder(d *Daemon) *forwarder {
-	return &forwarder{d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, budgets: map[core.Reason]*logs.Budget{}}
+	return &forwarder{d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, budgets: map[core.Reason]*logs.Budget{}, noAnswers: logs.NewBudget(linesPerSecond)}
 }
 
 func (f *forwarder) run(ctx context.Context) error {
@@ -71,7 +71,9 @@
 	}
 	if now-f.tickedAt >= clock.Of(tickSpan) {
 		f.tickedAt = now
-		f.d.core.Tick(now)
+		f.giveUp(now, f.d.core.Tick(now))
+		stats := f.d.core.Stats()
+		f.d.stats.Store(&stats)
 		loads := f.d.core.Loads()
 		f.d.loads.Store(&loads)
 	}
@@ -114,6 +116,7 @@
 	}
 	settled := f.settledAt > 0 && now-f.settledAt < settledSpan
 	a := f.d.core.Packet(now, &f.packet, settled)
+	f.measure(&a)
 	f.explain(now, &a)
 	switch a.Verdict {
 	case core.Forward:
@@ -137,11 +140,39 @@
 		f.addresses[to] = address
 	}
 	if _, err := c.SendTo(f.buffer, address); err != nil {
-		f.sendFails++
+		f.d.reasons.Add("sendFailed", 1)
 		f.d.log.Warn("Datagram cannot be sent.", "to", to, "err", err)
 	}
 }
 
+// measure counts a decision and records the times that its packet brought.
+func (f *forwarder) measure(a *core.Action) {
+	if a.Handshake > 0 {
+		f.d.handshakes.Record(a.Handshake.Duration())
+	}
+	if a.Response > 0 {
+		f.d.responses.Record(a.Response.Duration())
+	}
+	if a.Reason != core.NoReason {
+		f.d.reasons.Add(a.Reason.String(), 1)
+	}
+	if a.Reason == core.NewFlow {
+		f.d.opened.Add(a.Service, 1)
+	}
+}
+
+// giveUp writes a line for each flow or request that got no answer.
+func (f *forwarder) giveUp(now clock.Millis, endings []core.Ending) {
+	for i := range endings {
+		e := &endings[i]
+		f.d.reasons.Add("noAnswer", 1)
+		if omitted, ok := f.noAnswers.Allow(now); ok {
+			f.d.log.Info("No answer seen.", "flow", e.Caller.String()+">"+e.Route.String(), "server", e.ServerID,
+				"opened", e.Opened, "waited", int64(e.Waited), "omitted", omitted)
+		}
+	}
+}
+
 // explain writes a line for each decision that a user may ask about.
 func (f *forwarder) explain(now clock.Millis, a *core.Action) {
 	if a.Reason == core.NoReason {
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -20,6 +20,21 @@
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
 	}
+	for name, read := range map[string]func(s *core.Stats) uint64{
+		"flowsOpened":      func(s *core.Stats) uint64 { return s.Opened },
+		"flowsAnswered":    func(s *core.Stats) uint64 { return s.Answered },
+		"packetsForwarded": func(s *core.Stats) uint64 { return s.Forwarded },
+		"serversAvoided":   func(s *core.Stats) uint64 { return s.Avoided },
+	} {
+		d.metrics.Gauge(name, func() int64 {
+			if s := d.stats.Load(); s != nil {
+				return int64(read(s))
+			}
+			return 0
+		})
+	}
+	d.handshakes, d.responses = d.metrics.Timing("handshakeMicros"), d.metrics.Timing("responseMicros")
+	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
 
 // Dump is the state of an entry host.
