poll, choose, token: spare small entry hosts needless work

Change: beside the first control host, only brief questions, which bring the IDs of silent servers; loads are encoded in 8 bytes a server; only servers that changed are logged, within a budget.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -17,7 +17,6 @@
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
-	"monsooncleat.example/monsooncleat/internal/token/mint"
 )
 
 // Token names the connection that a message came from.
@@ -178,7 +177,7 @@
 
 type report struct {
 	at    clock.Millis
-	loads map[mint.Token]choose.Share
+	loads choose.Shares
 }
 
 // New returns a Core that continues from what the disk held.
--- a/internal/dir/core/roster.go
+++ b/internal/dir/core/roster.go
@@ -8,7 +8,6 @@
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
-	"monsooncleat.example/monsooncleat/internal/token/mint"
 )
 
 // tell is an announcement that a quorum has to hold before it is acknowledged.
@@ -214,39 +213,44 @@
 
 // ownLoads returns the sum of the loads that entry hosts other than without
 // report here.
-func (c *Core) ownLoads(without string) map[mint.Token]choose.Share {
-	sum := map[mint.Token]choose.Share{}
+func (c *Core) ownLoads(without string) choose.Shares {
+	sum := choose.Shares{}
 	for name, r := range c.reports {
 		switch {
 		case c.now-r.at > loadAge:
 			delete(c.reports, name)
 		case name != without:
-			addLoads(sum, r.loads)
+			sum.Add(r.loads)
 		}
 	}
 	return sum
 }
 
-func addLoads(sum, loads map[mint.Token]choose.Share) {
-	for token, load := range loads {
-		sum[token] = sum[token].Plus(load)
+// onFetch gives an entry host what it does not have yet.
+func (c *Core) onFetch(from Token, m *msgs.Fetch) {
+	r := &msgs.FetchReply{Number: m.Number, Current: c.Current(), Run: c.options.Run, Version: c.newest.Table.Version}
+	c.fleet.Each(func(s *fleet.Server) {
+		if s.Silent() && !s.Ended() {
+			r.Silent = append(r.Silent, s.ID)
+		}
+	})
+	if !m.Brief {
+		c.fill(r, m)
 	}
+	c.reply(from, &msgs.Envelope{FetchReply: r})
 }
 
-// onFetch gives an entry host what it does not have yet.
-func (c *Core) onFetch(from Token, m *msgs.Fetch) {
+// fill adds to a reply what the entry host does not have yet.
+func (c *Core) fill(r *msgs.FetchReply, m *msgs.Fetch) {
 	c.reports[m.Name] = report{c.now, m.Loads}
 	since := m.Since
 	if m.Run != c.options.Run {
 		since = 0
 	}
-	r := &msgs.FetchReply{
-		Number: m.Number, Current: c.Current(), Run: c.options.Run, Position: c.fleet.Position(),
-		Version: c.newest.Table.Version, Loads: c.ownLoads(m.Name),
-	}
+	r.Position, r.Loads = c.fleet.Position(), c.ownLoads(m.Name)
 	for _, p := range c.peers {
 		if c.now-p.loads.at <= loadAge {
-			addLoads(r.Loads, p.loads.loads)
+			r.Loads.Add(p.loads.loads)
 		}
 	}
 	for _, s := range c.fleet.ChangedSince(since) {
@@ -259,5 +263,4 @@
 	for _, id := range append(conf.Voters, conf.Learners...) {
 		r.Controls = append(r.Controls, addressOf(id))
 	}
-	c.reply(from, &msgs.Envelope{FetchReply: r})
 }
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -11,7 +11,6 @@
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
-	"monsooncleat.example/monsooncleat/internal/token/mint"
 )
 
 // Envelope carries one message. Exactly one of the pointers is set.
@@ -122,7 +121,7 @@
 	News     []News  `msgpack:"news"`
 	// Loads are the loads that entry hosts report to this control host, by
 	// token.
-	Loads map[mint.Token]choose.Share `msgpack:"loads"`
+	Loads choose.Shares `msgpack:"loads"`
 }
 
 // Fetch asks a control host for what an entry host does not have yet.
@@ -134,21 +133,25 @@
 	Run     uint64 `msgpack:"run"`
 	Since   uint64 `msgpack:"since"`
 	Version uint64 `msgpack:"version"`
+	// Brief asks for no records and no table.
+	Brief bool `msgpack:"brief"`
 	// Loads are the loads that the entry host brings, by token.
-	Loads map[mint.Token]choose.Share `msgpack:"loads"`
+	Loads choose.Shares `msgpack:"loads"`
 }
 
 // FetchReply answers a Fetch.
 type FetchReply struct {
 	Number uint64 `msgpack:"number"`
 	// Current says that the control host is in touch with a quorum.
-	Current  bool                        `msgpack:"current"`
-	Run      uint64                      `msgpack:"run"`
-	Position uint64                      `msgpack:"position"`
-	News     []News                      `msgpack:"news"`
-	Table    *routes.Table               `msgpack:"table,omitempty"`
-	Version  uint64                      `msgpack:"version"`
-	Loads    map[mint.Token]choose.Share `msgpack:"loads"`
+	Current  bool   `msgpack:"current"`
+	Run      uint64 `msgpack:"run"`
+	Position uint64 `msgpack:"position"`
+	News     []News `msgpack:"news"`
+	// Silent are the IDs of the servers that no longer announce themselves.
+	Silent  []string      `msgpack:"silent"`
+	Table   *routes.Table `msgpack:"table,omitempty"`
+	Version uint64        `msgpack:"version"`
+	Loads   choose.Shares `msgpack:"loads"`
 	// Controls are the addresses of the control hosts.
 	Controls []string `msgpack:"controls"`
 }
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -8,7 +8,6 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
-	"monsooncleat.example/monsooncleat/internal/token/mint"
 )
 
 const (
@@ -41,7 +40,7 @@
 type Accepted struct {
 	News  []msgs.News
 	Table *msgs.FetchReply
-	Loads map[mint.Token]choose.Share
+	Loads choose.Shares
 }
 
 type source struct {
@@ -112,7 +111,7 @@
 }
 
 // Tick returns the questions that are due.
-func (p *Poller) Tick(now clock.Millis, version uint64, loads map[mint.Token]choose.Share) []Ask {
+func (p *Poller) Tick(now clock.Millis, version uint64, loads choose.Shares) []Ask {
 	var asks []Ask
 	if p.primary != "" && now >= p.nextAt {
 		p.nextAt = now + Span
@@ -128,7 +127,9 @@
 	}
 	for _, address := range p.addresses() {
 		if address != p.primary {
-			asks = append(asks, p.ask(now, address, version, loads))
+			a := p.ask(now, address, version, nil)
+			a.Fetch.Brief = true
+			asks = append(asks, a)
 		}
 	}
 	return asks
@@ -144,7 +145,7 @@
 	return out
 }
 
-func (p *Poller) ask(now clock.Millis, address string, version uint64, loads map[mint.Token]choose.Share) Ask {
+func (p *Poller) ask(now clock.Millis, address string, version uint64, loads choose.Shares) Ask {
 	s := p.sources[address]
 	if s == nil {
 		s = &source{silent: map[string]bool{}}
@@ -173,18 +174,20 @@
 	delete(p.asked, r.Number)
 	s := p.sources[address]
 	if s.run != r.Run {
-		clear(s.silent)
+		s.run, s.position = r.Run, 0
 	}
-	s.run, s.position, s.askedAt = r.Run, r.Position, 0
-	s.repliedAt, s.current = now, r.Current
-	for i := range r.News {
-		s.silent[r.News[i].Record.ID] = r.News[i].Silent
+	s.position = max(s.position, r.Position)
+	s.askedAt, s.repliedAt, s.current = 0, now, r.Current
+	clear(s.silent)
+	for _, id := range r.Silent {
+		s.silent[id] = true
 	}
 	if len(r.Controls) > 0 {
 		p.learned = r.Controls
 	}
 	if p.primary == "" || r.Current && address != p.primary && p.primaryFails(now) {
-		p.primary, p.nextAt = address, now+Span
+		// What a brief reply left out is asked for at once.
+		p.primary, p.nextAt = address, now
 	}
 	if address == p.primary {
 		p.repliedAt = now
@@ -197,11 +200,8 @@
 	if r.Table != nil && (r.Current || isolated && version == 0) {
 		a.Table = r
 	}
-	if address == p.primary {
+	if address == p.primary && r.Loads != nil {
 		a.Loads = r.Loads
-		if a.Loads == nil {
-			a.Loads = map[mint.Token]choose.Share{}
-		}
 	}
 	return a
 }
--- a/internal/dir/poll/poll_test.go
+++ b/internal/dir/poll/poll_test.go
@@ -9,7 +9,6 @@
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/dir/poll"
-	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
 const (
@@ -29,7 +28,12 @@
 func (h *control) reply(a *poll.Ask) *msgs.FetchReply {
 	r := &msgs.FetchReply{Number: a.Fetch.Number, Current: h.current, Run: h.run, Position: 1, Table: h.table}
 	for id, silent := range h.silent {
-		r.News = append(r.News, msgs.News{Record: fleet.Record{ID: id}, Silent: silent})
+		if silent {
+			r.Silent = append(r.Silent, id)
+		}
+	}
+	if a.Fetch.Brief {
+		r.Table, r.Position = nil, 0
 	}
 	return r
 }
--- a/internal/lab/yard/yard.go
+++ b/internal/lab/yard/yard.go
@@ -13,7 +13,6 @@
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/token/core"
-	"monsooncleat.example/monsooncleat/internal/token/mint"
 )
 
 const (
@@ -122,22 +121,20 @@
 
 // share gives each host the loads of all others, as the control hosts do.
 func (y *yard) share() {
-	all := make([]map[mint.Token]choose.Share, len(y.hosts))
-	sum := map[mint.Token]choose.Share{}
+	all := make([]choose.Shares, len(y.hosts))
+	sum := choose.Shares{}
 	for i, h := range y.hosts {
 		all[i] = h.core.Loads()
-		for t, s := range all[i] {
-			sum[t] = sum[t].Plus(s)
-		}
+		sum.Add(all[i])
 	}
 	y.after(y.load.Lag, func() { y.deliver(all, sum) })
 	y.after(y.load.Share, y.share)
 }
 
 // deliver brings each host the sum of what the others had reported.
-func (y *yard) deliver(all []map[mint.Token]choose.Share, sum map[mint.Token]choose.Share) {
+func (y *yard) deliver(all []choose.Shares, sum choose.Shares) {
 	for i, h := range y.hosts {
-		others := map[mint.Token]choose.Share{}
+		others := choose.Shares{}
 		for t, s := range sum {
 			own := all[i][t]
 			others[t] = choose.Share{Busy: s.Busy - own.Busy, Flows: s.Flows - own.Flows}
--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -42,17 +42,6 @@
 	Long
 )
 
-// Share is the part of a server's load that one host, or several, bring.
-type Share struct {
-	// Busy is the mean count of requests in progress.
-	Busy float32 `msgpack:"busy"`
-	// Flows is the count of long flows in use.
-	Flows float32 `msgpack:"flows"`
-}
-
-// Plus returns the sum of two shares.
-func (s Share) Plus(o Share) Share { return Share{s.Busy + o.Busy, s.Flows + o.Flows} }
-
 // Backend is the load and the health of one server as one host sees them.
 type Backend struct {
 	slots   int
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -157,37 +157,38 @@
 	return true
 }
 
-// Learn takes news of servers and loads.
-func (c *Core) Learn(now clock.Millis, u *Update) {
+// Learn takes news of servers and loads, and returns the servers whose state
+// changed.
+func (c *Core) Learn(now clock.Millis, u *Update) []*fleet.Server {
+	at := c.fleet.Position()
 	for i := range u.Servers {
 		news := &u.Servers[i]
 		c.fleet.Apply(now, now-news.Age, news.Record, false)
 		c.fleet.SetEnded(now, news.Record.ID, news.Ended)
 	}
-	changed := c.followSilence(now, u) || len(u.Servers) > 0
-	if changed {
+	c.followSilence(now, u)
+	changed := c.fleet.ChangedSince(at)
+	if len(changed) > 0 {
 		c.rebuild(now)
 	}
 	if u.Loads != nil {
 		for _, s := range c.servers {
-			s.load.SetShared(u.Loads[s.token])
+			s.load.SetShared(u.Loads[uint32(s.token)])
 		}
 	}
+	return changed
 }
 
-// followSilence takes over which servers are silent, and reports a change.
-func (c *Core) followSilence(now clock.Millis, u *Update) bool {
+// followSilence takes over which servers are silent.
+func (c *Core) followSilence(now clock.Millis, u *Update) {
 	if u.Silence == nil {
-		return false
+		return
 	}
-	changed := false
 	c.fleet.Each(func(s *fleet.Server) {
 		if silent, known := u.Silence(s.ID); known && silent != s.Silent() {
 			c.fleet.SetSilent(now, s.ID, silent)
-			changed = true
 		}
 	})
-	return changed
 }
 
 // rebuild follows the fleet: it makes the servers that came, replaces those that
@@ -311,11 +312,11 @@
 }
 
 // Loads returns the load brought from here, by the token of the server.
-func (c *Core) Loads() map[mint.Token]choose.Share {
-	loads := make(map[mint.Token]choose.Share, len(c.servers))
+func (c *Core) Loads() choose.Shares {
+	loads := make(choose.Shares, len(c.servers))
 	for _, s := range c.servers {
 		if s.mean > leastMean || s.load.Flows() > 0 {
-			loads[s.token] = choose.Share{Busy: float32(s.mean), Flows: float32(s.load.Flows())}
+			loads[uint32(s.token)] = choose.Share{Busy: float32(s.mean), Flows: float32(s.load.Flows())}
 		}
 	}
 	return loads
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -127,7 +127,7 @@
 	Servers []ServerNews
 	// Loads maps tokens to the load that all other hosts report. It replaces the
 	// loads before when it is not nil.
-	Loads map[mint.Token]choose.Share
+	Loads choose.Shares
 	// Silence tells whether a server still announces itself, and whether that is
 	// known. It is not asked when it is nil.
 	Silence func(id string) (silent, known bool)
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -25,7 +25,6 @@
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/token/core"
-	"monsooncleat.example/monsooncleat/internal/token/mint"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
 )
 
@@ -95,7 +94,7 @@
 
 	stats    atomic.Pointer[core.Stats]
 	version  atomic.Uint64
-	loads    atomic.Pointer[map[mint.Token]choose.Share]
+	loads    atomic.Pointer[choose.Shares]
 	ready    atomic.Bool
 	stopping atomic.Bool
 }
@@ -191,7 +190,7 @@
 }
 
 func (d *Daemon) askAll() {
-	var loads map[mint.Token]choose.Share
+	var loads choose.Shares
 	if l := d.loads.Load(); l != nil {
 		loads = *l
 	}
@@ -214,6 +213,7 @@
 	a := d.poller.Reply(now, m.FetchReply, d.version.Load())
 	if p := d.poller.Primary(); p != before {
 		d.log.Info("Control host chosen.", "address", p, "before", before, "current", m.FetchReply.Current)
+		d.askAll()
 	}
 	silent := d.silence(now, a.News)
 	n := news{table: a.Table, update: core.Update{Loads: a.Loads, Silence: func(id string) (bool, bool) {
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -39,10 +39,12 @@
 	tickedAt  clock.Millis
 	budgets   map[core.Reason]*logs.Budget
 	noAnswers *logs.Budget
+	servers   *logs.Budget
 }
 
 func newForwarder(d *Daemon) *forwarder {
-	return &forwarder{d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, budgets: map[core.Reason]*logs.Budget{}, noAnswers: logs.NewBudget(linesPerSecond)}
+	return &forwarder{d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, budgets: map[core.Reason]*logs.Budget{}, noAnswers: logs.NewBudget(linesPerSecond),
+		servers: logs.NewBudget(linesPerSecond)}
 }
 
 func (f *forwarder) run(ctx context.Context) error {
@@ -85,11 +87,12 @@
 		return
 	}
 	f.settledAt = max(f.settledAt, n.settled)
-	f.d.core.Learn(now, &n.update)
-	for i := range n.update.Servers {
-		s := &n.update.Servers[i]
-		f.d.log.Info("Server known.", "id", s.Record.ID, "state", s.Record.State.String(), "started", int64(s.Record.Started),
-			"seq", s.Record.Seq, "service", s.Record.Service, "address", s.Record.Address, "ended", s.Ended, "age", int64(s.Age))
+	for _, s := range f.d.core.Learn(now, &n.update) {
+		if omitted, ok := f.servers.Allow(now); ok {
+			f.d.log.Info("Server known.", "id", s.ID, "state", s.State.String(), "started", int64(s.Started), "seq", s.Seq,
+				"service", s.Service, "address", s.Address, "ended", s.Ended(), "silent", s.Silent(), "age", int64(now-s.Heard()),
+				"omitted", omitted)
+		}
 	}
 	if n.table != nil && f.d.core.Configure(now, n.table.Table) {
 		f.d.version.Store(f.d.core.Version())
