poll: ask briefly again while control hosts start

Change: only full questions wait; brief ones are repeated. TestFindsHostsThatStartLate failed before.

--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -50,9 +50,10 @@
 
 type source struct {
 	run, position uint64
-	// askedAt is the time of the question that has no reply yet, or 0.
+	// askedAt is the time of the oldest question that has no reply yet, or 0.
 	askedAt clock.Millis
-	number  uint64
+	// full is set while a full question has no reply.
+	full bool
 	// repliedAt is the time of the latest reply, current whether the host was in
 	// touch with a quorum then.
 	repliedAt clock.Millis
@@ -121,6 +122,7 @@
 	if p.primary != "" && now >= p.nextAt && !p.waits(now, p.primary) {
 		p.nextAt = now + Span
 		asks = append(asks, p.ask(now, p.primary, version, loads))
+		p.sources[p.primary].full = true
 	}
 	healthy := p.primary != "" && !p.primaryFails(now)
 	if healthy || now < p.wideAt {
@@ -131,7 +133,7 @@
 		p.wideAt = now + firstSpan
 	}
 	for _, address := range p.addresses() {
-		if address != p.primary && !p.waits(now, address) {
+		if address != p.primary {
 			a := p.ask(now, address, version, nil)
 			a.Fetch.Brief = true
 			asks = append(asks, a)
@@ -140,11 +142,12 @@
 	return asks
 }
 
-// waits reports whether a reply may still come. A whole table takes a while on
-// the link of a small host, and asking again would only send it twice.
+// waits reports whether the reply to a full question may still come. A whole
+// table takes a while on the link of a small host, and asking again would only
+// send it twice.
 func (p *Poller) waits(now clock.Millis, address string) bool {
 	s := p.sources[address]
-	return s != nil && s.askedAt > 0 && now-s.askedAt < replySpan
+	return s != nil && s.full && s.askedAt > 0 && now-s.askedAt < replySpan
 }
 
 func (p *Poller) addresses() []string {
@@ -163,11 +166,14 @@
 		s = &source{silent: map[string]bool{}}
 		p.sources[address] = s
 	}
-	fresh := s.askedAt > 0
-	s.askedAt = now
-	delete(p.asked, s.number)
+	fresh := s.askedAt > 0 && now-s.askedAt >= replySpan
+	if fresh {
+		p.forget(address, p.number)
+	}
+	if fresh || s.askedAt == 0 {
+		s.askedAt, s.full = now, false
+	}
 	p.number++
-	s.number = p.number
 	p.asked[p.number] = address
 	return Ask{address, msgs.Fetch{
 		Name: p.name, Number: p.number, Run: s.run, Since: s.position, Version: version, Loads: loads,
@@ -181,13 +187,13 @@
 	if !ok {
 		return Accepted{}
 	}
-	delete(p.asked, r.Number)
+	p.forget(address, r.Number)
 	s := p.sources[address]
 	if s.run != r.Run {
 		s.run, s.position = r.Run, 0
 	}
 	s.position = max(s.position, r.Position)
-	s.askedAt, s.repliedAt, s.current = 0, now, r.Current
+	s.askedAt, s.full, s.repliedAt, s.current = 0, false, now, r.Current
 	clear(s.silent)
 	for _, id := range r.Silent {
 		s.silent[id] = true
@@ -222,6 +228,16 @@
 	return now-p.repliedAt >= lateSpan || !p.sources[p.primary].current
 }
 
+// forget drops the questions to a control host up to a number: their replies came
+// or are no longer awaited.
+func (p *Poller) forget(address string, upTo uint64) {
+	for number, to := range p.asked {
+		if to == address && number <= upTo {
+			delete(p.asked, number)
+		}
+	}
+}
+
 // Silent reports whether a server has ceased to announce itself, as far as the
 // control hosts can tell. Without one in touch with a quorum, each hears only
 // its own part of a partition, so a server counts as heard while any hears it.
