--- a/internal/cli/cmds/platform.go
+++ b/internal/cli/cmds/platform.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"slices"
@@ -48,6 +50,7 @@
 ) error {
 	fs := e.newFlags(name)
 	path := fs.String("settings", platform.SettingsPath(), "settings `FILE` of the platform")
+	bind := fs.String("bind", "", "`ADDRESS` to listen at for other hosts, when they reach this one through a proxy")
 	factory := logFlags(fs)
 	if err := parse(fs, args, 0); err != nil {
 		return err
@@ -71,6 +74,11 @@
 		log.Error("Settings cannot be used.", "path", *path, "err", err)
 		return err
 	}
+	if *bind != "" {
+		if settings.Bind, err = netip.ParseAddrPort(*bind); err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
+	}
 	d, err := create(settings, f)
 	if err != nil {
 		log.Error("Start failed.", "err", err)
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -26,6 +26,9 @@
 	API netip.AddrPort
 	// Peer receives messages from other hosts on a control host.
 	Peer netip.AddrPort
+	// Bind is where a control host listens for other hosts when they reach it at
+	// Peer through a proxy. It is Peer otherwise.
+	Bind netip.AddrPort
 	// Admin serves metrics and state.
 	Admin netip.AddrPort
 	// Seeds are the Peer addresses of control hosts to ask first.
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -132,7 +132,7 @@
 	d.core = core.New(d.options(id), stored, source.Now(), rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
 	d.recall()
 	d.peers = link.NewPeers(Key, d.onFrame)
-	d.server = link.NewServer(settings.Peer.String(), Key, d.onFrame, factory.Part("link"))
+	d.server = link.NewServer(settings.Bind.String(), Key, d.onFrame, factory.Part("link"))
 	d.api = &http.Server{Handler: handler(d), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	d.publish()
 	log.Info("Log opened.", "id", id, "term", stored.State.Term, "snapshot", stored.Snapshot.Index, "entries", len(stored.Entries))
