--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -42,6 +42,15 @@
 // TimeFormat is the form of the time at the start of each line.
 const TimeFormat = "2006-01-02T15:04:05.000"
 
+// Lost returns the count of lines that were not written, where the writer drops
+// lines.
+func (f *Factory) Lost() uint64 {
+	if a, ok := f.out.(*Async); ok {
+		return a.Lost()
+	}
+	return 0
+}
+
 // Part returns the logger of one part. Its name is the prefix of each line.
 func (f *Factory) Part(name string) *Logger {
 	level := f.level
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -101,6 +102,11 @@
 	publishTime *admin.Timing
 	budget      *logs.Budget
 
+	// version, current and servers are what the metrics show of the core.
+	version atomic.Uint64
+	current atomic.Int64
+	servers atomic.Int64
+
 	// calls and tokens belong to the decision goroutine.
 	calls     map[core.Ticket]chan<- core.Answer
 	ticket    core.Ticket
@@ -134,7 +140,7 @@
 	d.peers = link.NewPeers(Key, d.onFrame)
 	d.server = link.NewServer(settings.Bind.String(), Key, d.onFrame, factory.Part("link"))
 	d.api = &http.Server{Handler: handler(d), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	d.publish()
+	d.publish(factory)
 	log.Info("Log opened.", "id", id, "term", stored.State.Term, "snapshot", stored.Snapshot.Index, "entries", len(stored.Entries))
 	return d, nil
 }
@@ -244,6 +250,7 @@
 			return nil
 		case <-ticker.C:
 			d.core.Tick(d.clock.Now())
+			d.expose()
 		case e := <-d.synced.Items():
 			d.take(e)
 		case e := <-d.events.Items():
@@ -253,6 +260,16 @@
 	}
 }
 
+// expose copies what the metrics show from the core.
+func (d *Daemon) expose() {
+	d.version.Store(d.core.Version())
+	d.servers.Store(int64(d.core.Fleet().Len()))
+	d.current.Store(0)
+	if d.core.Current() {
+		d.current.Store(1)
+	}
+}
+
 func (d *Daemon) take(e event) {
 	now := d.clock.Now()
 	switch {
--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -5,23 +5,31 @@
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/admin"
+	"monsooncleat.example/monsooncleat/internal/base/logs"
 )
 
 // publish makes the counters of a control host readable.
-func (d *Daemon) publish() {
+func (d *Daemon) publish(factory *logs.Factory) {
 	gauges := map[string]func() int64{
+		"logLinesLost":     func() int64 { return int64(factory.Lost()) },
 		"eventRingDepth":   func() int64 { return int64(d.events.Depth()) },
 		"eventRingRefused": func() int64 { return int64(d.events.Refused()) },
 		"diskRingDepth":    func() int64 { return int64(d.batches.Depth()) },
 		"controlBytesIn":   func() int64 { return int64(d.server.BytesIn() + d.peers.BytesIn()) },
 		"controlBytesOut":  func() int64 { return int64(d.server.BytesOut() + d.peers.BytesOut()) },
 		"framesDropped":    func() int64 { return int64(d.peers.Dropped()) },
+		"configVersion":    func() int64 { return int64(d.version.Load()) },
+		"logCurrent":       func() int64 { return d.current.Load() },
+		"serversKnown":     func() int64 { return d.servers.Load() },
 	}
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
 	}
 }
 
+// Metrics returns the counters of the host.
+func (d *Daemon) Metrics() *admin.Metrics { return d.metrics }
+
 // Dump is the state of a control host.
 type Dump struct {
 	Role     string    `json:"role"`
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// endedGrace is the span after a server's end in which its last packets may
-	// still be on their way, so that no flow is reset before they arrive.
+	// endedGrace is the span between a server's end and the reset of its flows.
+	// It covers packets on their way, and the next announcement of a server whose
+	// address an announcement that was held up seemed to take.
 	endedGrace = 1500 * clock.Millis(1)
 	// handshakeSpan is how long a caller waits for the answer to an opening
 	// packet, by the platform's protocol.
@@ -87,7 +88,7 @@
 
 // Stats are the counters of a Core.
 type Stats struct {
-	Opened, Forwarded, ResetNoRoute, ResetRemoved, ResetEnded, DroppedUnknown, DroppedNoServer,
+	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, DroppedUnknown, DroppedNoServer,
 	Moved, Corrected, Avoided, Answered uint64
 }
 
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -38,6 +38,11 @@
 	}
 	kind := c.usages[key.route].kind()
 	s := c.pick(now, route, kind, nil)
+	if s == nil && settled {
+		// No copy can be served either: the caller learns it at once.
+		c.stats.ResetNoServer++
+		return Action{Verdict: Reset, Reason: NoServer}
+	}
 	if s == nil {
 		c.stats.DroppedNoServer++
 		return Action{Verdict: Drop, Reason: NoServer}
@@ -139,7 +144,7 @@
 	if s.over(now) {
 		c.stats.ResetEnded++
 		c.drop(key)
-		return Action{Verdict: Reset, Reason: ServerEnded}
+		return Action{Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.record.Service}
 	}
 	if f == nil || f.open && !near(p.Ack, f.ack) {
 		f = c.adopt(now, key, s, p)
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -117,7 +117,7 @@
 	d.poller = poll.New(settings.Name, settings.SeedAddresses(), source.Now())
 	d.peers = link.NewPeers(directory.Key, d.onReply)
 	d.forward = newForwarder(d)
-	d.publish()
+	d.publish(factory)
 	return d, nil
 }
 
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -205,6 +205,6 @@
 		return
 	}
 	f.d.log.Info("Flow decided.", "flow", f.packet.From.String()+">"+f.packet.To.String(), "outcome", a.Verdict.String(),
-		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "copies", f.packet.Ack, "token", uint32(f.packet.Token),
+		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "ack", f.packet.Ack, "token", uint32(f.packet.Token),
 		"version", f.d.core.Version(), "newsAge", int64(now-f.settledAt), "omitted", omitted)
 }
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -4,12 +4,14 @@
 	"context"
 
 	"monsooncleat.example/monsooncleat/internal/base/admin"
+	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/token/core"
 )
 
 // publish makes the counters of an entry host readable.
-func (d *Daemon) publish() {
+func (d *Daemon) publish(factory *logs.Factory) {
 	gauges := map[string]func() int64{
+		"logLinesLost":    func() int64 { return int64(factory.Lost()) },
 		"newsRingDepth":   func() int64 { return int64(d.news.Depth()) },
 		"newsRingRefused": func() int64 { return int64(d.news.Refused()) },
 		"controlBytesIn":  func() int64 { return int64(d.peers.BytesIn()) },
@@ -37,6 +39,9 @@
 	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
 
+// Metrics returns the counters of the host.
+func (d *Daemon) Metrics() *admin.Metrics { return d.metrics }
+
 // Dump is the state of an entry host.
 type Dump struct {
 	Role     string     `json:"role"`
