token/core: reset flows of an ended server at once when it answers nothing

Cause: a flow whose server had crashed, and whose address another server had taken, waited another 1.5 s for its reset (docs/OPERATIONS.md, second example). The wait guards against an announcement that was held up; a server that answers nothing either needs no guard. The time of a request also counted from the opening of its flow, so that most unanswered requests went unnoticed. TestFlowOfAnEndedServer.

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -243,9 +243,13 @@
 	}
 }
 
-// over reports whether the incarnation of s has surely ended.
+// over reports whether the incarnation of s has surely ended: it started again,
+// or has been known to have ended for long enough, or answers nothing besides.
 func (s *server) over(now clock.Millis) bool {
-	return s.started != s.record.Started || s.record.EndedFor(now) > endedGrace
+	if s.started != s.record.Started {
+		return true
+	}
+	return s.record.Ended() && (s.load.Doubted() || s.record.EndedFor(now) > endedGrace)
 }
 
 // Tick does the periodic work, and returns what was given up without an answer
--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -232,3 +232,40 @@
 		c.Assert(a.Number == 4, qt.Equals, port%2 == 0)
 	}
 }
+
+// TestFlowOfAnEndedServer resets it at once when the server answers nothing, and
+// leaves it alone for a while when it does: an announcement that was held up can
+// make a server look as if another one had taken its address.
+func TestFlowOfAnEndedServer(t *testing.T) {
+	tests := []struct {
+		name    string
+		ended   bool
+		answers bool
+		at      clock.Millis
+		want    core.Verdict
+	}{
+		{"in use", false, false, 1300, core.Forward},
+		{"ended and unanswered", true, false, 1300, core.Reset},
+		{"ended but answers", true, true, 1300, core.Forward},
+		{"ended long ago", true, true, 3000, core.Reset},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHost(1)
+			first := h.Packet(10, syn(0), true)
+			h.Packet(20, data(first.Token, 9000, 0), true)
+			h.Packet(1000, data(first.Token, 9000, 50), true)
+			h.Packet(1200, data(first.Token, 9000, 50), true)
+			if test.ended {
+				news := core.ServerNews{Record: record(int(first.Number), "x", 1), Ended: true}
+				h.Learn(1250, &core.Update{Servers: []core.ServerNews{news}})
+			}
+			ack := uint32(9000)
+			if test.answers {
+				ack = 9100
+			}
+			c.Check(h.Packet(test.at, data(first.Token, ack, 50), true).Verdict, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -55,9 +55,11 @@
 	return d < ackSpan && d > -ackSpan
 }
 
+// begin counts a request in progress, which the opening of a flow announces.
 func (f *flow) begin(now clock.Millis) {
+	f.busySince = now
 	if !f.busy {
-		f.busy, f.busySince = true, now
+		f.busy = true
 		f.server.load.Began()
 	}
 }
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -141,6 +141,9 @@
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
+	if f != nil && f.open && s == f.server && after(p.Ack, f.ack) {
+		s.load.Answered(now)
+	}
 	if s.over(now) {
 		c.stats.ResetEnded++
 		c.drop(key)
