choose, token/core: count the requests in progress of many hosts without bias

Cause: flows left their data centre on the grown sites from 8 s on, since its servers seemed busy: 1.3 to 1.5 requests each, against 0.6 by the load. Small loads of 60 hosts were each rounded up to 1/32, and a request in progress at a host that the router moved its flow away from counted until the timeout of the route. Ruled out: servers warming up, data centres with too few servers. Change: busy counts in steps of 1/1024, rounded to the nearest; a request whose flow has been silent for 800 ms no longer counts here.

--- a/internal/serve/choose/share.go
+++ b/internal/serve/choose/share.go
@@ -31,9 +31,12 @@
 
 const (
 	// shareSize is the encoded length of a share in bytes: its token and two
-	// counts in units of 1/shareUnit.
+	// counts.
 	shareSize = 8
-	shareUnit = 32
+	// busyUnit and flowsUnit are the steps of the counts, as parts of one. Many
+	// hosts each bring a small part of a server's requests.
+	busyUnit  = 1024
+	flowsUnit = 16
 )
 
 // ErrShares is returned for encoded shares of a wrong length.
@@ -45,15 +48,16 @@
 	b := make([]byte, 0, len(s)*shareSize)
 	for token, share := range s {
 		b = binary.BigEndian.AppendUint32(b, token)
-		b = binary.BigEndian.AppendUint16(b, quantize(share.Busy))
-		b = binary.BigEndian.AppendUint16(b, quantize(share.Flows))
+		b = binary.BigEndian.AppendUint16(b, quantize(share.Busy, busyUnit))
+		b = binary.BigEndian.AppendUint16(b, quantize(share.Flows, flowsUnit))
 	}
 	return e.EncodeBytes(b)
 }
 
-// quantize rounds up, so that no load is lost, and caps what does not fit.
-func quantize(v float32) uint16 {
-	return uint16(min(math.Ceil(float64(v)*shareUnit), math.MaxUint16))
+// quantize rounds to the nearest step, so that the sum over many hosts has no
+// bias, and caps what does not fit.
+func quantize(v float32, unit float64) uint16 {
+	return uint16(min(math.Round(float64(v)*unit), math.MaxUint16))
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote.
@@ -68,8 +72,8 @@
 	*s = make(Shares, len(b)/shareSize)
 	for ; len(b) > 0; b = b[shareSize:] {
 		(*s)[binary.BigEndian.Uint32(b)] = Share{
-			Busy:  float32(binary.BigEndian.Uint16(b[4:])) / shareUnit,
-			Flows: float32(binary.BigEndian.Uint16(b[6:])) / shareUnit,
+			Busy:  float32(binary.BigEndian.Uint16(b[4:])) / busyUnit,
+			Flows: float32(binary.BigEndian.Uint16(b[6:])) / flowsUnit,
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/serve/choose/share_test.go
@@ -0,0 +1,46 @@
+package choose_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+)
+
+func exchange(c *qt.C, s choose.Shares) choose.Shares {
+	b, err := msgpack.Marshal(s)
+	c.Assert(err, qt.IsNil)
+	var got choose.Shares
+	c.Assert(msgpack.Unmarshal(b, &got), qt.IsNil)
+	return got
+}
+
+// TestSumOverManyHosts exchanges the small loads of as many hosts as a data
+// centre of the largest deployments has: their sum keeps within a tenth of a
+// slot.
+func TestSumOverManyHosts(t *testing.T) {
+	c := qt.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	sum, want := choose.Shares{}, float32(0)
+	for range 121 {
+		busy := float32(r.Float64() * 0.02)
+		want += busy
+		sum.Add(exchange(c, choose.Shares{7: {Busy: busy, Flows: 1}}))
+	}
+	c.Check(math.Abs(float64(sum[7].Busy-want)) < 0.1, qt.IsTrue, qt.Commentf("%.3f for %.3f", sum[7].Busy, want))
+	c.Check(sum[7].Flows, qt.Equals, float32(121))
+}
+
+func TestSharesCapAndLength(t *testing.T) {
+	c := qt.New(t)
+	got := exchange(c, choose.Shares{1: {Busy: 1e6, Flows: 1e6}})
+	c.Check(got[1].Busy > 60, qt.IsTrue)
+	b, err := msgpack.Marshal([]byte{1, 2, 3})
+	c.Assert(err, qt.IsNil)
+	var s choose.Shares
+	c.Check(msgpack.Unmarshal(b, &s), qt.ErrorIs, choose.ErrShares)
+}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -21,7 +21,11 @@
 	// packet, by the platform's protocol.
 	handshakeSpan = 1400 * clock.Millis(1)
 	// sweepSpan is the span between two passes over the flows.
-	sweepSpan = clock.Second
+	sweepSpan = 500 * clock.Millis(1)
+	// quietSpan is the silence of a flow after which its request no longer counts
+	// as in progress here. A caller without an answer sends again after 200 and
+	// another 400 ms; one that is silent for longer was moved to another host.
+	quietSpan = 800 * clock.Millis(1)
 	// loadSpan is the time constant of the mean load that is reported.
 	loadSpan = 1000.0
 	// leastMean is the mean count of requests below which a load is not reported.
@@ -299,12 +303,12 @@
 		f.finish()
 		f.release()
 		delete(c.flows, key)
+	case f.busy && (silent > quietSpan || now-f.busySince > max(f.timeout(), handshakeSpan)):
+		f.finish()
 	case silent > inUseSpan:
 		f.release()
-	case f.busy && now-f.busySince > max(f.timeout(), handshakeSpan):
-		f.finish()
 	}
-	return busy && !f.busy
+	return busy && !f.busy && f.resent
 }
 
 func (f *flow) timeout() clock.Millis {
--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -269,3 +269,24 @@
 		})
 	}
 }
+
+// TestRequestOfAMovedFlowEnds has a flow go on through another host while its
+// request is in progress: it must not count here until the timeout of its route.
+func TestRequestOfAMovedFlowEnds(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(1)
+	first := h.Packet(10, syn(0), true)
+	h.Packet(20, data(first.Token, 9000, 50), true)
+	var load float32
+	for now := clock.Millis(100); now <= 1500; now += 100 {
+		c.Check(h.Tick(now), qt.HasLen, 0)
+		for _, s := range h.Loads() {
+			load = s.Busy
+		}
+	}
+	c.Assert(load > 0, qt.IsTrue)
+	for now := clock.Millis(1600); now <= 6000; now += 100 {
+		h.Tick(now)
+	}
+	c.Check(h.Loads(), qt.HasLen, 0)
+}
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -29,6 +29,8 @@
 	// busy is set while a request is in progress, since busySince.
 	busy      bool
 	busySince clock.Millis
+	// resent is set once a packet of the present request was sent again.
+	resent bool
 	// counted is set while the flow counts as a long one in use.
 	counted bool
 	// requests is the count of requests seen on the flow.
@@ -57,7 +59,7 @@
 
 // begin counts a request in progress, which the opening of a flow announces.
 func (f *flow) begin(now clock.Millis) {
-	f.busySince = now
+	f.busySince, f.resent = now, false
 	if !f.busy {
 		f.busy = true
 		f.server.load.Began()
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -66,7 +66,7 @@
 // which answers both alike, unless that server surely has not answered: the
 // answers of two servers would leave the caller with the token of either.
 func (c *Core) copied(now clock.Millis, f *flow, p *Packet) Action {
-	f.lastAt = now
+	f.lastAt, f.resent = now, true
 	s := f.server
 	if f.open {
 		return c.forward(s, NoReason)
@@ -212,10 +212,12 @@
 		f.data = end
 		f.begin(now)
 		c.count(f, p)
-	} else if p.Length > 0 && f.busy && s.load.Unanswered(now, f.busySince) {
-		// The caller sends a request again that the server has not answered, nor
-		// anything else since.
-		c.stats.Avoided++
+	} else if p.Length > 0 && f.busy {
+		// The caller sends a request again that the server has not answered.
+		f.resent = true
+		if s.load.Unanswered(now, f.busySince) {
+			c.stats.Avoided++
+		}
 	}
 }
 
