--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -14,85 +14,12 @@
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
-	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
-	"monsooncleat.example/monsooncleat/internal/serve/choose"
+	"monsooncleat.example/monsooncleat/internal/dir/tables"
+	"monsooncleat.example/monsooncleat/internal/dir/tally"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
-// Token names the connection that a message came from.
-type Token uint64
-
-// Ticket names a call that waits for its Answer.
-type Ticket uint64
-
-// Send is a message to the host at an address.
-type Send struct {
-	Address string
-	Body    []byte
-}
-
-// Reply is a message back on a connection.
-type Reply struct {
-	To   Token
-	Body []byte
-}
-
-// Code is the outcome of a call.
-type Code uint8
-
-// Codes.
-const (
-	// Done means that the call took effect and that its effect is not lost with
-	// a minority of the control hosts.
-	Done Code = iota + 1
-	// Unavailable means that no quorum answered in time. The call may still
-	// take effect.
-	Unavailable
-	// Missing means that there is nothing to read yet.
-	Missing
-)
-
-// Answer ends a call.
-type Answer struct {
-	Ticket Ticket
-	Code   Code
-	// Data is the source of the newest routing table, for a read.
-	Data []byte
-}
-
-// Out is what the caller does after a step: it stores and syncs State,
-// Install, Entries and Snapshot and then sends Sends. Prompt, Replies and
-// Answers wait for nothing.
-type Out struct {
-	State    *raft.HardState
-	Install  *raft.Snapshot
-	Entries  []raft.Entry
-	Snapshot *raft.Snapshot
-	// After are the entries that stay behind Snapshot.
-	After []raft.Entry
-	Sends []Send
-	// Servers is the encoded list of servers, to be kept for the next start. It
-	// may be lost.
-	Servers []byte
-
-	Prompt  []Send
-	Replies []Reply
-	Answers []Answer
-	Notes   []Note
-}
-
-// Note is a change of what the host believes, for the logs.
-type Note struct {
-	Text   string
-	Fields []any
-}
-
-// Stores reports whether the disk has work.
-func (o *Out) Stores() bool {
-	return o.State != nil || o.Install != nil || len(o.Entries) > 0 || o.Snapshot != nil || len(o.Sends) > 0 || o.Servers != nil
-}
-
 // Options are the settings of a Core.
 type Options struct {
 	// ID is "address/identity": the address for messages between control
@@ -122,11 +49,6 @@
 	expireSpan = 500 * clock.Millis(1)
 	// keepSpan is the least span between two writes of the list of servers.
 	keepSpan = clock.Second
-	// recentTables is how many versions an entry host may be behind and still
-	// get a delta.
-	recentTables = 32
-	// loadAge is the age after which a report of load no longer counts.
-	loadAge = 2 * clock.Second
 	// pauseSpan is a gap between ticks that shows that the process stood still.
 	pauseSpan = clock.Second
 	// resumeSpan is how long after such a pause servers may need to be heard
@@ -142,12 +64,8 @@
 	now     clock.Millis
 	failed  bool
 
-	// newest is the publication in force, encoded and decoded.
-	newest     msgs.Publication
-	newestData []byte
-	// recent are the tables in force lately, against which entry hosts get
-	// deltas.
-	recent []*routes.Table
+	tables tables.Tables
+	tally  *tally.Tally
 
 	known   []string
 	helloAt clock.Millis
@@ -167,24 +85,17 @@
 	quietTo  clock.Millis
 	// keptAt is when the list of servers was handed out last, and kept the
 	// position of its latest change.
-	keptAt  clock.Millis
-	kept    uint64
-	peers   map[raft.ID]*peer
-	reports map[string]report
+	keptAt clock.Millis
+	kept   uint64
+	peers  map[raft.ID]*peer
 
 	out Out
 }
 
-// peer is what is known of another control host.
+// peer is how far the announcements of another control host are known.
 type peer struct {
 	run      uint64
 	position uint64
-	loads    report
-}
-
-type report struct {
-	at    clock.Millis
-	loads choose.Shares
 }
 
 // New returns a Core that continues from what the disk held.
@@ -192,7 +103,7 @@
 	c := &Core{
 		options: options, rand: r, now: now, fleet: fleet.New(options.Fleet),
 		orders: map[uint64]*order{}, proposals: map[uint64]proposal{}, tells: map[uint64]*tell{},
-		peers: map[raft.ID]*peer{}, reports: map[string]report{}, quietTo: now + resumeSpan,
+		peers: map[raft.ID]*peer{}, tally: tally.New(), quietTo: now + resumeSpan,
 	}
 	c.learnAddresses(options.Seeds)
 	c.Restart(now, stored)
@@ -237,7 +148,7 @@
 func (c *Core) Fleet() *fleet.Fleet { return c.fleet }
 
 // Version returns the version of the routing table in force, or 0.
-func (c *Core) Version() uint64 { return c.newest.Table.Version }
+func (c *Core) Version() uint64 { return c.tables.Version() }
 
 // Current reports whether the host is in touch with a quorum and holds what the
 // quorum holds.
@@ -355,12 +266,3 @@
 	c.out = Out{}
 	return out
 }
-
-// String returns the code in lower case.
-func (c Code) String() string {
-	names := [...]string{"none", "done", "unavailable", "missing"}
-	if int(c) >= len(names) {
-		return names[0]
-	}
-	return names[c]
-}
--- a/internal/dir/core/log.go
+++ b/internal/dir/core/log.go
@@ -3,11 +3,10 @@
 import (
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/seats"
 )
 
 const (
@@ -15,17 +14,9 @@
 	// snapshot replaces it.
 	compactEntries = 64
 	compactBytes   = 1 << 20
-	// lostSpan is the silence after which a voter is taken to be gone once
-	// another has come in its place.
-	lostSpan = 3 * clock.Second
 	// grownSpan is how long after a voter was added a silent one is taken to be
 	// the one it replaces.
 	grownSpan = 20 * clock.Second
-	// goneSpan is the silence after which a voter is removed in any case. It is
-	// longer than a restart or a partition that the platform promises to mend.
-	goneSpan = 15 * clock.Second
-	// minVoters is the least membership to which silent voters are removed.
-	minVoters = 3
 )
 
 // drain moves the output of the log into the Core's own.
@@ -61,20 +52,13 @@
 
 // adopt puts an encoded publication in force when it is newer.
 func (c *Core) adopt(data []byte) {
-	var p msgs.Publication
-	if err := msgpack.Unmarshal(data, &p); err != nil {
+	newer, err := c.tables.Adopt(data)
+	if err != nil {
 		c.note("Publication in the log cannot be read.", "err", err)
-		return
-	}
-	if p.Table.Version <= c.newest.Table.Version {
-		return
 	}
-	c.newest, c.newestData = p, data
-	c.recent = append(c.recent, &p.Table)
-	if len(c.recent) > recentTables {
-		c.recent = slices.Delete(c.recent, 0, 1)
+	if newer {
+		c.note("Routing table in force.", "version", c.tables.Version(), "routes", c.tables.Routes())
 	}
-	c.note("Routing table in force.", "version", p.Table.Version, "routes", len(p.Table.Routes))
 }
 
 func (c *Core) apply(e *raft.Entry) {
@@ -95,7 +79,7 @@
 	if len(entries) < compactEntries && size < compactBytes {
 		return
 	}
-	if snap := c.node.Compact(c.node.Commit(), c.newestData); snap != nil {
+	if snap := c.node.Compact(c.node.Commit(), c.tables.Encoded()); snap != nil {
 		c.out.Snapshot = snap
 		c.out.After = c.node.Entries()
 	}
@@ -164,33 +148,18 @@
 		}
 		return
 	}
-	if id, gone := c.lostVoter(conf.Voters); gone {
+	voters := make([]seats.Voter, 0, len(conf.Voters))
+	for _, id := range conf.Voters {
+		v := seats.Voter{ID: id}
+		if id != c.options.ID {
+			v.Silence = c.now - c.node.LastReply(id)
+		}
+		voters = append(voters, v)
+	}
+	if id, gone := seats.Lost(voters, c.grownAt > 0 && c.now-c.grownAt < grownSpan); gone {
 		conf.Voters = slices.DeleteFunc(conf.Voters, func(o raft.ID) bool { return o == id })
 		if c.node.ProposeConf(c.now, conf) == nil {
 			c.note("Silent voter removed.", "id", id)
 		}
 	}
 }
-
-// lostVoter returns the voter that is silent longest, if it is to be removed:
-// the others that answer must still be enough for what the log has to bear.
-func (c *Core) lostVoter(voters []raft.ID) (raft.ID, bool) {
-	var lost raft.ID
-	longest, alive := clock.Millis(0), 0
-	for _, id := range voters {
-		silence := c.now - c.node.LastReply(id)
-		if id == c.options.ID {
-			silence = 0
-		}
-		if silence < lostSpan {
-			alive++
-		} else if silence > longest {
-			lost, longest = id, silence
-		}
-	}
-	if lost == "" || alive < minVoters || alive <= len(voters)/2 {
-		return "", false
-	}
-	replaced := c.grownAt > 0 && c.now-c.grownAt < grownSpan
-	return lost, longest > goneSpan || replaced
-}
--- a/internal/dir/core/orders.go
+++ b/internal/dir/core/orders.go
@@ -30,7 +30,7 @@
 // than the newest is acknowledged and changes nothing.
 func (c *Core) Publish(now clock.Millis, t Ticket, p *msgs.Publication) {
 	c.now = now
-	if p.Table.Version <= c.newest.Table.Version {
+	if p.Table.Version <= c.tables.Version() {
 		c.answer(t, Done, nil)
 		return
 	}
@@ -78,7 +78,7 @@
 		case c.now >= o.until:
 			delete(c.orders, number)
 			c.answer(o.ticket, Unavailable, nil)
-		case o.version > 0 && o.version <= c.newest.Table.Version:
+		case o.version > 0 && o.version <= c.tables.Version():
 			delete(c.orders, number)
 			c.answer(o.ticket, Done, nil)
 		case o.sentTo != c.node.Leader() || c.now-o.sentAt >= 2*retrySpan:
@@ -117,7 +117,7 @@
 	}
 	r := &msgs.OrderReply{Number: p.number, Done: true}
 	if p.read {
-		r.Data = c.newestData
+		r.Data = c.tables.Encoded()
 	}
 	if p.from == c.options.ID {
 		c.onOrderReply(r)
@@ -141,5 +141,5 @@
 		return
 	}
 	c.adopt(m.Data)
-	c.answer(o.ticket, Done, c.newest.Source)
+	c.answer(o.ticket, Done, c.tables.Source())
 }
--- a/internal/dir/core/roster.go
+++ b/internal/dir/core/roster.go
@@ -5,9 +5,7 @@
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
-	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
-	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
@@ -188,7 +186,7 @@
 	if m.Run != c.options.Run {
 		since = 0
 	}
-	r := &msgs.SyncReply{From: c.options.ID, Run: c.options.Run, Position: c.fleet.Position(), Loads: c.ownLoads("")}
+	r := &msgs.SyncReply{From: c.options.ID, Run: c.options.Run, Position: c.fleet.Position(), Loads: c.tally.Own(c.now, "")}
 	for _, s := range c.fleet.TouchedSince(since) {
 		r.News = append(r.News, c.news(s))
 	}
@@ -202,7 +200,7 @@
 func (c *Core) onSyncReply(m *msgs.SyncReply) {
 	p := c.peerOf(m.From)
 	p.run, p.position = m.Run, m.Position
-	p.loads = report{c.now, m.Loads}
+	c.tally.Sum(c.now, string(m.From), m.Loads)
 	for i := range m.News {
 		n := &m.News[i]
 		if n.Age < 0 || n.Silent {
@@ -212,34 +210,9 @@
 	}
 }
 
-// ownLoads returns the sum of the loads that entry hosts other than without
-// report here.
-func (c *Core) ownLoads(without string) choose.Shares {
-	sum := choose.Shares{}
-	for name, r := range c.reports {
-		switch {
-		case c.now-r.at > loadAge:
-			delete(c.reports, name)
-		case name != without:
-			sum.Add(r.loads)
-		}
-	}
-	return sum
-}
-
-// tableAt returns the table of a version that was in force lately, or nil.
-func (c *Core) tableAt(version uint64) *routes.Table {
-	for _, t := range c.recent {
-		if t.Version == version {
-			return t
-		}
-	}
-	return nil
-}
-
 // onFetch gives an entry host what it does not have yet.
 func (c *Core) onFetch(from Token, m *msgs.Fetch) {
-	r := &msgs.FetchReply{Number: m.Number, Current: c.Current(), Run: c.options.Run, Version: c.newest.Table.Version}
+	r := &msgs.FetchReply{Number: m.Number, Current: c.Current(), Run: c.options.Run, Version: c.tables.Version()}
 	c.fleet.Each(func(s *fleet.Server) {
 		if s.Silent() && !s.Ended() {
 			r.Silent = append(r.Silent, s.ID)
@@ -253,23 +226,16 @@
 
 // fill adds to a reply what the entry host does not have yet.
 func (c *Core) fill(r *msgs.FetchReply, m *msgs.Fetch) {
-	c.reports[m.Name] = report{c.now, m.Loads}
+	c.tally.Report(c.now, m.Name, m.Loads)
 	since := m.Since
 	if m.Run != c.options.Run {
 		since = 0
 	}
-	r.Position, r.Loads = c.fleet.Position(), c.ownLoads(m.Name)
-	for _, p := range c.peers {
-		if c.now-p.loads.at <= loadAge {
-			r.Loads.Add(p.loads.loads)
-		}
-	}
+	r.Position, r.Loads = c.fleet.Position(), c.tally.Total(c.now, m.Name)
+	r.Delta = c.tables.Since(m.Version)
 	for _, s := range c.fleet.ChangedSince(since) {
 		r.News = append(r.News, c.news(s))
 	}
-	if c.newest.Table.Version > m.Version {
-		r.Delta = routes.Diff(c.tableAt(m.Version), &c.newest.Table)
-	}
 	conf := c.node.Conf()
 	for _, id := range append(conf.Voters, conf.Learners...) {
 		r.Controls = append(r.Controls, addressOf(id))
--- /dev/null
+++ b/internal/dir/seats/seats_test.go
@@ -0,0 +1,41 @@
+package seats_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/seats"
+)
+
+func TestLost(t *testing.T) {
+	tests := []struct {
+		name     string
+		silence  []clock.Millis
+		replaced bool
+		want     raft.ID
+	}{
+		{"all answer", []clock.Millis{0, 100, 200, 300}, true, ""},
+		{"silent, nobody came", []clock.Millis{0, 0, 0, 5000}, false, ""},
+		{"silent, another came", []clock.Millis{0, 0, 0, 5000}, true, "3"},
+		{"silent for long", []clock.Millis{0, 0, 0, 16_000}, false, "3"},
+		{"too few would be left", []clock.Millis{0, 0, 16_000}, true, ""},
+		{"no majority answers", []clock.Millis{0, 0, 0, 9000, 9000, 9000}, true, ""},
+		{"the longest first", []clock.Millis{0, 0, 0, 0, 17_000, 16_000}, false, "4"},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		var voters []seats.Voter
+		for i, s := range test.silence {
+			voters = append(voters, seats.Voter{ID: raft.ID(fmt.Sprint(i)), Silence: s})
+		}
+		got, remove := seats.Lost(voters, test.replaced)
+		if !remove {
+			got = ""
+		}
+		c.Check(got, qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
--- a/internal/proof/layout/layout_test.go
+++ b/internal/proof/layout/layout_test.go
@@ -16,16 +16,19 @@
 	"", "/internal/agree/raft", "/internal/ask/ledger", "/internal/bundle/chain", "/internal/bundle/patch",
 	"/internal/bundle/state", "/internal/ctrl/core", "/internal/entry/core", "/internal/flow/table",
 	"/internal/host/homes", "/internal/host/member", "/internal/host/rumor", "/internal/serve/lease",
-	"/internal/serve/place", "/internal/serve/roster",
+	"/internal/serve/place", "/internal/serve/roster", "/internal/serve/fleet", "/internal/serve/choose",
+	"/internal/bundle/routes", "/internal/dir/core", "/internal/dir/poll", "/internal/dir/seats", "/internal/dir/tables", "/internal/dir/tally",
+	"/internal/token/mint", "/internal/token/core", "/internal/lab/yard",
 }
 
 var forbidden = []string{
 	"net", "net/http", "os/exec", "github.com/panjf2000/gnet/v2",
+	module + "/internal/dir/daemon", module + "/internal/token/daemon", module + "/platform",
 	module + "/internal/entry/daemon", module + "/internal/ctrl/daemon", module + "/internal/wire/link", module + "/internal/agree/disk",
 }
 
 // levels orders the areas: a package imports none of a later area.
-var levels = []string{"base", "wire", "conf", "host", "serve", "flow", "ask", "agree", "bundle", "ctrl", "entry", "cli"}
+var levels = []string{"base", "wire", "conf", "host", "serve", "flow", "ask", "agree", "bundle", "ctrl", "entry", "dir", "token", "lab", "cli"}
 
 func imports(c *qt.C, pkg string) []string {
 	out, err := exec.Command("go", "list", "-f", `{{join .Imports "\n"}}`, pkg).CombinedOutput()
--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -59,7 +59,7 @@
 }
 
 // control answers fetches with one route and one server.
-func control(c *qt.C, ctx context.Context, address, server netip.AddrPort) {
+func control(ctx context.Context, c *qt.C, address, server netip.AddrPort) {
 	reply := msgs.FetchReply{
 		Current: true, Run: 1, Position: 1,
 		News: []msgs.News{{Record: fleet.Record{
@@ -95,7 +95,7 @@
 		Name: "entry", Centre: "a", Packets: free(c), Ready: free(c), Admin: free(c), Seeds: []netip.AddrPort{free(c)},
 		Announcements: 1000, Grace: 1600,
 	}
-	control(c, ctx, settings.Seeds[0], serverAddr)
+	control(ctx, c, settings.Seeds[0], serverAddr)
 	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
 	c.Assert(err, qt.IsNil)
 	d, err := daemon.New(settings, clock.New(), factory, plainCodec{})
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -47,8 +47,10 @@
 }
 
 func newForwarder(d *Daemon) *forwarder {
-	return &forwarder{d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, budgets: map[core.Reason]*logs.Budget{}, noAnswers: logs.NewBudget(linesPerSecond),
-		servers: logs.NewBudget(linesPerSecond)}
+	return &forwarder{
+		d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, budgets: map[core.Reason]*logs.Budget{}, noAnswers: logs.NewBudget(linesPerSecond),
+		servers: logs.NewBudget(linesPerSecond),
+	}
 }
 
 func (f *forwarder) run(ctx context.Context) error {
