token/core: count no load for flows that find the table full

Cause: found by reading. A flow that the full table could not hold still counted as a request in progress and as a long flow of its server, and nothing ended it. Change: such a flow is routed and counts as nothing. TestFullTableRoutesOn failed before.

--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -44,8 +44,6 @@
 	// AddressReuse is the least span between the end of a server and the start
 	// of another one at its address.
 	AddressReuse clock.Millis
-	// MaxFlowAge is how long a flow may live.
-	MaxFlowAge clock.Millis
 }
 
 // CheckEntry returns what an entry host misses in h, or nil.
--- a/internal/proof/soak/world_test.go
+++ b/internal/proof/soak/world_test.go
@@ -47,9 +47,11 @@
 
 // world is a small deployment on loopback addresses.
 type world struct {
-	c       *qt.C
-	folder  string
-	bin     string
+	c      *qt.C
+	folder string
+	bin    string
+	// net is the second byte of all addresses. It differs between test processes,
+	// so that two can play one seed at once.
 	net     int
 	packets int
 	rand    *rand.Rand
@@ -115,7 +117,7 @@
 func newWorld(t *testing.T, seed uint64, bin string) *world {
 	c := qt.New(t)
 	w := &world{
-		c: c, folder: c.TempDir(), bin: bin, net: 10 + int(seed%200), packets: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
+		c: c, folder: c.TempDir(), bin: bin, net: 10 + int((seed+uint64(os.Getpid()))%200), packets: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
 		servers: map[string]*server{}, runs: map[uint64]int{}, runKeys: map[uint64]string{}, stop: make(chan struct{}),
 	}
 	for i := range controls {
--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -290,3 +290,25 @@
 	}
 	c.Check(h.Loads(), qt.HasLen, 0)
 }
+
+// TestFullTableRoutesOn opens more flows than the table holds: all are forwarded,
+// and none of those that are not remembered counts as load for ever.
+func TestFullTableRoutesOn(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(1)
+	for i := range 3000 {
+		p := syn(0)
+		p.From = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 7)
+		a := h.Packet(10, p, true)
+		c.Assert(a.Verdict, qt.Equals, core.Forward)
+		reply := *data(a.Token, 9000, 50)
+		reply.From = p.From
+		c.Assert(h.Packet(11, &reply, true).Number, qt.Equals, a.Number)
+	}
+	c.Check(h.Flows(), qt.Equals, 1000)
+	for now := clock.Millis(100); now <= 30_000; now += 100 {
+		h.Tick(now)
+	}
+	c.Check(h.Flows(), qt.Equals, 0)
+	c.Check(h.Loads(), qt.HasLen, 0)
+}
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -42,6 +42,9 @@
 	// others is set when opening packets went to more than one server.
 	others bool
 	ended  bool
+	// untracked is set on a flow for which the table had no room. It counts as no
+	// load, since nothing would end it.
+	untracked bool
 }
 
 // ackSpan bounds how far acknowledgements of one flow are apart between two
@@ -60,7 +63,7 @@
 // begin counts a request in progress, which the opening of a flow announces.
 func (f *flow) begin(now clock.Millis) {
 	f.busySince, f.resent = now, false
-	if !f.busy {
+	if !f.busy && !f.untracked {
 		f.busy = true
 		f.server.load.Began()
 	}
@@ -75,7 +78,7 @@
 
 // use counts the flow as a long one in use.
 func (f *flow) use() {
-	if !f.counted {
+	if !f.counted && !f.untracked {
 		f.counted = true
 		f.server.load.FlowBegan()
 	}
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -49,13 +49,11 @@
 	}
 	load := s.load.Load(now, kind)
 	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, lastAt: now}
+	c.remember(key, f)
 	f.begin(now)
 	if kind == choose.Long {
 		f.use()
 	}
-	if len(c.flows) < c.options.MaxFlows || c.flows[key] != nil {
-		c.flows[key] = f
-	}
 	c.stats.Opened++
 	a := c.forward(s, NewFlow)
 	a.Load = load
@@ -167,10 +165,17 @@
 		server: s, route: c.index.Find(p.To), openedAt: now, lastAt: now, open: true,
 		ack: p.Ack, data: p.Seq, requests: 1,
 	}
+	c.remember(key, f)
+	return f
+}
+
+// remember keeps a flow if there is room. Its packets are routed either way.
+func (c *Core) remember(key flowKey, f *flow) {
 	if len(c.flows) < c.options.MaxFlows || c.flows[key] != nil {
 		c.flows[key] = f
+		return
 	}
-	return f
+	f.untracked = true
 }
 
 func (c *Core) drop(key flowKey) {
