--- a/internal/bundle/routes/routes.go
+++ b/internal/bundle/routes/routes.go
@@ -119,16 +119,6 @@
 	return ""
 }
 
-// Has reports whether the route may send flows to service.
-func (r *Route) Has(service string) bool {
-	for _, t := range r.Targets {
-		if t.Service == service && t.Weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Index finds the routes of a table by address.
 type Index struct {
 	table  *Table
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -110,12 +110,6 @@
 	return now-max(p.currentAt, p.started) > isolatedSpan
 }
 
-// CurrentAge returns the time since a control host in touch with a quorum
-// replied.
-func (p *Poller) CurrentAge(now clock.Millis) clock.Millis {
-	return now - max(p.currentAt, p.started)
-}
-
 // Tick returns the questions that are due.
 func (p *Poller) Tick(now clock.Millis, version uint64, loads choose.Shares) []Ask {
 	var asks []Ask
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -37,11 +37,9 @@
 	requests int
 	// ack is the highest position acknowledged, and data the end of the highest
 	// data seen.
-	ack  uint32
-	data uint32
-	// others is set when opening packets went to more than one server.
-	others bool
-	ended  bool
+	ack   uint32
+	data  uint32
+	ended bool
 	// untracked is set on a flow for which the table had no room. It counts as no
 	// load, since nothing would end it.
 	untracked bool
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -76,7 +76,6 @@
 	if lost {
 		if other := c.pick(now, f.route, c.usages[p.To].kind(), s); other != nil && other != s {
 			f.move(other)
-			f.others = true
 			c.stats.Moved++
 			return c.forward(other, MovedFlow)
 		}
