dir/watch: remember the silence of a control host across leaders

Cause: a control host that was replaced for good kept its vote. The time for which a voter had been silent was known to the leader alone and started anew with each leader, as did the time since another voter was added. After a planned replacement of the leader, followed by leader changes, the log had 4 voters of which 3 lived. A disk loss then left 2 logs of 4, so no quorum to the end.

Ruled out: a vote counted twice (the wiped host came back under a new identity and never became a learner), lost entries (both remaining logs had all of them).

Change: the control hosts exchange with each sync when they last heard of each other, directly or through others, so that the silence survives changes of the leader and restarts. A voter is removed after half of the recovery time that the settings give a new host, whether replaced or not, if as many voters remain and respond as the losses that may come at once need (2 x losses + 1). Before it was 3 s, or 15 s without a replacement. A host that stops gives up its vote first and joins again after its restart. A disk whose content was discarded as corrupt gets a new identity, also the disk of a founder and one that is opened again.

--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -103,6 +103,9 @@
 // Conf returns the membership in effect. Its entry may still be uncommitted.
 func (n *Node) Conf() Conf { return n.log.conf().clone() }
 
+// ConfPending reports whether the membership in effect is not committed yet.
+func (n *Node) ConfPending() bool { return n.log.confPending() }
+
 // Match returns the index of the last entry known to be replicated to follower
 // id, or 0 if the node is not the leader.
 func (n *Node) Match(id ID) uint64 {
@@ -313,6 +316,16 @@
 	return n.leaderSince
 }
 
+// LastAcknowledged returns when the latest message that follower id has
+// acknowledged was sent, or 0 if it has acknowledged none. It is meaningful only on
+// the leader.
+func (n *Node) LastAcknowledged(id ID) clock.Millis {
+	if p := n.followers[id]; p != nil {
+		return p.ackedSentAt
+	}
+	return 0
+}
+
 // CaughtUp reports, on a follower, whether it knows its leader and its commit
 // index has reached the highest one received from a leader. On a leader, it
 // reports whether an entry of its own term is committed.
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -46,6 +46,11 @@
 	// AddressReuseDelay is the minimum time between the end of a server and the
 	// start of another one at the same address.
 	AddressReuseDelay clock.Millis
+	// MaxLosses is the number of control hosts that may be lost at once.
+	MaxLosses int
+	// RecoveryTime is the time that a control host has, after a start, before
+	// another one may be lost.
+	RecoveryTime clock.Millis
 }
 
 // CheckEntry returns an error if s lacks a setting that an entry host needs.
@@ -58,6 +63,9 @@
 	if s.DataFolder == "" {
 		return fmt.Errorf("%w: data folder is missing", ErrInvalidSettings)
 	}
+	if s.MaxLosses < 0 || s.RecoveryTime <= 0 {
+		return fmt.Errorf("%w: number of losses is below 0, or recovery time is not above 0", ErrInvalidSettings)
+	}
 	return s.check(map[string]netip.AddrPort{"API": s.API, "peers": s.Peer})
 }
 
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -17,6 +17,7 @@
 	"monsooncleat.example/monsooncleat/internal/dir/loads"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/dir/tables"
+	"monsooncleat.example/monsooncleat/internal/dir/watch"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
@@ -32,6 +33,10 @@
 	Seeds  []string
 	Timing raft.Timing
 	Fleet  fleet.Options
+	// MaxLosses is the number of control hosts that may be lost at once.
+	MaxLosses int
+	// EvictAfter is the silence after which a voter is removed from the log.
+	EvictAfter clock.Millis
 	// RunID is a random number that identifies this run of the process. Positions
 	// in the list of server changes are valid within one run only.
 	RunID uint64
@@ -79,8 +84,11 @@
 	// knownAddresses are the control hosts to send join requests to.
 	knownAddresses []string
 	nextJoinAt     clock.Millis
-	// voterAddedAt is when this host, as leader, last added a voter.
-	voterAddedAt clock.Millis
+	// contacts holds when the control hosts were last heard from.
+	contacts *watch.Tracker
+	// resigning is set after Resign, and resigned once the others have removed the
+	// vote of this host.
+	resigning, resigned bool
 	// lastLeader and wasCurrent are the values logged last.
 	lastLeader raft.ID
 	wasCurrent bool
@@ -118,17 +126,18 @@
 	c := &Core{
 		options: options, rand: r, now: now, fleet: fleet.New(options.Fleet),
 		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, replications: map[uint64]*replication{},
-		cursors: map[raft.ID]*syncCursor{}, loads: loads.New(), noExpireBefore: now + stallGrace,
+		cursors: map[raft.ID]*syncCursor{}, loads: loads.New(), contacts: watch.New(now), noExpireBefore: now + stallGrace,
 	}
 	c.addAddresses(options.Seeds)
-	c.Restart(now, stored)
+	c.Restart(now, options.ID, stored)
 	return c
 }
 
 // Restart creates the Raft node anew from the state stored on disk, at the
-// start and after a disk failure.
-func (c *Core) Restart(now clock.Millis, stored raft.Stored) {
-	c.now, c.diskFailed = now, false
+// start and after a disk failure. The ID differs from the one before if the content
+// of the disk was lost.
+func (c *Core) Restart(now clock.Millis, id raft.ID, stored raft.Stored) {
+	c.now, c.diskFailed, c.options.ID = now, false, id
 	c.proposals = map[uint64]proposal{}
 	empty := stored.Snapshot.Index == 0 && len(stored.Entries) == 0 && stored.State.Term == 0
 	if empty && slices.Contains(c.options.Founders, c.options.ID) {
@@ -219,6 +228,7 @@
 	if !c.diskFailed {
 		c.node.Tick(now)
 		c.requestJoin()
+		c.requestResignation()
 		c.updateMembership()
 		c.logStatusChanges()
 	}
@@ -241,6 +251,9 @@
 // HandleMessage handles one message from another host.
 func (c *Core) HandleMessage(now clock.Millis, from ReplyHandle, e *msgs.Envelope) {
 	c.now = now
+	if sender := e.Sender(); sender != "" {
+		c.contacts.Heard(now, sender)
+	}
 	switch {
 	case e.Raft != nil:
 		if !c.diskFailed {
@@ -250,6 +263,10 @@
 		c.onJoinRequest(e.JoinRequest)
 	case e.JoinReply != nil:
 		c.onJoinReply(e.JoinReply)
+	case e.ResignRequest != nil:
+		c.onResignRequest(e.ResignRequest)
+	case e.ResignReply != nil:
+		c.onResignReply(e.ResignReply)
 	case e.ProposeRequest != nil:
 		c.onProposeRequest(e.ProposeRequest)
 	case e.ProposeReply != nil:
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -124,10 +124,14 @@
 	if c.now >= c.nextSyncAt {
 		c.nextSyncAt = c.now + syncInterval
 		conf := c.node.Conf()
-		for _, id := range append(conf.Voters, conf.Learners...) {
+		members := append(conf.Voters, conf.Learners...)
+		c.contacts.Retain(members)
+		for _, id := range members {
 			if id != c.options.ID {
 				cursor := c.cursorOf(id)
-				m := &msgs.Sync{From: c.options.ID, RunID: cursor.runID, Since: cursor.position}
+				m := &msgs.Sync{
+					From: c.options.ID, RunID: cursor.runID, Since: cursor.position, ContactAges: c.contacts.Ages(c.now),
+				}
 				c.sendNow(addressOf(id), &msgs.Envelope{Sync: m})
 			}
 		}
@@ -188,6 +192,7 @@
 }
 
 func (c *Core) onSync(m *msgs.Sync) {
+	c.contacts.Merge(c.now, m.ContactAges)
 	since := m.Since
 	if m.RunID != c.options.RunID {
 		since = 0
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -5,18 +5,12 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"monsooncleat.example/monsooncleat/internal/agree/disk"
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/admin"
@@ -53,7 +47,10 @@
 	// must complete within the second that servers and operators wait for an
 	// acknowledgement.
 	heartbeatInterval = 150 * clock.Millis(1)
-	electionTimeout   = 600 * clock.Millis(1)
+	// resignTimeout is how long a stopping host waits for the others to take its
+	// vote. It covers an election and the commit of the new membership.
+	resignTimeout   = 1200 * clock.Millis(1)
+	electionTimeout = 600 * clock.Millis(1)
 )
 
 // Key authenticates the frames between hosts. It is not a secret, since the
@@ -75,12 +72,21 @@
 	// persisted, diskErr and reopened report the state of the store.
 	persisted *logPosition
 	diskErr   error
-	reopened  *raft.Stored
+	reopened  *reopenedStore
 	seeds     []string
+	// resigned is closed once the host has given up its vote, or cannot.
+	resigned chan<- struct{}
 	// dump receives the state of the control host.
 	dump chan<- any
 }
 
+// reopenedStore is the content of a store that was opened again, and the Raft ID
+// that belongs to it.
+type reopenedStore struct {
+	id     raft.ID
+	stored raft.Stored
+}
+
 // logPosition identifies an entry of the replicated log.
 type logPosition struct{ index, term uint64 }
 
@@ -126,6 +132,8 @@
 	lastCallID      core.CallID
 	repliers        map[core.ReplyHandle]link.Replier
 	lastReplyHandle core.ReplyHandle
+	// resigned is set from the request to resign until it is closed.
+	resigned chan<- struct{}
 }
 
 // New opens the data folder and returns a Daemon that is ready to run.
@@ -134,7 +142,7 @@
 		return nil, err
 	}
 	log := factory.Logger("directory")
-	store, stored, err := open(settings.DataFolder, log)
+	store, stored, discarded, err := open(settings.DataFolder, log)
 	if err != nil {
 		return nil, err
 	}
@@ -145,7 +153,7 @@
 		metrics: admin.NewMetrics(), logLimiter: logs.NewLimiter(linesPerSecond),
 	}
 	d.syncTime, d.publishTime = d.metrics.Histogram("syncMicros"), d.metrics.Histogram("publishMicros")
-	id, err := d.raftID()
+	id, err := d.raftID(store, !discarded && d.canBootstrap())
 	if err != nil {
 		return nil, err
 	}
@@ -166,63 +174,12 @@
 	linesPerSecond = 50
 )
 
-// open opens the store. If the store is corrupt, it deletes all files in the data
-// folder, the identity of the disk included, and opens an empty store.
-func open(folder string, log *logs.Logger) (*disk.Store, raft.Stored, error) {
-	store, stored, err := disk.Open(folder)
-	if !errors.Is(err, disk.ErrCorrupt) {
-		return store, stored, err
-	}
-	log.Error("Stored log is corrupt. All files in the data folder are deleted, and this host continues with an empty store.", "err", err)
-	names, gerr := filepath.Glob(filepath.Join(folder, "*"))
-	if gerr != nil {
-		return nil, stored, eris.Wrap(gerr, "list data folder")
-	}
-	for _, name := range names {
-		if rerr := os.RemoveAll(name); rerr != nil {
-			return nil, stored, eris.Wrap(rerr, "delete file of corrupt store")
-		}
-	}
-	return disk.Open(folder)
-}
-
-// raftID returns the Raft ID of this host: its address and the identity of its disk.
-// All founders use the same fixed identity, since the initial membership names
-// them before they have exchanged any message. Any other new disk gets a random
-// one.
-func (d *Daemon) raftID() (raft.ID, error) {
-	id, err := d.store.Identity()
-	if err != nil {
-		return "", err
-	}
-	if id == "" {
-		if id = founderIdentity; !d.canBootstrap() {
-			var b [8]byte
-			for i := range b {
-				b[i] = byte(rand.Uint32())
-			}
-			id = hex.EncodeToString(b[:])
-		}
-		if err := d.store.SetIdentity(id); err != nil {
-			return "", err
-		}
-	}
-	return raft.ID(d.settings.Peer.String() + "/" + id), nil
-}
-
-// founderIdentity is the identity of the disk of each founder.
-const founderIdentity = "founder"
-
-// canBootstrap reports whether this host may bootstrap the log.
-func (d *Daemon) canBootstrap() bool {
-	return d.settings.Bootstrap && slices.Contains(d.settings.Seeds, d.settings.Peer)
-}
-
 func (d *Daemon) options(id raft.ID) core.Options {
 	o := core.Options{
 		ID: id, Seeds: d.settings.SeedAddresses(), RunID: rand.Uint64(),
-		Timing: raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
-		Fleet:  fleet.Options{SilentAfter: missedAnnouncements * d.settings.AnnounceInterval, ForgetAfter: forgetAfter, ReuseAfter: d.settings.AddressReuseDelay},
+		Timing:    raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
+		MaxLosses: d.settings.MaxLosses, EvictAfter: d.settings.RecoveryTime / 2,
+		Fleet: fleet.Options{SilentAfter: missedAnnouncements * d.settings.AnnounceInterval, ForgetAfter: forgetAfter, ReuseAfter: d.settings.AddressReuseDelay},
 	}
 	if d.canBootstrap() {
 		for _, seed := range o.Seeds {
@@ -233,22 +190,40 @@
 }
 
 // Run runs the control host until ctx is done or one of its goroutines keeps
-// failing.
+// failing. When ctx is done, the host first gives up its vote.
 func (d *Daemon) Run(ctx context.Context) error {
-	tree := super.New(ctx, "directory", d.log)
+	tree := super.New(context.WithoutCancel(ctx), "directory", d.log)
 	tree.Start("listener", d.server.Run)
 	tree.Start("disk", d.runDisk)
 	tree.Start("decisions", d.runCore)
 	tree.Start("api", func(ctx context.Context) error { return admin.ServeHTTP(ctx, d.settings.API.String(), d.api) })
 	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump, func() bool { return true }).Run)
 	d.log.Info("Control host is up.", "name", d.settings.Name, "api", d.settings.API, "peer", d.settings.Peer)
-	<-tree.Done()
+	select {
+	case <-tree.Done():
+	case <-ctx.Done():
+		d.resign(tree)
+	}
 	err := tree.Stop()
 	d.peers.Close()
 	d.log.Info("Control host is down.")
 	return err
 }
 
+// resign gives up the vote of this host and waits for that, for a limited time.
+func (d *Daemon) resign(tree *super.Tree) {
+	resigned := make(chan struct{})
+	if !d.events.Offer(event{resigned: resigned}) {
+		return
+	}
+	select {
+	case <-tree.Done():
+	case <-resigned:
+	case <-time.After(min(resignTimeout, d.settings.GracePeriod/2).Duration()):
+		d.log.Warn("Could not give up the vote in the log. The other hosts will remove it later.")
+	}
+}
+
 func (d *Daemon) onFrame(from link.Replier, body []byte) {
 	d.events.Offer(event{body: body, from: from})
 }
@@ -274,6 +249,10 @@
 			d.handle(e)
 		}
 		d.execute(d.core.Take())
+		if d.resigned != nil && d.core.Resigned() {
+			close(d.resigned)
+			d.resigned = nil
+		}
 	}
 }
 
@@ -307,9 +286,12 @@
 		d.log.Error("Disk failed. This host leaves the log until it works.", "err", e.diskErr)
 		d.core.Fail()
 	case e.reopened != nil:
-		d.log.Info("Disk works again.", "term", e.reopened.State.Term, "entries", len(e.reopened.Entries))
+		d.log.Info("Disk works again.", "id", e.reopened.id, "term", e.reopened.stored.State.Term, "entries", len(e.reopened.stored.Entries))
 		d.generation++
-		d.core.Restart(now, *e.reopened)
+		d.core.Restart(now, e.reopened.id, e.reopened.stored)
+	case e.resigned != nil:
+		d.resigned = e.resigned
+		d.core.Resign(now)
 	case e.seeds != nil:
 		d.core.AddSeeds(e.seeds)
 	case e.dump != nil:
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -115,13 +115,19 @@
 			return false
 		case <-time.After(reopenInterval):
 		}
-		store, stored, err := open(d.settings.DataFolder, d.log)
+		store, stored, _, err := open(d.settings.DataFolder, d.log)
 		if err != nil {
 			d.log.Warn("Cannot reopen the data folder yet.", "err", err)
 			continue
 		}
+		id, err := d.raftID(store, false)
+		if err != nil {
+			d.log.Warn("Cannot read the identity of the disk yet.", "err", err)
+			_ = store.Close()
+			continue
+		}
 		d.store = store
-		d.diskEvents.Offer(event{reopened: &stored})
+		d.diskEvents.Offer(event{reopened: &reopenedStore{id, stored}})
 		return true
 	}
 }
--- a/internal/dir/evict/evict.go
+++ b/internal/dir/evict/evict.go
@@ -1,7 +1,7 @@
 // Package evict selects the voter of the replicated log that should be removed
-// because it is gone for good. A dead voter keeps the quorum larger than
-// necessary. Removing a live one reduces the number of failures that the log
-// survives.
+// because it is gone. A dead voter keeps the quorum larger than necessary, so that
+// one more loss can leave too few logs for a quorum. A voter that was removed but
+// is alive joins again as soon as it is in contact.
 package evict
 
 import (
@@ -9,41 +9,60 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 )
 
-const (
-	// unresponsiveAfter is the silence after which a voter counts as
-	// unresponsive. It is removed once another voter has replaced it.
-	unresponsiveAfter = 3 * clock.Second
-	// removeAfter is the silence after which a voter is removed even if none has
-	// replaced it. It is longer than a restart and than the longest partition that
-	// the platform allows.
-	removeAfter = 15 * clock.Second
-	// minResponsive is the number of responsive voters that must remain for a
-	// voter to be removed.
-	minResponsive = 3
-)
+// maxUnacknowledged is how long a voter that is heard from may acknowledge
+// nothing, for example because its disk hangs. It is longer than the disk faults
+// and the one-way partitions from which a host recovers by itself.
+const maxUnacknowledged = 15 * clock.Second
 
 // Voter describes a voter of the replicated log.
 type Voter struct {
 	ID raft.ID
-	// Silence is the time since the voter last responded.
+	// Silence is the time since any control host last heard from the voter.
+	Silence clock.Millis
+	// Unacknowledged is the time for which the leader has awaited an
+	// acknowledgement. It starts anew with each leader.
+	Unacknowledged clock.Millis
+	// Acknowledged is set if the leader has received an acknowledgement within
+	// Limits.Silence.
+	Acknowledged bool
+}
+
+// Limits bound the removal of voters.
+type Limits struct {
+	// Silence is the time after which a silent voter is removed. A host must get
+	// used to the log again within the recovery time that a new host gets, so this
+	// is shorter than that.
 	Silence clock.Millis
+	// MinVoters is the number of voters that must remain, all of which respond. It
+	// is the smallest group that bears the losses which may come at once.
+	MinVoters int
 }
 
-// Select returns the unresponsive voter that has been silent longest, and
-// whether to remove it. Replaced is set if another voter was added recently. No
-// voter is returned unless a majority, and at least three, respond.
-func Select(voters []Voter, replaced bool) (raft.ID, bool) {
-	var longest Voter
+// MinVoters returns the size of the smallest group of voters that still has a
+// quorum after the given number of losses at once.
+func MinVoters(losses int) int { return 2*max(losses, 1) + 1 }
+
+// Select returns the voter to remove, if any: the one that has been silent
+// longest. None is removed unless a majority of all voters responds.
+func Select(voters []Voter, limits Limits) (raft.ID, bool) {
+	var gone Voter
 	responsive := 0
 	for _, v := range voters {
-		if v.Silence < unresponsiveAfter {
+		switch {
+		case v.Acknowledged:
 			responsive++
-		} else if v.Silence > longest.Silence {
-			longest = v
+		case v.Silence >= limits.Silence && v.Silence > gone.Silence, gone.ID == "" && v.Unacknowledged >= maxUnacknowledged:
+			gone = v
 		}
 	}
-	if longest.ID == "" || responsive < minResponsive || responsive <= len(voters)/2 {
+	if gone.ID == "" || !Removable(len(voters), responsive, limits.MinVoters) {
 		return "", false
 	}
-	return longest.ID, replaced || longest.Silence > removeAfter
+	return gone.ID, true
+}
+
+// Removable reports whether one of the voters can be removed, if the given number
+// of the others respond.
+func Removable(voters, responsive, minVoters int) bool {
+	return voters > minVoters && responsive >= minVoters && responsive > voters/2
 }
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -9,6 +9,7 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/dir/watch"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
@@ -18,6 +19,8 @@
 	Raft             *raft.Message     `msgpack:"raft,omitempty"`
 	JoinRequest      *JoinRequest      `msgpack:"hello,omitempty"`
 	JoinReply        *JoinReply        `msgpack:"welcome,omitempty"`
+	ResignRequest    *ResignRequest    `msgpack:"resign,omitempty"`
+	ResignReply      *ResignReply      `msgpack:"resigned,omitempty"`
 	ProposeRequest   *ProposeRequest   `msgpack:"order,omitempty"`
 	ProposeReply     *ProposeReply     `msgpack:"orderReply,omitempty"`
 	ReplicateRequest *ReplicateRequest `msgpack:"tell,omitempty"`
@@ -28,6 +31,29 @@
 	FetchReply       *FetchReply       `msgpack:"fetchReply,omitempty"`
 }
 
+// Sender returns the control host that sent the message, or "" if the message does
+// not name one.
+func (e *Envelope) Sender() raft.ID {
+	switch {
+	case e.Raft != nil:
+		return e.Raft.From
+	case e.JoinRequest != nil:
+		return e.JoinRequest.ID
+	case e.ProposeRequest != nil:
+		return e.ProposeRequest.From
+	case e.ReplicateRequest != nil:
+		return e.ReplicateRequest.From
+	case e.ReplicateReply != nil:
+		return e.ReplicateReply.From
+	case e.Sync != nil:
+		return e.Sync.From
+	case e.SyncReply != nil:
+		return e.SyncReply.From
+	default:
+		return ""
+	}
+}
+
 // Encode returns the encoded envelope. The messages hold only types that msgpack
 // can encode, so an error is a bug and Encode panics.
 func Encode(e *Envelope) []byte {
@@ -59,6 +85,16 @@
 	Leader  raft.ID   `msgpack:"leader"`
 }
 
+// ResignRequest asks the leader to take the vote of the sender, which stops.
+type ResignRequest struct {
+	ID raft.ID `msgpack:"id"`
+}
+
+// ResignReply reports that a host has no vote in the committed membership.
+type ResignReply struct {
+	ID raft.ID `msgpack:"id"`
+}
+
 // Publication is a routing table as stored in the replicated log.
 type Publication struct {
 	Table routes.Table `msgpack:"table"`
@@ -115,6 +151,9 @@
 	RunID uint64 `msgpack:"run"`
 	// Since is the Position of the latest reply from the receiver, or 0.
 	Since uint64 `msgpack:"since"`
+	// ContactAges are the times since the sender last heard, directly or through
+	// others, from each control host.
+	ContactAges watch.Ages `msgpack:"contactAges"`
 }
 
 // SyncReply returns the announcements after a position, and the replying host's
--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -31,6 +31,11 @@
 	silentAfter = 3600
 	forgetAfter = 90_000
 	reuseAfter  = 2000
+	// maxLosses and evictAfter are the options of core.Options.
+	maxLosses  = 1
+	evictAfter = 2000
+	// resignTimeout is how long a host that stops waits for its resignation.
+	resignTimeout = 1200
 )
 
 // disk holds the data that a host has synced.
@@ -145,8 +150,9 @@
 	sim.lastRunID++
 	options := core.Options{
 		ID: raft.ID(h.address + "/" + h.disk.identity), Seeds: sim.seeds, RunID: sim.lastRunID,
-		Timing: raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
-		Fleet:  fleet.Options{SilentAfter: silentAfter, ForgetAfter: forgetAfter, ReuseAfter: reuseAfter},
+		Timing:    raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
+		Fleet:     fleet.Options{SilentAfter: silentAfter, ForgetAfter: forgetAfter, ReuseAfter: reuseAfter},
+		MaxLosses: maxLosses, EvictAfter: evictAfter,
 	}
 	if founder {
 		for _, s := range sim.seeds {
@@ -254,6 +260,16 @@
 	h.incarnation++
 }
 
+// stop stops a host as an operator does: it may give up its vote first.
+func (sim *simulation) stop(addr string) {
+	h := sim.hosts[addr]
+	sim.dispatch(h, func() { h.core.Resign(sim.now) })
+	for end := sim.now + resignTimeout; sim.now < end && !h.core.Resigned(); {
+		sim.run(10)
+	}
+	sim.powerOff(addr)
+}
+
 // wipe powers a host off and erases its disk.
 func (sim *simulation) wipe(addr string) {
 	sim.powerOff(addr)
--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -193,6 +193,7 @@
 control = "%s:8100"
 [bounds]
 grace_s = 3
+sync_s = 4
 addr_reuse_s = 2
 max_flow_s = 60
 `, name, ip, strings.Join(seeds, ","), data, heartbeatInterval.Milliseconds(), ip, env.dataPort, ip, ip)
