proof/dirsim: explore the orders of faults and replacements of control hosts

An explorer of the real decision code over the simulated disks and network: all orders of publication, addition, replacement with and without notice, disk loss, power loss of one and of all, freeze and partition, on the leader or a follower, with a short or a long pause, up to a length; then random longer ones. States are told apart by a hash of roles, logs and memberships. Checked: one leader and one vote for each term, one log, reads of what was acknowledged, recovery within the platform's 12 s. A failing history is shortened and printed so that it can be played again (-explore.history).

Disks may be lost one at a time, the next once all hosts were undisturbed for the recovery time; losses of power, freezes and partitions overlap at will.

--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -111,6 +111,18 @@
 	violations []string
 	// lastRunID is the run ID of the latest start of any host.
 	lastRunID uint64
+
+	// leaders holds the leader of each term, votes the candidate that got the vote
+	// of a host, by its address, in a term, and committed the term of each committed
+	// entry.
+	leaders   map[uint64]raft.ID
+	votes     map[vote]raft.ID
+	committed map[uint64]uint64
+}
+
+type vote struct {
+	address string
+	term    uint64
 }
 
 func hostAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
@@ -120,6 +132,7 @@
 	sim := &simulation{
 		c: qt.New(t), now: 1, rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*host{},
 		cutLinks: map[[2]string]bool{}, answers: map[core.CallID]func(core.Answer){},
+		leaders: map[uint64]raft.ID{}, votes: map[vote]raft.ID{}, committed: map[uint64]uint64{},
 	}
 	for i := 1; i <= min(n, 3); i++ {
 		sim.seeds = append(sim.seeds, hostAddress(i))
@@ -175,7 +188,10 @@
 	if h.incarnation != incarnation {
 		return
 	}
-	sim.dispatch(h, func() { h.core.Tick(sim.now) })
+	sim.dispatch(h, func() {
+		h.core.Tick(sim.now)
+		sim.checkLeader(h)
+	})
 	sim.events.Add(sim.now+50, func() { sim.tick(h, incarnation) })
 }
 
@@ -238,10 +254,57 @@
 		}
 		e, err := msgs.Decode(s.Body)
 		sim.c.Assert(err, qt.IsNil)
+		sim.checkVote(from, e.Raft)
 		sim.dispatch(h, func() { h.core.HandleMessage(sim.now, 0, e) })
 	})
 }
 
+// checkLeader records a violation if a term has two leaders.
+func (sim *simulation) checkLeader(h *host) {
+	n := h.core.Node()
+	if n.Role() != raft.Leader || h.core.Failed() {
+		return
+	}
+	if other, known := sim.leaders[n.Term()]; known && other != n.ID() {
+		sim.recordViolation("term %d has the leaders %s and %s", n.Term(), other, n.ID())
+	}
+	sim.leaders[n.Term()] = n.ID()
+}
+
+// checkVote records a violation if a host, with or without its disk, has voted for
+// two candidates in one term as a member that counts.
+func (sim *simulation) checkVote(from string, m *raft.Message) {
+	if m == nil || m.Kind != raft.KindVoteReply || !m.Granted {
+		return
+	}
+	for _, h := range sim.hosts {
+		if h.alive && h.core.Node().ID() == m.To && !slices.Contains(h.core.Node().Conf().Voters, m.From) {
+			return
+		}
+	}
+	key := vote{from, m.Term}
+	if other, known := sim.votes[key]; known && other != m.To {
+		sim.recordViolation("%s voted for %s and %s in term %d", from, other, m.To, m.Term)
+	}
+	sim.votes[key] = m.To
+}
+
+// checkLogs records a violation if two hosts have committed different entries.
+func (sim *simulation) checkLogs() {
+	for _, addr := range sim.liveHosts() {
+		n := sim.hosts[addr].core.Node()
+		for _, e := range n.Entries() {
+			if e.Index > n.Commit() {
+				break
+			}
+			if term, known := sim.committed[e.Index]; known && term != e.Term {
+				sim.recordViolation("%s committed entry %d of term %d, another host of term %d", addr, e.Index, e.Term, term)
+			}
+			sim.committed[e.Index] = e.Term
+		}
+	}
+}
+
 // run advances the clock by span and runs the events that are due.
 func (sim *simulation) run(span clock.Millis) {
 	for end := sim.now + span; sim.now < end; {
--- /dev/null
+++ b/internal/proof/dirsim/explore_test.go
@@ -0,0 +1,418 @@
+package dirsim_test
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	exploreDepth   = flag.Int("explore.depth", 2, "length of the histories that are explored exhaustively")
+	exploreSeeds   = flag.Int("explore.seeds", 40, "number of random histories per number of hosts")
+	exploreLength  = flag.Int("explore.length", 9, "length of random histories")
+	exploreHistory = flag.String("explore.history", "", "play only this history, as a failure printed it")
+)
+
+// history is a sequence of steps on a number of hosts. It is written as, for
+// example, "4/1 add+ retire:leader wipe:follower+": hosts and seed, then the steps, a
+// plus sign for a long pause after one.
+type history struct {
+	hosts int
+	seed  uint64
+	steps []step
+}
+
+// step is an action, on a host that is selected by role, and the pause after it.
+type step struct {
+	action string
+	role   string
+	long   bool
+}
+
+func (s step) String() string {
+	out := s.action
+	if s.role != "" {
+		out += ":" + s.role
+	}
+	if s.long {
+		out += "+"
+	}
+	return out
+}
+
+func (h history) String() string {
+	out := fmt.Sprintf("%d/%d", h.hosts, h.seed)
+	for _, s := range h.steps {
+		out += " " + s.String()
+	}
+	return out
+}
+
+func parseHistory(c *qt.C, text string) history {
+	var h history
+	fields := strings.Fields(text)
+	_, err := fmt.Sscanf(fields[0], "%d/%d", &h.hosts, &h.seed)
+	c.Assert(err, qt.IsNil)
+	for _, f := range fields[1:] {
+		var s step
+		f, s.long = strings.CutSuffix(f, "+")
+		s.action, s.role, _ = strings.Cut(f, ":")
+		h.steps = append(h.steps, s)
+	}
+	return h
+}
+
+// allSteps returns each action on each role, with a short and a long pause.
+func allSteps() []step {
+	var out []step
+	for _, long := range []bool{false, true} {
+		for _, action := range []string{"publish", "add", "powerAll"} {
+			out = append(out, step{action, "", long})
+		}
+		for _, action := range []string{"retire", "lose", "wipe", "power", "freeze", "cut"} {
+			for _, role := range []string{"leader", "follower"} {
+				out = append(out, step{action, role, long})
+			}
+		}
+	}
+	return out
+}
+
+const (
+	shortPause = 150
+	// longPause is the time after which a host that came back or was added no
+	// longer counts as lost.
+	longPause = recoveryTimeout
+	// faultTime is how long a freeze or a partition lasts.
+	faultTime = 2500
+	// recoverTimeout is the platform's limit for the recovery after the last fault.
+	recoverTimeout = 12_000
+	// maxAdded bounds the number of hosts that a history adds.
+	maxAdded = 3
+)
+
+// explorer plays one history.
+type explorer struct {
+	*simulation
+	// calmSince is when the last fault ended, diskLost whether a disk was lost
+	// since the hosts were last calm for longPause.
+	calmSince int64
+	diskLost  bool
+	// spare is set while a host that was added may replace one.
+	spare   bool
+	added   int
+	version uint64
+}
+
+// calm reports whether all hosts have been undisturbed for longPause. Then nothing
+// counts as lost.
+func (e *explorer) calm() bool { return int64(e.now)-e.calmSince >= int64(longPause) }
+
+// apply performs a step. It returns false if the step is impossible or would lose
+// more than the hosts must bear: one disk until the others have been undisturbed for
+// the recovery time. Losses of power, freezes and partitions may overlap.
+func (e *explorer) apply(s step) bool {
+	if e.calm() {
+		e.diskLost = false
+	}
+	target := e.target(s.role)
+	if s.role != "" && target == "" {
+		return false
+	}
+	switch s.action {
+	case "publish":
+		e.version++
+		e.publish(e.liveHosts()[0], e.version, nil)
+	case "add":
+		if e.added == maxAdded || e.spare {
+			return false
+		}
+		e.spare = true
+		e.addHost()
+	case "retire":
+		// The replacement must have had its recovery time.
+		if !e.spare || !e.calm() {
+			return false
+		}
+		e.spare = false
+		e.stop(target)
+		e.forget(target)
+	case "lose":
+		if e.diskLost || e.added == maxAdded {
+			return false
+		}
+		e.diskLost = true
+		e.powerOff(target)
+		e.forget(target)
+		e.run(300)
+		e.addHost()
+	case "wipe":
+		if e.diskLost {
+			return false
+		}
+		e.diskLost = true
+		e.wipe(target)
+		e.run(300)
+		e.powerOn(target)
+	case "power":
+		e.powerOff(target)
+		e.run(300)
+		e.powerOn(target)
+	case "powerAll":
+		hosts := e.liveHosts()
+		for _, addr := range hosts {
+			e.powerOff(addr)
+		}
+		e.run(300)
+		for _, addr := range hosts {
+			e.powerOn(addr)
+		}
+	case "freeze":
+		e.freeze(target)
+		e.run(faultTime)
+		e.unfreeze(target)
+	case "cut":
+		e.isolate(target, true)
+		e.run(faultTime)
+		e.isolate(target, false)
+	default:
+		panic("unknown action " + s.action)
+	}
+	if s.action != "publish" && s.action != "retire" {
+		e.calmSince = int64(e.now)
+	}
+	e.run(shortPause)
+	if s.long {
+		e.run(longPause)
+	}
+	for _, addr := range e.liveHosts() {
+		e.verifyRead(addr, nil)
+	}
+	e.checkLogs()
+	return true
+}
+
+// target returns the host that a role selects: the leader, or the follower that
+// comes next after it. It returns "" if there is no leader.
+func (e *explorer) target(role string) string {
+	leader, live := e.leader(), e.liveHosts()
+	if role == "" || leader == "" {
+		return ""
+	}
+	if role == "leader" {
+		return leader
+	}
+	return live[(slices.Index(live, leader)+1)%len(live)]
+}
+
+func (e *explorer) addHost() {
+	e.added++
+	addr := fmt.Sprintf("10.0.0.%d:7000", 10+e.added)
+	e.seeds = e.liveHosts()[:min(3, len(e.liveHosts()))]
+	e.add(addr, false)
+}
+
+func (e *explorer) forget(addr string) {
+	delete(e.hosts, addr)
+	e.seeds = e.liveHosts()[:min(3, len(e.liveHosts()))]
+}
+
+// begin starts the hosts and publishes a first version.
+func begin(t *testing.T, h history) *explorer {
+	e := &explorer{simulation: newSimulation(t, h.seed, h.hosts)}
+	e.run(2500)
+	e.version++
+	e.publishWithRetry(e.version, ackTimeout)
+	e.run(longPause)
+	return e
+}
+
+// finish checks that the hosts recover and accept and return another version.
+func (e *explorer) finish() {
+	e.awaitConvergence(recoverTimeout)
+	e.version++
+	e.publishWithRetry(e.version, ackTimeout)
+	for _, addr := range e.liveHosts() {
+		e.verifyRead(addr, nil)
+	}
+	e.run(1500)
+	e.checkLogs()
+}
+
+// play plays a history. It returns false if a step was not possible. Unless finish
+// is false, the hosts must then recover.
+func play(t *testing.T, h history, finish bool) (*explorer, bool) {
+	e := begin(t, h)
+	for _, s := range h.steps {
+		if !e.apply(s) {
+			return e, false
+		}
+	}
+	if finish {
+		e.finish()
+	}
+	return e, true
+}
+
+// fingerprint identifies the state of the hosts without clocks and timers: roles,
+// logs, memberships and what may still be lost.
+func (e *explorer) fingerprint() uint64 {
+	h := fnv.New64a()
+	var maxTerm, maxLast uint64
+	for _, addr := range e.liveHosts() {
+		n := e.hosts[addr].core.Node()
+		maxTerm, maxLast = max(maxTerm, n.Term()), max(maxLast, n.Last())
+	}
+	for _, addr := range e.liveHosts() {
+		n := e.hosts[addr].core.Node()
+		fmt.Fprint(h, addr, n.Role(), n.Leader(), maxTerm-n.Term(), maxLast-n.Last(), n.Last()-n.Commit(),
+			n.Conf(), e.acked-e.hosts[addr].core.Version(), ";")
+	}
+	fmt.Fprint(h, e.diskLost, e.spare, e.calm(), e.added)
+	return h.Sum64()
+}
+
+// exploration is the result of playing many histories.
+type exploration struct {
+	mu       sync.Mutex
+	seen     map[uint64]bool
+	frontier []history
+	played   int
+	failed   []history
+}
+
+// forEach calls play for the numbers from 0 to n-1 on half of the cores.
+func (x *exploration) forEach(n int, play func(i int)) {
+	work := make(chan int)
+	var workers sync.WaitGroup
+	for range max(runtime.NumCPU()/2, 1) {
+		workers.Go(func() {
+			for i := range work {
+				play(i)
+			}
+		})
+	}
+	for i := range n {
+		work <- i
+	}
+	close(work)
+	workers.Wait()
+}
+
+// playOne plays a history, and adds it to the frontier if it reaches a new state.
+func (x *exploration) playOne(t *testing.T, h history) {
+	e, possible := play(t, h, false)
+	if !possible {
+		return
+	}
+	print := e.fingerprint()
+	x.mu.Lock()
+	x.played++
+	known := x.seen[print]
+	x.seen[print] = true
+	x.mu.Unlock()
+	if !known {
+		e.finish()
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case len(e.violations) > 0:
+		x.failed = append(x.failed, h)
+	case !known:
+		x.frontier = append(x.frontier, h)
+	}
+}
+
+// shrink removes steps from a failing history while it still fails.
+func shrink(t *testing.T, h history) history {
+	for i := 0; i < len(h.steps); {
+		shorter := history{h.hosts, h.seed, slices.Delete(slices.Clone(h.steps), i, i+1)}
+		if e, possible := play(t, shorter, true); possible && len(e.violations) > 0 {
+			h = shorter
+			continue
+		}
+		i++
+	}
+	return h
+}
+
+func (x *exploration) report(t *testing.T) {
+	for _, h := range x.failed[:min(len(x.failed), 3)] {
+		short := shrink(t, h)
+		e, _ := play(t, short, true)
+		t.Errorf("play again with -explore.history %q (found as %q):\n%s", short, h, strings.Join(e.violations, "\n"))
+	}
+	if len(x.failed) > 0 {
+		t.Errorf("%d of %d histories failed", len(x.failed), x.played)
+	}
+}
+
+// TestExploreFaultOrders plays all orders of a few faults, replacements and
+// publications, up to a length, and random longer ones. After each, an acknowledged
+// version must be read back, the logs must agree, and the hosts must elect a leader.
+func TestExploreFaultOrders(t *testing.T) {
+	if *exploreHistory != "" {
+		e, possible := play(t, parseHistory(qt.New(t), *exploreHistory), true)
+		qt.Check(t, possible, qt.IsTrue, qt.Commentf("a step of the history is not possible"))
+		qt.Check(t, e.violations, qt.HasLen, 0)
+		return
+	}
+	for _, hosts := range []int{3, 4, 5} {
+		x := &exploration{seen: map[uint64]bool{}, frontier: []history{{hosts: hosts, seed: 1}}}
+		start := time.Now()
+		for depth := 1; depth <= *exploreDepth; depth++ {
+			var next []history
+			for _, h := range x.frontier {
+				for _, s := range allSteps() {
+					next = append(next, history{hosts, h.seed, append(slices.Clone(h.steps), s)})
+				}
+			}
+			x.frontier = nil
+			x.forEach(len(next), func(i int) { x.playOne(t, next[i]) })
+			t.Logf("%d hosts, length %d: %d histories played, %d states, %d failed, %d s",
+				hosts, depth, x.played, len(x.seen), len(x.failed), int(time.Since(start).Seconds()))
+		}
+		x.report(t)
+	}
+}
+
+// TestExploreRandomHistories plays long random histories.
+func TestExploreRandomHistories(t *testing.T) {
+	for _, hosts := range []int{3, 4, 5, 8} {
+		x := &exploration{seen: map[uint64]bool{}}
+		x.forEach(*exploreSeeds, func(seed int) { x.playRandom(t, hosts, uint64(seed)) })
+		t.Logf("%d hosts: %d random histories of %d steps, %d failed", hosts, x.played, *exploreLength, len(x.failed))
+		x.report(t)
+	}
+}
+
+// playRandom draws steps and plays those that are possible.
+func (x *exploration) playRandom(t *testing.T, hosts int, seed uint64) {
+	r, steps := rand.New(rand.NewPCG(seed, 3)), allSteps()
+	h := history{hosts: hosts, seed: seed}
+	e := begin(t, h)
+	for len(h.steps) < *exploreLength {
+		if s := steps[r.IntN(len(steps))]; e.apply(s) {
+			h.steps = append(h.steps, s)
+		} else {
+			e.run(shortPause)
+		}
+	}
+	e.finish()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.played++
+	if len(e.violations) > 0 {
+		x.failed = append(x.failed, h)
+	}
+}
