serve/admit: refuse new flows that could not be answered in time

Cause: nothing limited what relays opened. Clients retry at once, and open a flow for each request that finds none idle.

Change: a relay expects a wait from the requests in flight on a server, and the time that a request takes without a queue, measured as the least of eight means. It refuses the first opening packet with a reset if the wait takes more than a share of what the route's latency goal leaves: 0.5 for the most urgent priority, 0.25 for others, and for flows of many requests 0.2 at the mean of the servers. Three further servers are tried before. Packets of open flows and later transmissions are never refused. Flows stay in their data centre also above 65% of use unless it is 15% busier than the mean. Loads of other hosts expire after 3 s without news.

--- a/internal/lab/simnet/client.go
+++ b/internal/lab/simnet/client.go
@@ -28,7 +28,9 @@
 	sim    *simulation
 	centre int
 	long   bool
-	flow   *flow
+	// pool is the pool to which a pooled client returns after each request, or nil.
+	pool *pool
+	flow *flow
 	// requestID numbers the client's requests; startedAt is when the latest one
 	// was first sent.
 	requestID int
@@ -59,6 +61,9 @@
 	c.startedAt, c.attempts, c.waiting = sim.now, 0, true
 	sim.result.Requests++
 	sim.result.window(c.startedAt).requests++
+	if sim.inBurst(c.startedAt) {
+		sim.result.Burst.Requests++
+	}
 	id := c.requestID
 	sim.after(requestTimeout, func() {
 		if c.requestID == id && c.waiting {
@@ -166,6 +171,9 @@
 	c.sim.after(retryDelay, c.retry)
 }
 
+// closing returns the packet that ends the flow.
+func closing(f *flow) core.Packet { return core.Packet{Seq: f.seq, Ack: f.ack, Close: true} }
+
 func (f *flow) close() {
 	f.closed = true
 	if f.server != nil {
@@ -191,27 +199,18 @@
 }
 
 // finish records the outcome of the request. A client with a long flow starts the
-// next request after its think time.
+// next request after its think time, a pooled one returns to its pool.
 func (c *client) finish(served bool) {
 	sim := c.sim
 	c.waiting = false
-	latency := sim.now - c.startedAt
-	switch {
-	case !served:
-		sim.result.Failed++
-		if c.flow != nil {
-			c.flow.close()
-		}
-	case latency <= sim.scenario.LatencyTarget:
-		sim.result.OnTime++
-		sim.result.window(c.startedAt).onTime++
-	default:
-		sim.result.Late++
+	sim.record(c.startedAt, served, sim.scenario.target(c.long))
+	if !served && c.flow != nil {
+		c.flow.close()
 	}
-	if served {
-		_ = sim.result.Latency.RecordValue(int64(max(latency, 1)))
-	}
-	if c.long {
+	switch {
+	case c.pool != nil:
+		c.pool.release(c)
+	case c.long:
 		thinkTime := sim.rand.ExpFloat64() * float64(sim.scenario.ThinkTime) / sim.rateFactor()
 		sim.after(clock.Millis(thinkTime), c.startRequest)
 	}
--- a/internal/lab/simnet/scenario.go
+++ b/internal/lab/simnet/scenario.go
@@ -29,14 +29,29 @@
 	Skew      float64
 	// ThinkTime is the mean pause between the requests of a long flow.
 	ThinkTime clock.Millis
+	// PooledRate is the number of requests per second in each data centre that are
+	// sent, whether or not earlier ones were answered, on an idle long flow of a pool,
+	// or on a new one if none is idle. Pools is the number of pools there. A pooled
+	// flow ends after RequestsPerFlow requests on average.
+	PooledRate      float64
+	Pools           int
+	RequestsPerFlow float64
 	// ShortFlowRate is the number of short flows per second in each data centre.
 	ShortFlowRate float64
 	// ServiceTime is the mean time that a request occupies a slot.
 	ServiceTime clock.Millis
-	// LatencyTarget is the latency up to which an answer counts as on time.
+	// LatencyTarget is the latency up to which an answer counts as on time. It is the
+	// latency goal of the routes if Goals is set.
 	LatencyTarget clock.Millis
+	// ShortTarget replaces LatencyTarget for short flows unless it is 0.
+	ShortTarget clock.Millis
+	// Goals gives the routes their latency goals and short flows a higher priority.
+	Goals bool
+	// QueueTimeout is the time after which a queued request is shed, or 0 for never.
+	QueueTimeout clock.Millis
 	// Duration is the length of the run. Between BurstFrom and BurstTo the request
-	// rate of the long flows is multiplied by Burst.
+	// rate of the long flows, and of pools and short flows if there are pools, is
+	// multiplied by Burst.
 	Duration  clock.Millis
 	BurstFrom clock.Millis
 	BurstTo   clock.Millis
@@ -84,6 +99,18 @@
 	return []Scenario{calm, burst, crash, release, cut}
 }
 
+// Overload returns a scenario in which the given multiple of the usual demand is
+// sent for a while. The usual demand takes 45% of the slots.
+func Overload(factor float64, length clock.Millis) Scenario {
+	return Scenario{
+		Name: "overload", DataCentres: 4, Hosts: 2, Servers: 4, Slots: 2, Queue: 8, QueueTimeout: 125, ServiceTime: 32,
+		PooledRate: 84, Pools: 28, RequestsPerFlow: 8, ShortFlowRate: 24,
+		LatencyTarget: 150, ShortTarget: 200, Goals: true,
+		Duration: 8000 + length, Burst: factor, BurstFrom: 6000, BurstTo: 6000 + length,
+		ExchangeInterval: 300, ExchangeDelay: 250,
+	}
+}
+
 // Strategies returns the flow placement strategies to compare, by name.
 func Strategies() map[string]choose.Settings {
 	// A negative MaxLocalUse keeps no flow in its data centre.
@@ -114,11 +141,18 @@
 	Failed int
 	// Shed counts requests that a server rejected because its queue was full.
 	Shed int
+	// Refused counts attempts that were reset before they reached a server.
+	Refused int
+	// Burst counts the requests that started during the burst.
+	Burst Outcomes
 	// Latency holds the latencies of the served requests, in milliseconds.
 	Latency *hdrhistogram.Histogram
 	windows map[clock.Millis]*window
 }
 
+// Outcomes counts requests by their outcome.
+type Outcomes struct{ Requests, OnTime, Late, Failed int }
+
 // window counts the requests that started within one period of windowLength, and
 // those of them that were answered within the latency target.
 type window struct{ requests, onTime int }
@@ -158,3 +192,38 @@
 	}
 	return worst
 }
+
+// target returns the latency target of the long or the short flows.
+func (s *Scenario) target(long bool) clock.Millis {
+	if !long && s.ShortTarget > 0 {
+		return s.ShortTarget
+	}
+	return s.LatencyTarget
+}
+
+func (sim *simulation) inBurst(at clock.Millis) bool {
+	return at >= sim.scenario.BurstFrom && at < sim.scenario.BurstTo
+}
+
+// record counts the outcome of a request.
+func (sim *simulation) record(startedAt clock.Millis, served bool, target clock.Millis) {
+	r, latency := sim.result, sim.now-startedAt
+	count := func(total, burst *int) {
+		*total++
+		if sim.inBurst(startedAt) {
+			*burst++
+		}
+	}
+	switch {
+	case !served:
+		count(&r.Failed, &r.Burst.Failed)
+	case latency <= target:
+		count(&r.OnTime, &r.Burst.OnTime)
+		r.window(startedAt).onTime++
+	default:
+		count(&r.Late, &r.Burst.Late)
+	}
+	if served {
+		_ = r.Latency.RecordValue(int64(max(latency, 1)))
+	}
+}
--- a/internal/lab/simnet/server.go
+++ b/internal/lab/simnet/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
@@ -19,10 +20,16 @@
 	draining  bool
 	crashed   bool
 	inFlight  int
-	queue     []func()
+	queue     []*queued
 	flows     map[*flow]bool
 }
 
+// queued is a request that waits for a slot.
+type queued struct {
+	flow  *flow
+	token tokens.Token
+}
+
 func (sim *simulation) addServer(centre int) *server {
 	sim.lastServer++
 	n := sim.lastServer
@@ -65,10 +72,14 @@
 	sim := s.sim
 	if s.inFlight >= s.record.Slots {
 		if len(s.queue) >= sim.scenario.Queue {
-			sim.after(clientDelay, func() { f.onResponse(false, token, s.draining) })
+			s.shed(f, token)
 			return
 		}
-		s.queue = append(s.queue, func() { s.serve(f, token) })
+		q := &queued{flow: f, token: token}
+		s.queue = append(s.queue, q)
+		if sim.scenario.QueueTimeout > 0 {
+			sim.after(sim.scenario.QueueTimeout, func() { s.expire(q) })
+		}
 		return
 	}
 	s.inFlight++
@@ -84,7 +95,19 @@
 		if len(s.queue) > 0 {
 			next := s.queue[0]
 			s.queue = s.queue[1:]
-			next()
+			s.serve(next.flow, next.token)
 		}
 	})
 }
+
+func (s *server) shed(f *flow, token tokens.Token) {
+	s.sim.after(clientDelay, func() { f.onResponse(false, token, s.draining) })
+}
+
+// expire sheds a request that still waits.
+func (s *server) expire(q *queued) {
+	if i := slices.Index(s.queue, q); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+		s.shed(q.flow, q.token)
+	}
+}
--- a/internal/lab/simnet/simulation.go
+++ b/internal/lab/simnet/simulation.go
@@ -100,9 +100,16 @@
 func (sim *simulation) start() {
 	table := &routes.Table{Version: 1, Services: []string{"x"}, IdleTimeout: 12_000}
 	for _, addr := range []netip.AddrPort{longRoute, shortRoute} {
-		table.Routes = append(table.Routes, routes.Route{
+		r := routes.Route{
 			Name: addr.String(), Address: addr, Timeout: 2000, Targets: []routes.Target{{Service: "x", Weight: 1}},
-		})
+		}
+		if sim.scenario.Goals {
+			r.LatencyGoal, r.Priority = sim.scenario.target(addr == longRoute), 2
+			if addr == shortRoute {
+				r.Priority = 1
+			}
+		}
+		table.Routes = append(table.Routes, r)
 	}
 	for _, h := range sim.hosts {
 		h.core.Configure(sim.now, table)
@@ -121,6 +128,9 @@
 			sim.after(clock.Millis(sim.rand.IntN(int(sim.scenario.ThinkTime))), longClient.startRequest)
 		}
 		sim.scheduleShortFlow(c)
+		for range sim.scenario.Pools {
+			(&pool{sim: sim, centre: c}).scheduleRequest()
+		}
 	}
 	sim.scheduleFaults()
 }
@@ -213,6 +223,9 @@
 				sim.after(serverDelay, func() { s.receive(p, action.Token, f) })
 			}
 		case core.Reset:
+			if p.Open {
+				sim.result.Refused++
+			}
 			sim.after(clientDelay, f.onReset)
 		case core.Drop:
 		}
@@ -230,7 +243,7 @@
 // rateFactor returns the current factor on the request rate of long flows, which
 // is 1 outside a burst.
 func (sim *simulation) rateFactor() float64 {
-	if sim.now >= sim.scenario.BurstFrom && sim.now < sim.scenario.BurstTo {
+	if sim.inBurst(sim.now) {
 		return sim.scenario.Burst
 	}
 	return 1
@@ -240,7 +253,10 @@
 // are a Poisson process.
 func (sim *simulation) scheduleShortFlow(centre int) {
 	rate := sim.scenario.ShortFlowRate
-	if sim.now >= sim.scenario.BurstFrom && sim.now < sim.scenario.BurstTo {
+	if sim.scenario.Pools > 0 {
+		rate *= sim.rateFactor()
+	}
+	if sim.inBurst(sim.now) {
 		rate += sim.scenario.BurstShortFlowRate
 	}
 	interval := sim.rand.ExpFloat64() * float64(clock.Second) / rate
--- a/internal/lab/simnet/simulation_test.go
+++ b/internal/lab/simnet/simulation_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/lab/simnet"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
@@ -50,3 +51,28 @@
 	c.Check(a.OnTime, qt.Equals, b.OnTime)
 	c.Check(a.Latency.Max(), qt.Equals, b.Latency.Max())
 }
+
+// TestOverloadAnswersWhatTheSlotsBear plays several times the usual demand. Of what
+// the slots can serve in that time, 85% must be answered within the latency targets
+// at three times the demand, and 80% at ten times, as a mean over the seeds.
+func TestOverloadAnswersWhatTheSlotsBear(t *testing.T) {
+	const seeds = 8
+	for _, test := range []struct {
+		factor float64
+		length clock.Millis
+		want   float64
+	}{{3, 6000, 0.85}, {10, 2000, 0.8}} {
+		scenario := simnet.Overload(test.factor, test.length)
+		slots := scenario.DataCentres * scenario.Servers * scenario.Slots
+		capacity := float64(slots) * float64(test.length) / float64(scenario.ServiceTime)
+		mean := 0.0
+		for seed := range uint64(seeds) {
+			got := simnet.Run(scenario, choose.DefaultSettings, seed)
+			share := float64(got.Burst.OnTime) / capacity
+			t.Logf("factor %v, seed %d: %.3f of the capacity on time; %+v, refused %d, shed %d",
+				test.factor, seed, share, got.Burst, got.Refused, got.Shed)
+			mean += share / seeds
+		}
+		qt.Check(t, mean >= test.want, qt.IsTrue, qt.Commentf("factor %v: %.3f of the capacity on time, want %.2f", test.factor, mean, test.want))
+	}
+}
--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -153,7 +153,7 @@
 	return load
 }
 
-// utilization returns the requests in flight per slot.
-func (b *Backend) utilization() float64 {
+// Utilization returns the requests in flight per slot.
+func (b *Backend) Utilization() float64 {
 	return (float64(b.inFlight) + float64(b.remote.InFlight)) / float64(b.slots)
 }
--- a/internal/serve/choose/policy.go
+++ b/internal/serve/choose/policy.go
@@ -11,6 +11,9 @@
 	// Pick returns the index of the selected candidate, or -1 if candidates is
 	// empty.
 	Pick(now clock.Millis, kind Kind, candidates []T, backend func(T) *Backend) int
+	// MeanUtilization returns the mean number of requests in flight per slot of the
+	// candidates that Pick compares.
+	MeanUtilization(now clock.Millis, candidates []T, backend func(T) *Backend) float64
 }
 
 // Settings configure a LeastLoaded policy.
@@ -23,15 +26,22 @@
 	RemotePenalty float64
 	// MaxLocalUse is the mean utilization of the local servers, from 0 to 1, up to
 	// which flows stay in their data centre. Above it, the servers of all data
-	// centres are compared, with RemotePenalty added to remote ones.
+	// centres are compared, with RemotePenalty added to remote ones, if the local ones
+	// are busier than the mean by MaxLocalExcess.
 	MaxLocalUse float64
+	// MaxLocalExcess is the ratio of the mean utilization of the local servers to that
+	// of all servers up to which flows stay in their data centre. Under overload
+	// everywhere, a flow gains nothing elsewhere, and the loads that a host knows best
+	// are those of its own data centre. 0 compares nothing but MaxLocalUse.
+	MaxLocalExcess float64
 	// ByRequests balances long flows by requests in flight, like short ones.
 	ByRequests bool
 }
 
-// DefaultSettings keep flows in their data centre up to a mean utilization of 65 %.
-// docs/DESIGN.md compares the alternatives.
-var DefaultSettings = Settings{Samples: 2, RemotePenalty: 0.1, MaxLocalUse: 0.65}
+// DefaultSettings keep flows in their data centre up to a mean utilization of 65 %,
+// and above it unless the data centre is 15 % busier than the mean. docs/DESIGN.md
+// compares the alternatives.
+var DefaultSettings = Settings{Samples: 2, RemotePenalty: 0.1, MaxLocalUse: 0.65, MaxLocalExcess: 1.15}
 
 // LeastLoaded picks the least loaded of some random candidates: of the host's data
 // centre while the mean utilization there is at most Settings.MaxLocalUse, and of
@@ -53,12 +63,7 @@
 	if p.settings.ByRequests {
 		kind = Short
 	}
-	usable := func(b *Backend) bool { return !b.Avoided(now) }
-	local := func(b *Backend) bool { return usable(b) && b.centre == p.centre }
-	best := p.leastLoaded(now, kind, candidates, backend, local)
-	if best < 0 || !p.hasLocalCapacity(candidates, backend, local) {
-		best = p.leastLoaded(now, kind, candidates, backend, usable)
-	}
+	best := p.leastLoaded(now, kind, candidates, backend, p.compared(now, candidates, backend))
 	if best < 0 {
 		best = p.leastLoaded(now, kind, candidates, backend, func(*Backend) bool { return true })
 	}
@@ -68,17 +73,40 @@
 	return best
 }
 
-// hasLocalCapacity reports whether the mean utilization of the local servers is
-// within the configured limit.
-func (p *LeastLoaded[T]) hasLocalCapacity(candidates []T, backend func(T) *Backend, local func(*Backend) bool) bool {
-	utilization, n := 0.0, 0
+// MeanUtilization implements Policy.
+func (p *LeastLoaded[T]) MeanUtilization(now clock.Millis, candidates []T, backend func(T) *Backend) float64 {
+	mean, _ := meanUtilization(candidates, backend, p.compared(now, candidates, backend))
+	return mean
+}
+
+// compared returns a function that selects the servers to compare: those that are
+// not avoided, of the local data centre unless it has none or is too busy.
+func (p *LeastLoaded[T]) compared(now clock.Millis, candidates []T, backend func(T) *Backend) func(*Backend) bool {
+	usable := func(b *Backend) bool { return !b.Avoided(now) }
+	local := func(b *Backend) bool { return usable(b) && b.centre == p.centre }
+	localMean, n := meanUtilization(candidates, backend, local)
+	switch {
+	case n == 0:
+		return usable
+	case localMean <= p.settings.MaxLocalUse:
+		return local
+	}
+	if mean, _ := meanUtilization(candidates, backend, usable); localMean <= p.settings.MaxLocalExcess*mean {
+		return local
+	}
+	return usable
+}
+
+// meanUtilization returns the mean utilization of the eligible servers and their
+// number. The mean is 0 if there are none.
+func meanUtilization[T any](candidates []T, backend func(T) *Backend, eligible func(*Backend) bool) (mean float64, n int) {
 	for _, c := range candidates {
-		if b := backend(c); local(b) {
-			utilization += b.utilization()
+		if b := backend(c); eligible(b) {
+			mean += b.Utilization()
 			n++
 		}
 	}
-	return utilization <= p.settings.MaxLocalUse*float64(n)
+	return mean / float64(max(n, 1)), n
 }
 
 // leastLoaded returns the index of the least loaded candidate among a random
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -7,6 +7,7 @@
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/serve/admit"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/token/tokens"
@@ -31,6 +32,9 @@
 	// loadTimeConstant is the time constant, in milliseconds, of the exponentially
 	// smoothed load that is reported.
 	loadTimeConstant = 1000.0
+	// remoteLoadTTL is how long the loads of other hosts are used. A host that is cut
+	// off from the control hosts relies on its own flows after that.
+	remoteLoadTTL = 3 * clock.Second
 	// minReportedLoad is the mean number of requests in flight below which the
 	// load is treated as zero.
 	minReportedLoad = 0.01
@@ -90,12 +94,17 @@
 	// still send their tokens.
 	replaced []replacedServer
 	// services maps each service to its usable servers, sorted by ID.
-	services    map[string][]*server
-	flows       map[flowKey]*flow
-	requestMix  map[netip.AddrPort]*requestMix
+	services   map[string][]*server
+	flows      map[flowKey]*flow
+	requestMix map[netip.AddrPort]*requestMix
+	// admission holds the estimates by service.
+	admission   map[string]*admit.Service
 	nextSweepAt clock.Millis
 	smoothedAt  clock.Millis
-	stats       Stats
+	// loadsAt is when the loads of other hosts were received, or 0 if they are unknown
+	// or too old.
+	loadsAt clock.Millis
+	stats   Stats
 }
 
 // Stats are the counters of a Core. Opened counts new flows, Answered those whose
@@ -103,7 +112,7 @@
 // server, Corrected tokens that were replaced, and Avoided the backoffs that were
 // started. The others count packets by their verdict and reason.
 type Stats struct {
-	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, DroppedUnknown, DroppedNoServer,
+	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, DroppedUnknown, DroppedNoServer,
 	Moved, Corrected, Avoided, Answered uint64
 }
 
@@ -115,6 +124,7 @@
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
+		admission: map[string]*admit.Service{},
 	}
 }
 
@@ -195,13 +205,18 @@
 		c.rebuildServers(now)
 	}
 	if u.Loads != nil {
-		for _, s := range c.servers {
-			s.backend.SetRemoteLoad(u.Loads[uint32(s.token)])
-		}
+		c.loadsAt = now
+		c.setRemoteLoads(u.Loads)
 	}
 	return changed
 }
 
+func (c *Core) setRemoteLoads(loads choose.Loads) {
+	for _, s := range c.servers {
+		s.backend.SetRemoteLoad(loads[uint32(s.token)])
+	}
+}
+
 // updateSilent copies the silent state of the servers from the update.
 func (c *Core) updateSilent(now clock.Millis, u *Update) {
 	if u.Silence == nil {
@@ -272,6 +287,10 @@
 // requests that were given up without an answer since the previous call.
 func (c *Core) Tick(now clock.Millis) []Timeout {
 	c.smoothLoads(now)
+	if c.loadsAt > 0 && now-c.loadsAt > remoteLoadTTL {
+		c.loadsAt = 0
+		c.setRemoteLoads(nil)
+	}
 	if now < c.nextSweepAt {
 		return nil
 	}
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -30,6 +30,9 @@
 	// inFlight is set while a request, sent at requestedAt, is in flight.
 	inFlight    bool
 	requestedAt clock.Millis
+	// loadAtRequest is the number of requests in flight per slot of the server when
+	// the request began, with this one.
+	loadAtRequest float64
 	// retransmitted is set once a packet of the current request was retransmitted.
 	retransmitted bool
 	// active is set while the flow counts as an active long flow.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -2,7 +2,6 @@
 
 import (
 	"monsooncleat.example/monsooncleat/internal/base/clock"
-	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
 
@@ -38,7 +37,7 @@
 		f.markInactive()
 	}
 	kind := c.requestMix[key.route].kind()
-	s := c.pickServer(now, route, kind, nil)
+	s, admitted := c.pickAdmitted(now, route, kind, p)
 	if s == nil && upToDate {
 		// A retransmission could not be served either, so don't make the client wait.
 		c.stats.ResetNoServer++
@@ -49,6 +48,10 @@
 		return Action{Verdict: Drop, Reason: NoServer}
 	}
 	load := s.backend.Load(now, kind)
+	if !admitted {
+		c.stats.ResetOverloaded++
+		return Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.entry.Service, Load: load}
+	}
 	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, lastAt: now}
 	c.track(key, f)
 	f.beginRequest(now)
@@ -90,36 +93,6 @@
 	return c.forward(s, NoReason)
 }
 
-// pickServer selects the server of a new flow, or returns nil if there is none.
-// If the randomly picked service of the route has no usable server, it uses the
-// first target with a weight above zero that has one. Exclude, if not nil, is not
-// selected.
-func (c *Core) pickServer(now clock.Millis, route *routes.Route, kind choose.Kind, exclude *server) *server {
-	list := c.services[route.Pick(c.rand.Uint64())]
-	if len(list) == 0 {
-		for _, t := range route.Targets {
-			if t.Weight > 0 && len(c.services[t.Service]) > 0 {
-				list = c.services[t.Service]
-				break
-			}
-		}
-	}
-	if exclude != nil {
-		others := make([]*server, 0, len(list))
-		for _, s := range list {
-			if s != exclude {
-				others = append(others, s)
-			}
-		}
-		list = others
-	}
-	index := c.policy.Pick(now, kind, list, func(s *server) *choose.Backend { return s.backend })
-	if index < 0 {
-		return nil
-	}
-	return list[index]
-}
-
 func (c *Core) forward(s *server, reason Reason) Action {
 	c.stats.Forwarded++
 	return Action{
@@ -205,6 +178,9 @@
 	f.lastAt = now
 	if !f.established {
 		a.Handshake = now - f.openedAt
+		if !f.retransmitted {
+			c.admissionOf(s.entry.Service).RecordHandshake(a.Handshake)
+		}
 		f.established = true
 		f.moveTo(s)
 		f.ack, f.dataEnd = p.Ack, p.Seq
@@ -221,6 +197,9 @@
 		f.ack = p.Ack
 		if f.inFlight {
 			a.Response = now - f.requestedAt
+			if !f.retransmitted {
+				c.admissionOf(s.entry.Service).RecordResponse(a.Response, f.loadAtRequest)
+			}
 		}
 		f.endRequest()
 		s.backend.RecordAnswer(now)
@@ -228,6 +207,7 @@
 	if end := p.Seq + uint32(p.Length); p.Length > 0 && seqAfter(end, f.dataEnd) {
 		f.dataEnd = end
 		f.beginRequest(now)
+		f.loadAtRequest = s.backend.Utilization()
 		c.countRequest(f, p)
 	} else if p.Length > 0 && f.inFlight {
 		// The client retransmits a request that the server has not answered.
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -78,13 +78,15 @@
 	// CorrectedToken means that the token did not identify the server that holds
 	// the flow, and was replaced.
 	CorrectedToken
+	// Overloaded means that the servers could not answer a new flow in time.
+	Overloaded
 )
 
 // String returns the reason in camel case.
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "correctedToken",
+		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded",
 	}[r]
 }
 
@@ -103,7 +105,8 @@
 	// Service is the service of the server.
 	Service string
 	// Load is the load of the server when a new flow was assigned to it, without
-	// the penalty for another data centre. It is 0 unless Reason is NewFlow.
+	// the penalty for another data centre, or the load for which the flow was
+	// refused. It is 0 unless Reason is NewFlow or Overloaded.
 	Load float64
 	// Handshake is the time from the opening packet to the client's next packet,
 	// which acknowledges the server's handshake. Response is the time from a
