agree/raft: store the commit index, so that a restarted host can apply its log

Change: the hard state that is written with each batch of entries carries the commit index as known before them. A restarted node applies its log up to it. Old data reads as 0.

--- a/internal/agree/raft/elect.go
+++ b/internal/agree/raft/elect.go
@@ -6,7 +6,7 @@
 	if n.state.Term == term && n.state.Vote == vote {
 		return
 	}
-	n.state = HardState{Term: term, Vote: vote}
+	n.state.Term, n.state.Vote = term, vote
 	n.stateDirty = true
 }
 
--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -74,6 +74,7 @@
 		n.log.append(e)
 	}
 	n.log.persisted = n.log.last()
+	n.log.commit = max(n.log.commit, min(stored.State.Commit, n.log.last()))
 	n.becomeFollower(n.state.Term, "")
 	n.electionDeadline = now + n.preVoteDelay()
 	return n
@@ -285,7 +286,8 @@
 		n.out.Committed = slices.Clone(n.log.slice(n.log.delivered+1, n.log.commit))
 		n.log.delivered = n.log.commit
 	}
-	if n.stateDirty {
+	if n.stateDirty || len(n.out.Entries) > 0 {
+		n.state.Commit = n.storableCommit()
 		state := n.state
 		n.out.State = &state
 		n.stateDirty = false
@@ -295,6 +297,20 @@
 	return out
 }
 
+// storableCommit returns the commit index to store with the pending output. It covers
+// only entries that are on disk before: if the write of the new ones is torn, the log
+// on disk may hold others in their place.
+func (n *Node) storableCommit() uint64 {
+	switch {
+	case n.out.Snapshot != nil:
+		return 0
+	case len(n.out.Entries) > 0:
+		return min(n.log.commit, n.out.Entries[0].Index-1)
+	default:
+		return n.log.commit
+	}
+}
+
 func (n *Node) send(m Message) {
 	m.From = n.id
 	if m.Term == 0 {
--- a/internal/agree/raft/types.go
+++ b/internal/agree/raft/types.go
@@ -76,6 +76,9 @@
 type HardState struct {
 	Term uint64 `msgpack:"term"`
 	Vote ID     `msgpack:"vote"`
+	// Commit is the index of an entry that is known to be committed. It may lag
+	// behind. A restarted node can apply the log up to it without a leader.
+	Commit uint64 `msgpack:"commit"`
 }
 
 // Snapshot replaces all entries up to and including Index.
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -145,6 +145,7 @@
 	}
 	c.node = raft.New(c.options.ID, c.options.Timing, stored, now, c.rand)
 	c.applySnapshot(stored.Snapshot.Data)
+	c.takeLogOutput()
 }
 
 // bootstrap returns the initial state of the log. It is identical on every
--- a/internal/proof/dirsim/faults_test.go
+++ b/internal/proof/dirsim/faults_test.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// TestRestartedHostKnowsCommittedVersion restarts a host that has no contact with the
+// others. It must know the version before the newest, which it stored as committed.
+func TestRestartedHostKnowsCommittedVersion(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := newSimulation(t, seed, 3)
+		sim.run(2500)
+		for version := uint64(1); version <= 5; version++ {
+			sim.publishWithRetry(version, ackTimeout)
+			sim.run(500)
+		}
+		addr := hostAddress(int(seed)%3 + 1)
+		sim.isolate(addr, true)
+		sim.powerOff(addr)
+		sim.powerOn(addr)
+		sim.c.Check(sim.hosts[addr].core.Version() >= 4, qt.IsTrue, qt.Commentf("version %d", sim.hosts[addr].core.Version()))
+		sim.c.Check(sim.hosts[addr].core.Current(), qt.IsFalse)
+	}
+}
+
 // TestSplitVoteIsRetriedQuickly starts three of four hosts at the same moment. Each
 // needs the votes of both others, so votes can split. Two pre-votes, each within
 // three quarters of an election timeout, must suffice in nine of ten cases.
