dir/poll: take the first routing table without waiting for a quorum

Cause: a relay that starts took its first table only from a control host in contact with a quorum, or after 2 s without one. After a restart of all hosts it had the servers and dropped all packets for want of a table until a leader was elected.

Change: a relay without a table takes it from the control host that replies first, and turns to another one if that has none. A later table it still takes only from a host in contact with a quorum. A host that has just started is not required to know the newest version, and it never goes back within one run. While it has no table it probes each 60 ms instead of 200.

--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -29,7 +29,7 @@
 	probeInterval = 500 * clock.Millis(1)
 	// startProbeInterval is the probe interval while the entry host has no routing
 	// table.
-	startProbeInterval = 200 * clock.Millis(1)
+	startProbeInterval = 60 * clock.Millis(1)
 	// quorumReplyTTL is how long a reply from a control host in contact with a
 	// quorum counts as recent.
 	quorumReplyTTL = 1500 * clock.Millis(1)
@@ -71,6 +71,8 @@
 	// FetchReply.Current in it.
 	repliedAt clock.Millis
 	current   bool
+	// version is the version of the host's routing table, or 0.
+	version uint64
 	// silent are the servers that the host reported as silent.
 	silent map[string]bool
 }
@@ -128,8 +130,7 @@
 }
 
 // Isolated reports whether no control host in contact with a quorum has replied
-// for isolationTimeout. Then Silent uses the replies of other control hosts too,
-// and HandleReply accepts a first routing table from them.
+// for isolationTimeout. Then Silent uses the replies of other control hosts too.
 func (p *Poller) Isolated(now clock.Millis) bool {
 	return now-max(p.quorumRepliedAt, p.started) > isolationTimeout
 }
@@ -211,7 +212,7 @@
 		h.runID, h.position = r.RunID, 0
 	}
 	h.position = max(h.position, r.Position)
-	h.waitingSince, h.fullPending, h.repliedAt, h.current = 0, false, now, r.Current
+	h.waitingSince, h.fullPending, h.repliedAt, h.current, h.version = 0, false, now, r.Current, r.Version
 	clear(h.silent)
 	for _, id := range r.SilentServers {
 		h.silent[id] = true
@@ -219,7 +220,7 @@
 	if len(r.ControlHosts) > 0 {
 		p.learned = r.ControlHosts
 	}
-	if p.primary == "" || r.Current && address != p.primary && p.primaryUnhealthy(now) {
+	if p.primary == "" || address != p.primary && p.primaryUnhealthy(now) && (r.Current || version == 0 && r.Version > p.hosts[p.primary].version) {
 		// This was the reply to a probe. Poll the new primary at once for the rest.
 		p.primary, p.nextPollAt = address, now
 	}
@@ -229,9 +230,10 @@
 	if r.Current {
 		p.quorumRepliedAt = now
 	}
-	isolated := p.Isolated(now)
 	a := Accepted{Servers: r.Servers}
-	if r.Delta != nil && (r.Current || isolated && version == 0) {
+	// An entry host without a routing table takes the first one, which was in force
+	// once, and a newer one as soon as a quorum has confirmed it.
+	if r.Delta != nil && (r.Current || version == 0) {
 		a.Delta = r.Delta
 	}
 	if address == p.primary && r.Loads != nil {
