wire/link: dial again sooner after the first failures

Cause: a powered-off host answers no SYN.

Change: the timeout starts at 75 ms and the delay at 25 ms; both double with each failure up to the former 300 and 200 ms.

--- a/internal/wire/link/peers.go
+++ b/internal/wire/link/peers.go
@@ -13,13 +13,16 @@
 
 const (
 	peerQueueSize = 1024 // frames for each address
-	// dialTimeout exceeds the round-trip time between data centres. It is short
-	// because a powered-off host does not answer the SYN: all frames queued for its
-	// address wait for the timeout, also those for a process that was started at
-	// that address in the meantime.
-	dialTimeout  = 300 * time.Millisecond
-	writeTimeout = 2 * time.Second
-	redialDelay  = 200 * time.Millisecond
+	// A powered-off host does not answer the SYN, and the kernel resends it only
+	// after a second. All frames queued for its address wait for the timeout, also
+	// those for a process that was started at that address in the meantime. So the
+	// timeout and the delay before the next attempt start short, and double with each
+	// failure up to a maximum, which exceeds the round-trip time between data centres.
+	firstDialTimeout = 75 * time.Millisecond
+	maxDialTimeout   = 300 * time.Millisecond
+	firstRedialDelay = 25 * time.Millisecond
+	maxRedialDelay   = 200 * time.Millisecond
+	writeTimeout     = 2 * time.Second
 )
 
 // Peers sends frames to other processes over one connection for each address,
@@ -105,6 +108,8 @@
 	conn       net.Conn
 	encoder    *frame.Encoder
 	nextDialAt time.Time
+	// failures counts the failed dials since the last connection.
+	failures int
 	// redial makes the sender dial again before the next frame.
 	redial atomic.Bool
 }
@@ -151,18 +156,27 @@
 	if time.Now().Before(s.nextDialAt) {
 		return false
 	}
-	d := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	d := net.Dialer{Timeout: doubled(firstDialTimeout, s.failures, maxDialTimeout), Control: setUserTimeout}
 	conn, err := d.DialContext(s.parent.ctx, "tcp", s.addr)
 	if err != nil {
-		s.nextDialAt = time.Now().Add(redialDelay)
+		s.nextDialAt = time.Now().Add(doubled(firstRedialDelay, s.failures, maxRedialDelay))
+		s.failures++
 		return false
 	}
-	s.conn = conn
+	s.conn, s.failures = conn, 0
 	s.encoder = frame.NewEncoder(s.parent.key)
 	s.parent.wg.Go(func() { s.parent.read(conn) })
 	return true
 }
 
+// doubled returns first, doubled the given number of times, but at most limit.
+func doubled(first time.Duration, times int, limit time.Duration) time.Duration {
+	for ; times > 0 && first < limit; times-- {
+		first *= 2
+	}
+	return min(first, limit)
+}
+
 func (s *sender) closeConn() {
 	if s.conn != nil {
 		_ = s.conn.Close()
