--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -32,8 +32,10 @@
 const (
 	updateQueueSize = 64
 	replyQueueSize  = 256
-	// fetchCheckInterval is the time between checks for fetches that are due.
+	// fetchCheckInterval is the time between checks for fetches that are due, and
+	// startCheckInterval the same while the host has no routing table.
 	fetchCheckInterval = 100 * time.Millisecond
+	startCheckInterval = 30 * time.Millisecond
 	// drainTimeout is how long a stopping host continues to forward. It covers two
 	// failed readiness probes and the packets that routers send until they react.
 	drainTimeout = 2500 * clock.Millis(1)
@@ -184,8 +186,9 @@
 
 // fetch polls the control hosts.
 func (d *Daemon) fetch(ctx context.Context) error {
-	ticker := time.NewTicker(fetchCheckInterval)
+	ticker := time.NewTicker(startCheckInterval)
 	defer ticker.Stop()
+	starting := true
 	d.sendFetches()
 	for {
 		select {
@@ -194,6 +197,10 @@
 		case seeds := <-d.seeds:
 			d.poller.SetSeeds(seeds)
 		case <-ticker.C:
+			if starting && d.version.Load() > 0 {
+				starting = false
+				ticker.Reset(fetchCheckInterval)
+			}
 			d.sendFetches()
 		case body := <-d.replies.Items():
 			d.handleReply(body)
