token/core: report a moved opening packet that is given up

Cause: moving an opening packet to another server cleared the mark of its retransmission, so that it was not reported when the second server did not answer either, and counted as a measurement of the handshake when it did.

Change: the mark stays. Dials stay short for the first eight failures, since a control host can take half a second to start.

--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -318,3 +318,18 @@
 	c.Check(h.Flows(), qt.Equals, 0)
 	c.Check(h.Loads(), qt.HasLen, 0)
 }
+
+// TestMovedOpeningThatIsGivenUpIsReported moves an opening packet to another server,
+// which does not answer either.
+func TestMovedOpeningThatIsGivenUpIsReported(t *testing.T) {
+	c := qt.New(t)
+	h := newCore(1)
+	h.HandlePacket(10, syn(0), true)
+	c.Assert(h.HandlePacket(210, syn(1), true).Reason, qt.Equals, core.MovedFlow)
+	var timeouts []core.Timeout
+	for now := clock.Millis(300); now <= 3000; now += 100 {
+		timeouts = append(timeouts, h.Tick(now)...)
+	}
+	c.Assert(timeouts, qt.HasLen, 1)
+	c.Check(timeouts[0].Established, qt.IsFalse)
+}
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -105,12 +105,13 @@
 	if f.server == s {
 		return
 	}
-	inFlight, requestedAt, active := f.inFlight, f.requestedAt, f.active
+	inFlight, requestedAt, retransmitted, active := f.inFlight, f.requestedAt, f.retransmitted, f.active
 	f.endRequest()
 	f.markInactive()
 	f.server = s
 	if inFlight {
 		f.beginRequest(requestedAt)
+		f.retransmitted = retransmitted
 	}
 	if active {
 		f.markActive()
--- a/internal/wire/link/peers.go
+++ b/internal/wire/link/peers.go
@@ -16,12 +16,14 @@
 	// A powered-off host does not answer the SYN, and the kernel resends it only
 	// after a second. All frames queued for its address wait for the timeout, also
 	// those for a process that was started at that address in the meantime. So the
-	// timeout and the delay before the next attempt start short, and double with each
-	// failure up to a maximum, which exceeds the round-trip time between data centres.
+	// timeout and the delay before the next attempt start short. After quickDials
+	// failures they double with each one up to a maximum, which exceeds the round-trip
+	// time between data centres.
 	firstDialTimeout = 75 * time.Millisecond
 	maxDialTimeout   = 300 * time.Millisecond
 	firstRedialDelay = 25 * time.Millisecond
 	maxRedialDelay   = 200 * time.Millisecond
+	quickDials       = 8
 	writeTimeout     = 2 * time.Second
 )
 
@@ -156,10 +158,10 @@
 	if time.Now().Before(s.nextDialAt) {
 		return false
 	}
-	d := net.Dialer{Timeout: doubled(firstDialTimeout, s.failures, maxDialTimeout), Control: setUserTimeout}
+	d := net.Dialer{Timeout: backoff(firstDialTimeout, s.failures, maxDialTimeout), Control: setUserTimeout}
 	conn, err := d.DialContext(s.parent.ctx, "tcp", s.addr)
 	if err != nil {
-		s.nextDialAt = time.Now().Add(doubled(firstRedialDelay, s.failures, maxRedialDelay))
+		s.nextDialAt = time.Now().Add(backoff(firstRedialDelay, s.failures, maxRedialDelay))
 		s.failures++
 		return false
 	}
@@ -169,9 +171,10 @@
 	return true
 }
 
-// doubled returns first, doubled the given number of times, but at most limit.
-func doubled(first time.Duration, times int, limit time.Duration) time.Duration {
-	for ; times > 0 && first < limit; times-- {
+// backoff returns first, doubled with each failure after quickDials, but at most
+// limit.
+func backoff(first time.Duration, failures int, limit time.Duration) time.Duration {
+	for failures -= quickDials; failures > 0 && first < limit; failures-- {
 		first *= 2
 	}
 	return min(first, limit)
