--- a/internal/cli/cmds/platform.go
+++ b/internal/cli/cmds/platform.go
@@ -15,6 +15,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/conf/site"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	directory "monsooncleat.example/monsooncleat/internal/dir/daemon"
 	relay "monsooncleat.example/monsooncleat/internal/token/daemon"
 	"monsooncleat.example/monsooncleat/platform"
@@ -58,6 +59,7 @@
 	defer signal.Stop(sighups)
 	fs := e.newFlags(name)
 	path := fs.String("settings", platform.SettingsPath(), "settings `FILE` of the platform")
+	policy := fs.String("policy", "", "`FILE` with the mechanisms of the relay to switch off")
 	bind := fs.String("bind", "", "`ADDRESS` to listen on for other hosts, if they reach this one through a proxy")
 	newFactory := logFlags(fs)
 	if err := parse(fs, args, 0); err != nil {
@@ -83,6 +85,12 @@
 		log.Error("Cannot load settings.", "path", *path, "err", err)
 		return err
 	}
+	if *policy != "" {
+		if settings.Off, err = tune.Load(*policy); err != nil {
+			log.Error("Cannot load the policy.", "path", *policy, "err", err)
+			return err
+		}
+	}
 	if *bind != "" {
 		if settings.Bind, err = netip.ParseAddrPort(*bind); err != nil {
 			return fmt.Errorf("%w: %w", errUsage, err)
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 )
 
 // ErrInvalidSettings is returned for settings that are missing or invalid.
@@ -46,6 +47,8 @@
 	// AddressReuseDelay is the minimum time between the end of a server and the
 	// start of another one at the same address.
 	AddressReuseDelay clock.Millis
+	// Off holds the mechanisms of an entry host that are switched off.
+	Off tune.Off
 	// MaxLosses is the number of control hosts that may be lost at once.
 	MaxLosses int
 	// RecoveryTime is the time that a control host has, after a start, before
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -82,6 +82,9 @@
 type Poller struct {
 	name    string
 	started clock.Millis
+	// awaitQuorum refuses a first routing table without a quorum until the entry host
+	// is isolated.
+	awaitQuorum bool
 	// seeds are the addresses from the settings, and learned those from the latest
 	// reply that listed any.
 	seeds         []string
@@ -100,10 +103,11 @@
 }
 
 // New returns a Poller for the entry host called name. Seeds are the addresses of
-// some control hosts.
-func New(name string, seeds []string, now clock.Millis) *Poller {
+// some control hosts. AwaitQuorum makes it wait for a quorum, up to isolationTimeout,
+// before it accepts a first routing table.
+func New(name string, seeds []string, now clock.Millis, awaitQuorum bool) *Poller {
 	return &Poller{
-		name: name, started: now, seeds: slices.Clone(seeds),
+		name: name, started: now, awaitQuorum: awaitQuorum, seeds: slices.Clone(seeds),
 		hosts: map[string]*controlHost{}, pending: map[uint64]string{},
 	}
 }
@@ -233,7 +237,7 @@
 	a := Accepted{Servers: r.Servers}
 	// An entry host without a routing table takes the first one, which was in force
 	// once, and a newer one as soon as a quorum has confirmed it.
-	if r.Delta != nil && (r.Current || version == 0) {
+	if r.Delta != nil && (r.Current || version == 0 && (!p.awaitQuorum || p.Isolated(now))) {
 		a.Delta = r.Delta
 	}
 	if address == p.primary && r.Loads != nil {
--- a/internal/dir/poll/poll_test.go
+++ b/internal/dir/poll/poll_test.go
@@ -67,7 +67,7 @@
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, silent: map[string]bool{"s1": false, "s2": true, "s3": true}}
 	b := &fakeControlHost{runID: 2, silent: map[string]bool{"s1": true, "s2": false, "s3": true}}
-	p := poll.New("entry", []string{hostA, hostB}, 1)
+	p := poll.New("entry", []string{hostA, hostB}, 1, false)
 	simulate(p, 1, 4000, map[string]*fakeControlHost{hostA: a, hostB: b})
 	for id, want := range map[string]bool{"s1": false, "s2": false, "s3": true} {
 		silent, known := p.Silent(4000, id)
@@ -80,7 +80,7 @@
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, current: true, silent: map[string]bool{"s1": true}}
 	b := &fakeControlHost{runID: 2, silent: map[string]bool{"s1": false}}
-	p := poll.New("entry", []string{hostA, hostB}, 1)
+	p := poll.New("entry", []string{hostA, hostB}, 1, false)
 	simulate(p, 1, 4000, map[string]*fakeControlHost{hostA: a, hostB: b})
 	silent, known := p.Silent(4000, "s1")
 	c.Check(known && silent, qt.IsTrue)
@@ -89,7 +89,7 @@
 func TestSilenceUnknownWhenRepliesAreOld(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, current: true, silent: map[string]bool{"s1": false}}
-	p := poll.New("entry", []string{hostA}, 1)
+	p := poll.New("entry", []string{hostA}, 1, false)
 	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: a})
 	a.down = true
 	simulate(p, 2000, 8000, map[string]*fakeControlHost{hostA: a})
@@ -102,7 +102,7 @@
 	a := &fakeControlHost{runID: 1, current: true}
 	b := &fakeControlHost{runID: 2, current: true}
 	hosts := map[string]*fakeControlHost{hostA: a, hostB: b}
-	p := poll.New("entry", []string{hostA, hostB}, 1)
+	p := poll.New("entry", []string{hostA, hostB}, 1, false)
 	simulate(p, 1, 2000, hosts)
 	first := p.Primary()
 	hosts[first].current = false
@@ -114,7 +114,7 @@
 func TestSwitchesPrimaryThatDoesNotReply(t *testing.T) {
 	c := qt.New(t)
 	hosts := map[string]*fakeControlHost{hostA: {runID: 1, current: true}, hostB: {runID: 2, current: true}}
-	p := poll.New("entry", []string{hostA, hostB}, 1)
+	p := poll.New("entry", []string{hostA, hostB}, 1, false)
 	simulate(p, 1, 2000, hosts)
 	first := p.Primary()
 	hosts[first].down = true
@@ -127,17 +127,27 @@
 func TestAcceptsFirstTableWithoutQuorum(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA}, 1)
+	p := poll.New("entry", []string{hostA}, 1, false)
 	acceptedAt := simulate(p, 1, 6000, map[string]*fakeControlHost{hostA: a})
 	c.Check(acceptedAt[3], qt.Equals, clock.Millis(101), qt.Commentf("one probe and one full request"))
 }
 
+// With the wait for a quorum, an entry host without a table accepts one from a control
+// host without a quorum only once it is isolated.
+func TestAwaitsQuorumForFirstTableIfTold(t *testing.T) {
+	c := qt.New(t)
+	a := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
+	p := poll.New("entry", []string{hostA}, 1, true)
+	acceptedAt := simulate(p, 1, 6000, map[string]*fakeControlHost{hostA: a})
+	c.Check(acceptedAt[3] >= 2000, qt.IsTrue, qt.Commentf("accepted at %d", acceptedAt[3]))
+}
+
 // An entry host that has a table takes another one only from a control host that is in
 // contact with a quorum, also when it is isolated for long.
 func TestNeverAcceptsLaterTableWithoutQuorum(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA}, 1)
+	p := poll.New("entry", []string{hostA}, 1, false)
 	simulate(p, 1, 200, map[string]*fakeControlHost{hostA: a})
 	a.delta = &routes.Delta{Version: 4}
 	for now := clock.Millis(200); now < 9000; now += 100 {
@@ -161,7 +171,7 @@
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1}
 	b := &fakeControlHost{runID: 2, down: true, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA, hostB}, 1)
+	p := poll.New("entry", []string{hostA, hostB}, 1, false)
 	hosts := map[string]*fakeControlHost{hostA: a, hostB: b}
 	simulate(p, 1, 200, hosts)
 	b.down = false
@@ -174,7 +184,7 @@
 // one request asks for a new connection.
 func TestSendsOneFullRequestWhileReplyIsInFlight(t *testing.T) {
 	c := qt.New(t)
-	p := poll.New("entry", []string{hostA}, 1)
+	p := poll.New("entry", []string{hostA}, 1, false)
 	h := &fakeControlHost{runID: 1, current: true}
 	fullRequests := 0
 	for now := clock.Millis(1); now < 1100; now += 100 {
@@ -203,7 +213,7 @@
 // entry host without a routing table must probe again soon.
 func TestFindsControlHostThatStartsLater(t *testing.T) {
 	c := qt.New(t)
-	p := poll.New("entry", []string{hostA, hostB}, 1)
+	p := poll.New("entry", []string{hostA, hostB}, 1, false)
 	a := &fakeControlHost{runID: 1, current: true, down: true, delta: &routes.Delta{Version: 3}}
 	simulate(p, 1, 300, map[string]*fakeControlHost{hostA: a})
 	a.down = false
--- a/internal/serve/choose/policy.go
+++ b/internal/serve/choose/policy.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 )
 
 // Policy picks one of several candidates.
@@ -36,6 +37,27 @@
 	MaxLocalExcess float64
 	// ByRequests balances long flows by requests in flight, like short ones.
 	ByRequests bool
+	// IgnoreBackoff treats avoided servers like others.
+	IgnoreBackoff bool
+	// UnlimitedTrials does not limit the flows to a server whose backoff has ended.
+	UnlimitedTrials bool
+}
+
+// Without returns the settings with some mechanisms switched off.
+func (s Settings) Without(off tune.Off) Settings {
+	if off.Has(tune.Sampling) {
+		s.Samples = 0
+	}
+	if off.Has(tune.LocalFirst) {
+		s.MaxLocalUse, s.MaxLocalExcess = -1, 0
+	}
+	if off.Has(tune.LocalExcess) {
+		s.MaxLocalExcess = 0
+	}
+	s.ByRequests = s.ByRequests || off.Has(tune.LongFlows)
+	s.IgnoreBackoff = off.Has(tune.Backoff)
+	s.UnlimitedTrials = off.Has(tune.Trials)
+	return s
 }
 
 // DefaultSettings keep flows in their data centre up to a mean utilization of 65 %,
@@ -67,7 +89,7 @@
 	if best < 0 {
 		best = p.leastLoaded(now, kind, candidates, backend, func(*Backend) bool { return true })
 	}
-	if best >= 0 {
+	if best >= 0 && !p.settings.UnlimitedTrials {
 		backend(candidates[best]).recordPick(now)
 	}
 	return best
@@ -82,7 +104,7 @@
 // compared returns a function that selects the servers to compare: those that are
 // not avoided, of the local data centre unless it has none or is too busy.
 func (p *LeastLoaded[T]) compared(now clock.Millis, candidates []T, backend func(T) *Backend) func(*Backend) bool {
-	usable := func(b *Backend) bool { return !b.Avoided(now) }
+	usable := func(b *Backend) bool { return p.settings.IgnoreBackoff || !b.Avoided(now) }
 	local := func(b *Backend) bool { return usable(b) && b.centre == p.centre }
 	localMean, n := meanUtilization(candidates, backend, local)
 	switch {
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -7,6 +7,7 @@
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/admit"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
@@ -57,6 +58,8 @@
 	DefaultIdleTimeout clock.Millis
 	// MaxFlows is the maximum number of flows tracked.
 	MaxFlows int
+	// Off holds the mechanisms that are switched off.
+	Off tune.Off
 }
 
 // server is one incarnation of a backend server as seen by this host.
@@ -120,7 +123,7 @@
 func New(options Options, r *rand.Rand) *Core {
 	return &Core{
 		options: options, rand: r,
-		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Choice, r),
+		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Choice.Without(options.Off), r),
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
@@ -204,7 +207,7 @@
 	if len(changed) > 0 {
 		c.rebuildServers(now)
 	}
-	if u.Loads != nil {
+	if u.Loads != nil && !c.options.Off.Has(tune.LoadExchange) {
 		c.loadsAt = now
 		c.setRemoteLoads(u.Loads)
 	}
@@ -219,7 +222,7 @@
 
 // updateSilent copies the silent state of the servers from the update.
 func (c *Core) updateSilent(now clock.Millis, u *Update) {
-	if u.Silence == nil {
+	if u.Silence == nil || c.options.Off.Has(tune.QuorumSilence) {
 		return
 	}
 	c.fleet.Each(func(s *fleet.Server) {
@@ -246,7 +249,7 @@
 			c.servers[e.ID] = s
 			c.tokens.Add(e.ID, e.Started, s)
 		}
-		if e.WarmUp > 0 {
+		if e.WarmUp > 0 && !c.options.Off.Has(tune.WarmUp) {
 			s.backend.WarmUp(e.LastAnnounced() + e.WarmUp)
 		}
 		if e.Usable() {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
 
@@ -83,7 +84,7 @@
 	// answered since. In an opening packet, Ack is the number of earlier
 	// transmissions.
 	failed := s.backend.Avoided(now) || s.entry.Silent() || s.hasEnded(now) || p.Ack >= 2 && s.backend.Suspected()
-	if failed {
+	if failed && !c.options.Off.Has(tune.MoveOpenings) {
 		if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), s); other != nil && other != s {
 			f.moveTo(other)
 			c.stats.Moved++
@@ -111,7 +112,7 @@
 	s, known := c.tokens.Find(p.Token)
 	f := c.flows[key]
 	reason := NoReason
-	if f != nil && f.established && sameStream(p.Ack, f.ack) && (!known || s != f.server) {
+	if f != nil && f.established && sameStream(p.Ack, f.ack) && (!known || s != f.server) && !c.options.Off.Has(tune.CorrectTokens) {
 		// The token is unknown, or is that of another server, for example of one that
 		// answered another transmission of the opening packet.
 		s, known, reason = f.server, true, CorrectedToken
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -3,6 +3,7 @@
 import (
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/admit"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
@@ -59,12 +60,16 @@
 	}
 	s = list[index]
 	service := c.admissionOf(s.entry.Service)
-	service.RecordOpening(route.Priority)
+	priority := route.Priority
+	if c.options.Off.Has(tune.Priorities) {
+		priority = 0
+	}
+	service.RecordOpening(priority)
 	o := admit.Opening{
-		Kind: kind, Goal: route.LatencyGoal, Priority: route.Priority,
+		Kind: kind, Goal: route.LatencyGoal, Priority: priority,
 		Load: s.backend.Load(now, choose.Short), MeanLoad: c.policy.MeanUtilization(now, list, backendOf),
 	}
-	admitted = p.Ack > 0 || service.Admit(&o)
+	admitted = p.Ack > 0 || c.options.Off.Has(tune.Admission) || service.Admit(&o)
 	for range refusalAttempts {
 		if admitted {
 			break
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/super"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/site"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	directory "monsooncleat.example/monsooncleat/internal/dir/daemon"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/dir/poll"
@@ -124,9 +125,10 @@
 	}
 	d.core = core.New(core.Options{
 		Centre: settings.Centre, Choice: choose.DefaultSettings, DefaultIdleTimeout: defaultIdleTimeout, MaxFlows: maxFlows,
+		Off:   settings.Off,
 		Fleet: fleet.Options{SilentAfter: noTimeout, ForgetAfter: forgetAfter, Follower: true},
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
-	d.poller = poll.New(settings.Name, settings.SeedAddresses(), source.Now())
+	d.poller = poll.New(settings.Name, settings.SeedAddresses(), source.Now(), settings.Off.Has(tune.FirstTable))
 	d.peers = link.NewPeers(directory.Key, d.onReply)
 	d.forward = newForwarder(d)
 	d.registerMetrics(factory)
@@ -141,7 +143,8 @@
 	tree.Start("fetch", d.fetch)
 	tree.Start("ready", d.serveReadiness)
 	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump, d.ready.Load).Run)
-	d.log.Info("Entry host is up.", "name", d.settings.Name, "packets", d.settings.Packets, "centre", d.settings.Centre)
+	d.log.Info("Entry host is up.", "name", d.settings.Name, "packets", d.settings.Packets, "centre", d.settings.Centre,
+		"off", d.settings.Off.String())
 	select {
 	case <-tree.Done():
 	case <-ctx.Done():
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -12,6 +12,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/token/core"
 	"monsooncleat.example/monsooncleat/internal/token/hold"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
@@ -180,6 +181,9 @@
 		// Clients receive resets at the port number of Settings.Packets.
 		f.send(c, netip.AddrPortFrom(f.packet.From.Addr(), f.d.settings.Packets.Port()))
 	case core.Drop:
+		if f.d.settings.Off.Has(tune.HoldPackets) {
+			return
+		}
 		f.held.Add(now, arrivedAt, datagram)
 	}
 }
