--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -177,7 +177,7 @@
 		n.becomeFollower(n.state.Term, "")
 		return
 	}
-	for _, id := range n.log.conf().members() {
+	for _, id := range n.log.conf().Members() {
 		if id != n.id && n.now-n.progressOf(id).sentAt >= n.timing.Heartbeat {
 			n.progressOf(id).inFlight = false
 			n.sendAppend(id)
@@ -247,7 +247,7 @@
 	e := Entry{Index: n.log.last() + 1, Term: n.state.Term, Kind: kind, Data: data}
 	n.log.append(e)
 	n.out.Entries = append(n.out.Entries, e)
-	for _, id := range n.log.conf().members() {
+	for _, id := range n.log.conf().Members() {
 		if id != n.id {
 			n.sendAppend(id)
 		}
--- a/internal/agree/raft/types.go
+++ b/internal/agree/raft/types.go
@@ -68,7 +68,8 @@
 	return slices.Contains(c.Voters, id) || slices.Contains(c.Learners, id)
 }
 
-func (c Conf) members() []ID {
+// Members returns the voters and the learners.
+func (c Conf) Members() []ID {
 	return append(slices.Clone(c.Voters), c.Learners...)
 }
 
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -16,6 +16,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/loads"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/share"
 	"monsooncleat.example/monsooncleat/internal/dir/tables"
 	"monsooncleat.example/monsooncleat/internal/dir/watch"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
@@ -45,26 +46,15 @@
 const (
 	// joinInterval is the time between two join requests.
 	joinInterval = 250 * clock.Millis(1)
-	// syncInterval is the time between two exchanges of announcements.
-	syncInterval = 300 * clock.Millis(1)
-	// callTimeout is how long a call waits for a quorum. Servers and operators wait
-	// one second before they try another host.
+	// callTimeout is how long a call waits for a quorum. Operators wait one second
+	// before they try another host.
 	callTimeout = 900 * clock.Millis(1)
-	// retryInterval is the time after which an unacknowledged announcement is
-	// resent to the other voters. A request is resent to the leader after twice
-	// this time.
-	retryInterval = 150 * clock.Millis(1)
-	// expireInterval is the time between two checks for silent servers.
-	expireInterval = 500 * clock.Millis(1)
-	// saveInterval is the least time between two writes of the server list.
-	saveInterval = clock.Second
+	// retryInterval is the time after which a request is resent to the leader.
+	retryInterval = 300 * clock.Millis(1)
 	// stallThreshold is the time since the previous tick, message, call or
 	// completed disk write above which a tick assumes that the process was
 	// suspended.
 	stallThreshold = clock.Second
-	// stallGrace is how long no server expires after a start or a stall. It
-	// covers one announcement and one exchange between control hosts.
-	stallGrace = 2 * clock.Second
 )
 
 // Core is the state machine of one control host. It is not safe for concurrent
@@ -97,37 +87,23 @@
 	requests      map[uint64]*request
 	// proposals holds the origins of the entries that this host proposed, by log
 	// index.
-	proposals    map[uint64]proposal
-	replications map[uint64]*replication
-
-	fleet        *fleet.Fleet
-	nextSyncAt   clock.Millis
-	nextExpireAt clock.Millis
-	// noExpireBefore is the end of the grace period after a start or a stall.
-	noExpireBefore clock.Millis
-	// serversSavedAt is when the server list was last output for saving, and
-	// savedPosition the position of the latest change in it.
-	serversSavedAt clock.Millis
-	savedPosition  uint64
-	cursors        map[raft.ID]*syncCursor
+	proposals map[uint64]proposal
 
-	out Output
-}
+	list       *share.List
+	replicator *share.Replicator
 
-// syncCursor is the position up to which the announcements of another control
-// host have been received. It is valid for the run runID of that host only.
-type syncCursor struct {
-	runID    uint64
-	position uint64
+	out Output
 }
 
 // New returns a Core that continues from the state stored on disk.
 func New(options Options, stored raft.Stored, now clock.Millis, r *rand.Rand) *Core {
 	c := &Core{
-		options: options, rand: r, now: now, fleet: fleet.New(options.Fleet),
-		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, replications: map[uint64]*replication{},
-		cursors: map[raft.ID]*syncCursor{}, loads: loads.New(), contacts: watch.New(now), noExpireBefore: now + stallGrace,
+		options: options, rand: r, now: now,
+		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now),
 	}
+	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
+	c.list = share.NewList(options.Fleet, options.RunID, now, group{c}, send)
+	c.replicator = share.NewReplicator(group{c}, send)
 	c.addAddresses(options.Seeds)
 	c.Restart(now, options.ID, stored)
 	return c
@@ -171,7 +147,7 @@
 func (c *Core) Node() *raft.Node { return c.node }
 
 // Fleet returns the known servers. Callers must only read from it.
-func (c *Core) Fleet() *fleet.Fleet { return c.fleet }
+func (c *Core) Fleet() *fleet.Fleet { return c.list.Fleet() }
 
 // Version returns the version of the routing table in force, or 0.
 func (c *Core) Version() uint64 { return c.tables.Version() }
@@ -183,7 +159,7 @@
 }
 
 // Pending returns the number of calls that wait for a quorum.
-func (c *Core) Pending() int { return len(c.requests) + len(c.replications) }
+func (c *Core) Pending() int { return len(c.requests) + c.replicator.Len() }
 
 // AddSeeds adds addresses of control hosts to contact while this host is no
 // member of the log or has no contact with a leader.
@@ -223,7 +199,7 @@
 // Tick advances the time. Call it several times per heartbeat interval.
 func (c *Core) Tick(now clock.Millis) {
 	if now-c.now > stallThreshold {
-		c.noExpireBefore = now + stallGrace
+		c.list.Resume(now)
 	}
 	c.now = now
 	if !c.diskFailed {
@@ -234,7 +210,7 @@
 		c.logStatusChanges()
 	}
 	c.retryRequests()
-	c.retryReplications()
+	c.replicator.Tick(now)
 	c.maintainServers()
 }
 
@@ -275,7 +251,7 @@
 	case e.ReplicateRequest != nil:
 		c.onReplicateRequest(e.ReplicateRequest)
 	case e.ReplicateReply != nil:
-		c.onReplicateReply(e.ReplicateReply)
+		c.replicator.HandleReply(e.ReplicateReply)
 	case e.Sync != nil:
 		c.onSync(e.Sync)
 	case e.SyncReply != nil:
--- a/internal/dir/core/members.go
+++ b/internal/dir/core/members.go
@@ -24,8 +24,7 @@
 func (c *Core) onJoinRequest(m *msgs.JoinRequest) {
 	c.addAddresses([]string{addressOf(m.ID)})
 	conf := c.node.Conf()
-	members := append(slices.Clone(conf.Voters), conf.Learners...)
-	c.sendNow(addressOf(m.ID), &msgs.Envelope{JoinReply: &msgs.JoinReply{Members: members, Leader: c.node.Leader()}})
+	c.sendNow(addressOf(m.ID), &msgs.Envelope{JoinReply: &msgs.JoinReply{Members: conf.Members(), Leader: c.node.Leader()}})
 	if !c.diskFailed && c.node.Leads(c.now) {
 		c.addLearner(m.ID)
 	}
--- a/internal/dir/core/requests.go
+++ b/internal/dir/core/requests.go
@@ -86,7 +86,7 @@
 		case r.version > 0 && r.version <= c.tables.Version():
 			delete(c.requests, id)
 			c.answer(r.callID, Done, nil)
-		case r.sentTo != c.node.Leader() || c.now-r.sentAt >= 2*retryInterval:
+		case r.sentTo != c.node.Leader() || c.now-r.sentAt >= retryInterval:
 			c.sendRequest(id, r)
 		}
 	}
