entry/core: cut out placements, replication, polling, load and counters

A poll reply without control hosts no longer divides by zero; nothing else changes. proof/matrix passes.

--- a/internal/entry/core/answers.go
+++ b/internal/entry/core/answers.go
@@ -5,6 +5,7 @@
 
 	"monsooncleat.example/monsooncleat/internal/ask/ledger"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -15,18 +16,18 @@
 	c.now = now
 	a, err := envel.DecodeAnswer(data)
 	if err != nil {
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 		return
 	}
 	e := c.pendingAttempts[a.Attempt]
 	if e == nil || e.Key.ID != a.ID || e.Stage == ledger.Done {
-		c.counters.Add(AnswersLate, 1)
+		c.counters.Add(count.AnswersLate, 1)
 		return
 	}
 	attempt := e.Attempt(a.Attempt)
 	s := c.services[e.Key.Service]
 	if attempt == nil || s == nil {
-		c.counters.Add(AnswersLate, 1)
+		c.counters.Add(count.AnswersLate, 1)
 		return
 	}
 	if a.Outcome != envel.NotRun {
@@ -36,7 +37,7 @@
 	}
 	attempt.NotRun = true
 	c.closeAttempt(e, attempt, lease.Shed)
-	c.counters.Add(ServerSheds, 1)
+	c.counters.Add(count.ServerSheds, 1)
 	if e.Stage == ledger.Queued || slices.ContainsFunc(e.Attempts, func(other ledger.Attempt) bool { return other.Open }) {
 		return
 	}
@@ -57,7 +58,7 @@
 	retryable := e.Request.Idempotent || !e.MayHaveRun()
 	if retryable && len(e.Attempts) < maxAttempts && s.retryTokens >= 1 && c.now < e.Deadline {
 		s.retryTokens--
-		c.counters.Add(Retries, 1)
+		c.counters.Add(count.Retries, 1)
 		c.enqueue(s, e)
 		return
 	}
@@ -110,13 +111,13 @@
 func (c *Core) countOutcome(s *service, outcome envel.Outcome) {
 	switch outcome {
 	case envel.Answered:
-		s.load.served++
-		c.counters.Add(RequestsAnswered, 1)
+		s.load.Serve()
+		c.counters.Add(count.RequestsAnswered, 1)
 	case envel.NotRun:
-		s.load.refused++
-		c.counters.Add(RequestsRefused, 1)
+		s.load.Refuse()
+		c.counters.Add(count.RequestsRefused, 1)
 	case envel.Unknown:
-		c.counters.Add(RequestsUnknown, 1)
+		c.counters.Add(count.RequestsUnknown, 1)
 	}
 }
 
@@ -132,7 +133,7 @@
 		Idempotent: e.Request.Idempotent, Cancel: true,
 	}
 	packet := inner.BuildUDP(c.opts.Answers, e.ReturnPaths[0].Service, envel.EncodeRequest(&msg))
-	c.counters.Add(Cancels, 1)
+	c.counters.Add(count.Cancels, 1)
 	c.send(c.parseAddr(srv.Info().Address), packet, nil)
 }
 
@@ -179,7 +180,7 @@
 		if attempt := e.Attempt(timer.attempt); attempt != nil && attempt.Open {
 			c.cancelOrInquire(s, e, attempt)
 			c.closeAttempt(e, attempt, lease.TimedOut)
-			c.counters.Add(AttemptsSilent, 1)
+			c.counters.Add(count.AttemptsSilent, 1)
 			c.retryOrWait(s, e)
 		}
 	case timerInquire:
@@ -199,7 +200,7 @@
 func (c *Core) retryOrWait(s *service, e *ledger.Entry) {
 	if len(e.Attempts) < maxAttempts && s.retryTokens >= 1 {
 		s.retryTokens--
-		c.counters.Add(Retries, 1)
+		c.counters.Add(count.Retries, 1)
 		c.enqueue(s, e)
 	}
 }
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -29,11 +29,16 @@
 	"monsooncleat.example/monsooncleat/internal/bundle/chain"
 	"monsooncleat.example/monsooncleat/internal/bundle/sign"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+	"monsooncleat.example/monsooncleat/internal/entry/batch"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/place"
+	"monsooncleat.example/monsooncleat/internal/entry/poll"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/homes"
 	"monsooncleat.example/monsooncleat/internal/host/member"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/serve/roster"
+	"monsooncleat.example/monsooncleat/internal/wire/codec"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
@@ -132,7 +137,7 @@
 	responsibleSince [homes.Buckets]clock.Millis
 	// bucketOwner holds the boot ID of each bucket's owner.
 	bucketOwner [homes.Buckets]table.NameID
-	history     [homes.Buckets]ownerHistory
+	history     [homes.Buckets]place.Owners
 	// addrs caches the fabric addresses of hosts by name, and the parsed form
 	// of server and origin addresses.
 	addrs map[string]netip.AddrPort
@@ -158,7 +163,7 @@
 	interner   *table.Interner
 	flows      *table.Table
 	originIDs  map[netip.AddrPort]table.NameID
-	replicator flowReplicator
+	replicator *batch.Replicator
 
 	ledger       *ledger.Ledger
 	refusedTries *ledger.RefusedTries
@@ -171,11 +176,11 @@
 	// serviceChangedAt is the time at which an address was last moved to
 	// another service.
 	serviceChangedAt   map[spec.Address]clock.Millis
-	control            controlLink
+	control            *poll.Poller
 	nextPull           clock.Millis
 	releaseActivatedAt clock.Millis
 
-	counters   Counters
+	counters   count.Counters
 	decoder    geneve.Decoder
 	parser     inner.Parser
 	datagram   geneve.Datagram
@@ -198,7 +203,8 @@
 	}
 	self := member.Info{Name: opts.Name, Fabric: opts.Fabric, Peer: opts.Peer, Boot: opts.Boot, Incarnation: opts.Boot}
 	c.group = member.New(self, opts.Seeds, opts.Timing, (*gossip)(c), now, r)
-	c.control.init(opts.Controls)
+	c.control = poll.New(opts.Controls, r)
+	c.replicator = batch.New(opts.Name, c.interner, func(host string, f *batch.Frame) { c.sendFrame(host, codec.Exceptions, f) })
 	c.refreshView()
 	return c
 }
@@ -239,7 +245,7 @@
 		// Placements from before serving were computed from an incomplete
 		// server list and never used by any host.
 		for _, s := range c.sortedServices {
-			s.clearHistory()
+			s.places.Clear()
 		}
 		c.group.Enter(member.Serving)
 	}
@@ -287,10 +293,10 @@
 // number. It is called after the other hosts declared this host dead and took
 // over its buckets, because its records may be older than theirs.
 func (c *Core) resetAndRejoin() {
-	c.counters.Add(Deposed, 1)
+	c.counters.Add(count.Deposed, 1)
 	c.opts.Boot = max(c.opts.Boot+1, uint64(c.now))
 	c.flows.Clear()
-	c.replicator = flowReplicator{}
+	c.replicator.Reset()
 	c.leaseHolder.Reset()
 	for _, s := range c.sortedServices {
 		s.clearWork()
@@ -323,7 +329,7 @@
 			return false
 		}
 	}
-	return c.leaving && len(c.pendingAttempts) == 0 && c.replicator.idle() && c.now-c.viewChangedAt >= minLeaveTime
+	return c.leaving && len(c.pendingAttempts) == 0 && c.replicator.Idle() && c.now-c.viewChangedAt >= minLeaveTime
 }
 
 // minLeaveTime is how long a leaving host goes on relaying packets after the
@@ -352,6 +358,9 @@
 	c.sendBuffer = c.sendBuffer[:0]
 }
 
+// Counters returns the event counters since the start of the process.
+func (c *Core) Counters() *count.Counters { return &c.counters }
+
 // Flows returns the number of flow records, including replicas.
 func (c *Core) Flows() int { return c.flows.Len() }
 
@@ -367,7 +376,7 @@
 // packet.
 func (c *Core) send(to netip.AddrPort, packet []byte, relay *geneve.Relay) {
 	if !to.IsValid() {
-		c.counters.Add(Unroutable, 1)
+		c.counters.Add(count.Unroutable, 1)
 		return
 	}
 	start := len(c.sendBuffer)
--- a/internal/entry/core/dump.go
+++ b/internal/entry/core/dump.go
@@ -85,7 +85,7 @@
 	d := &Dump{
 		Role: "entry", Name: c.opts.Name, DataCentre: c.opts.Centre, Version: c.activeVersion(),
 		ReleaseSeq: c.releases.Position().Seq, Digest: c.releases.Position().Digest,
-		ControlSilentFor: now - c.control.lastUpToDateReply, Serving: c.serving, Leaving: c.leaving,
+		ControlSilentFor: now - c.control.UpToDateAt(), Serving: c.serving, Leaving: c.leaving,
 		Fenced: c.fenced(), Ready: c.Ready(), IsFetcher: c.fetcher() == self.Name, View: c.group.Digest(),
 		LeaseWaits: c.leaseKeeper.ServersAwaitingTerm(now), Leases: c.leaseHolder.Leases(), Flows: c.flows.Len(), Requests: c.ledger.Len(),
 		RefusedTries: c.refusedTries.Len(), Counters: c.counters.All(),
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -6,6 +6,7 @@
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -14,7 +15,7 @@
 const (
 	// handoverPeriod is how long a new owner looks up unknown flows at the
 	// previous owner, and how long an owner must have owned a bucket to count
-	// as long-term (see ownerHistory).
+	// as long-term (see place.Owners).
 	handoverPeriod = 10 * clock.Second
 	// hashCandidates is the number of servers tried by hash before falling back
 	// to the least loaded one.
@@ -51,7 +52,7 @@
 	}
 	if in.has(geneve.FlagLookup) && c.owners.Home(bucket) != c.opts.Name {
 		// This is a lookup by the new owner, which lacks the record.
-		c.replicator.enqueue(r)
+		c.replicateSoon(r)
 	} else {
 		c.promoteReplica(r)
 	}
@@ -94,32 +95,32 @@
 		return
 	}
 	if c.declinesNewWork() {
-		c.counters.Add(StoodAside, 1)
+		c.counters.Add(count.StoodAside, 1)
 		return
 	}
 	if target := c.lookupTarget(bucket, in, handoverPeriod); target != "" {
 		if c.hopLimitReached(in) {
 			return
 		}
-		c.counters.Add(FlowsAsked, 1)
+		c.counters.Add(count.FlowsAsked, 1)
 		c.relay(target, p, in, geneve.FlagLookup)
 		return
 	}
 	if s == nil {
-		c.counters.Add(NoService, 1)
+		c.counters.Add(count.NoService, 1)
 		c.refuse(p, in)
 		return
 	}
 	opens := p.Key.Proto() == inner.UDP || p.Opens()
 	if !opens && !c.canAdopt(s, p) {
-		c.counters.Add(FlowsUnknown, 1)
+		c.counters.Add(count.FlowsUnknown, 1)
 		c.refuse(p, in)
 		return
 	}
 	server := c.chooseServer(s, hash, opens)
 	if server == 0 || c.flows.Len() >= c.opts.MaxFlows {
-		s.load.refused++
-		c.counters.Add(FlowsRefused, 1)
+		s.load.Refuse()
+		c.counters.Add(count.FlowsRefused, 1)
 		c.refuse(p, in)
 		return
 	}
@@ -127,10 +128,10 @@
 	if !opens {
 		r.Flags |= table.Adopted
 		r.State = table.Open
-		c.counters.Add(FlowsAdopted, 1)
+		c.counters.Add(count.FlowsAdopted, 1)
 	} else {
-		s.load.served++
-		c.counters.Add(FlowsOpened, 1)
+		s.load.Serve()
+		c.counters.Add(count.FlowsOpened, 1)
 	}
 	c.updateRecord(r, p, in)
 	c.forward(r, p, in)
@@ -144,7 +145,7 @@
 	if s == nil || p.Key.Proto() != inner.TCP || p.Opens() || !c.canAdopt(s, p) {
 		return false
 	}
-	server, currentDefault := c.serverForUnknownFlow(s, hash), s.placement.server(hash)
+	server, currentDefault := c.serverForUnknownFlow(s, hash), s.places.Current().Server(hash)
 	if server == 0 || currentDefault == 0 || currentDefault == server || c.flows.Len() >= c.opts.MaxFlows {
 		return false
 	}
@@ -176,7 +177,7 @@
 	r.ISN, r.LastSeen = p.Seq, c.now
 	if c.isException(s, r) {
 		r.Flags |= table.Exception
-		c.replicator.enqueue(r)
+		c.replicateSoon(r)
 	}
 	s.addFlows(server, 1)
 	return r
@@ -190,7 +191,7 @@
 	if s == nil || c.serviceOf(&r.Key) != s {
 		return true
 	}
-	return s.placement.server(r.Hash()) != r.Server || c.nextOwnerDefault(s, r.Hash()) != r.Server
+	return s.places.Current().Server(r.Hash()) != r.Server || c.nextOwnerDefault(s, r.Hash()) != r.Server
 }
 
 // serviceOf returns the service at the destination address of a flow, or nil.
@@ -208,12 +209,12 @@
 	if !opens {
 		return c.serverForUnknownFlow(s, hash)
 	}
-	if s.table.Len() == 0 {
+	if s.places.Current().Len() == 0 {
 		return 0
 	}
 	for n := range hashCandidates {
-		if i := s.table.Candidate(hash, n); c.acceptsFlow(s, i) {
-			return s.ids[i]
+		if i := s.places.Current().Candidate(hash, n); c.acceptsFlow(s, i) {
+			return s.places.Current().ID(i)
 		}
 	}
 	return c.leastLoaded(s)
@@ -222,21 +223,21 @@
 // acceptsFlow reports whether this host may assign one more flow to the server
 // at index i.
 func (c *Core) acceptsFlow(s *service, i int) bool {
-	count := s.flowsByServer[s.ids[i]]
+	count := s.flowsByServer[s.places.Current().ID(i)]
 	if float64(count) >= c.connectionQuota(s, i) {
 		return false
 	}
 	if c.opts.Disabled.LoadBound {
 		return true
 	}
-	bound := maxLoadFactor * float64(s.flowCount+1) * s.table.Share(i)
+	bound := maxLoadFactor * float64(s.flowCount+1) * s.places.Current().Share(i)
 	return float64(count) < math.Ceil(bound)*c.slowStartFactor(s, i)
 }
 
 // slowStartFactor returns the fraction of its share that the server at index i
 // gets: less than 1 while it is in slow start.
 func (c *Core) slowStartFactor(s *service, i int) float64 {
-	if srv := c.servers.Find(c.interner.Name(s.ids[i])); srv != nil {
+	if srv := c.servers.Find(c.interner.Name(s.places.Current().ID(i))); srv != nil {
 		return srv.SlowStartFactor(c.now)
 	}
 	return 1
@@ -246,7 +247,7 @@
 // server at index i: its part of the server's connection limit.
 func (c *Core) connectionQuota(s *service, i int) float64 {
 	limit := s.spec.MaxConnections()
-	if srv := c.servers.Find(c.interner.Name(s.ids[i])); srv != nil {
+	if srv := c.servers.Find(c.interner.Name(s.places.Current().ID(i))); srv != nil {
 		if n := srv.Info().Connections; n > 0 {
 			limit = min(limit, int(n))
 		}
@@ -261,12 +262,12 @@
 // among those below their connection quota, or zero.
 func (c *Core) leastLoaded(s *service) table.NameID {
 	best, lowest := table.NameID(0), math.Inf(1)
-	for i, id := range s.ids {
+	for i, id := range s.places.Current().IDs() {
 		count := float64(s.flowsByServer[id])
 		if count >= c.connectionQuota(s, i) {
 			continue
 		}
-		if load := (count + 1) / (s.table.Share(i) * c.slowStartFactor(s, i)); load < lowest {
+		if load := (count + 1) / (s.places.Current().Share(i) * c.slowStartFactor(s, i)); load < lowest {
 			best, lowest = id, load
 		}
 	}
@@ -318,14 +319,14 @@
 func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival) {
 	srv := c.servers.Find(c.interner.Name(r.Server))
 	if srv == nil || srv.Ended(c.now) {
-		c.counters.Add(FlowsServerGone, 1)
+		c.counters.Add(count.FlowsServerGone, 1)
 		c.removeFlow(r)
 		c.refuse(p, in)
 		return
 	}
 	info := srv.Info()
 	if info.Service != c.interner.Name(r.Service) && !c.opts.Disabled.ServiceCheck {
-		c.counters.Add(CrossedPrevented, 1)
+		c.counters.Add(count.CrossedPrevented, 1)
 		c.removeFlow(r)
 		c.refuse(p, in)
 		return
@@ -334,7 +335,7 @@
 		c.resetBothEnds(r, p.Key.Dst())
 		return
 	}
-	c.counters.Add(PacketsForwarded, 1)
+	c.counters.Add(count.PacketsForwarded, 1)
 	c.send(c.parseAddr(info.Address), p.Raw, nil)
 }
 
--- a/internal/entry/core/packet.go
+++ b/internal/entry/core/packet.go
@@ -6,6 +6,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/host/homes"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -41,16 +42,16 @@
 	c.now = now
 	d := &c.datagram
 	if c.decoder.Decode(data, d) != nil || c.parser.Parse(d.Inner, &c.packet) != nil {
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 		return
 	}
 	in := arrival{origin: from}
 	if d.Relayed {
 		in = arrival{origin: d.Relay.Origin, relay: d.Relay, relayed: true}
-		c.counters.Add(PacketsRelayedIn, 1)
+		c.counters.Add(count.PacketsRelayedIn, 1)
 		c.pullIfNewer(spec.Version(d.Relay.Version))
 	} else {
-		c.counters.Add(PacketsIn, 1)
+		c.counters.Add(count.PacketsIn, 1)
 		if c.opts.ReturnPort != 0 {
 			in.origin = netip.AddrPortFrom(from.Addr(), c.opts.ReturnPort)
 		}
@@ -70,7 +71,7 @@
 func (c *Core) routePacket(p *inner.Packet, in *arrival) {
 	b := c.releases.Bundle()
 	if b == nil {
-		c.counters.Add(NotReady, 1)
+		c.counters.Add(count.NotReady, 1)
 		return
 	}
 	if in.has(geneve.FlagReplicate) {
@@ -94,7 +95,7 @@
 		return false
 	}
 	if owner == "" {
-		c.counters.Add(NotReady, 1)
+		c.counters.Add(count.NotReady, 1)
 		return true
 	}
 	if in.has(geneve.FlagLookup) {
@@ -113,7 +114,7 @@
 	if b := c.releases.Bundle(); b != nil {
 		relay.Version = uint32(b.Version())
 	}
-	c.counters.Add(PacketsRelayedOut, 1)
+	c.counters.Add(count.PacketsRelayedOut, 1)
 	c.send(c.addrs[host], p.Raw, &relay)
 }
 
@@ -124,7 +125,7 @@
 	if in.relay.Hops < maxHops {
 		return false
 	}
-	c.counters.Add(TooManyHops, 1)
+	c.counters.Add(count.TooManyHops, 1)
 	return true
 }
 
--- a/internal/entry/core/peers.go
+++ b/internal/entry/core/peers.go
@@ -1,12 +1,11 @@
 package core
 
 import (
-	"slices"
-
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/chain"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
 	"monsooncleat.example/monsooncleat/internal/ctrl/msgs"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/host/homes"
 	"monsooncleat.example/monsooncleat/internal/host/member"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
@@ -20,14 +19,7 @@
 	// fullSyncDelay is how long the server lists of two hosts may differ before
 	// a full sync.
 	fullSyncDelay = 3 * clock.Second
-	// pollInterval is the interval at which the fetcher of the data centre polls
-	// the control hosts, and backupPollInterval the mean interval of the others.
-	pollInterval       = 500 * clock.Millis(1)
-	backupPollInterval = 30 * clock.Second
-	pollTimeout        = 1500 * clock.Millis(1)
 	// pullInterval is the minimum interval between pulls from other entry hosts.
-	// It is also the maximum delay of the next poll after an update or after a
-	// reply without a quorum.
 	pullInterval = 300 * clock.Millis(1)
 )
 
@@ -65,7 +57,7 @@
 	c := (*Core)(g)
 	payload, err := codec.Decode[gossipPayload](data)
 	if err != nil {
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 		return
 	}
 	c.servers.Merge(c.now, payload.Servers)
@@ -117,7 +109,7 @@
 	case codec.Applied:
 		handle(c, body, c.onApplied)
 	default:
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 	}
 }
 
@@ -125,7 +117,7 @@
 func handle[T any](c *Core, body []byte, f func(*T)) {
 	m, err := codec.Decode[T](body)
 	if err != nil {
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 		return
 	}
 	f(m)
@@ -175,10 +167,10 @@
 func (c *Core) onUpdate(u *chain.Update) {
 	old := c.releases.Bundle()
 	if err := c.releases.Accept(u); err != nil {
-		c.counters.Add(ReleasesRefused, 1)
+		c.counters.Add(count.ReleasesRefused, 1)
 		return
 	}
-	c.counters.Add(ReleasesAccepted, 1)
+	c.counters.Add(count.ReleasesAccepted, 1)
 	c.releaseActivatedAt = c.now
 	c.out.Release = c.releases.FullUpdate()
 	c.applyBundle(c.releases.Bundle(), old)
@@ -187,7 +179,7 @@
 	if fetcher := c.fetcher(); fetcher != "" && fetcher != c.opts.Name {
 		c.sendFrame(fetcher, codec.Applied, appliedNotice{c.opts.Name, c.releases.Position().Seq, c.activeVersion()})
 	}
-	c.control.nextPoll = min(c.control.nextPoll, c.now+pullInterval)
+	c.control.Soon(c.now)
 }
 
 func (c *Core) onApplied(m *appliedNotice) {
@@ -218,49 +210,19 @@
 	return c.owners.Home(homes.Bucket(nameHash("release")))
 }
 
-// controlLink is the state of polling the control hosts.
-type controlLink struct {
-	addresses []string
-	// addressIndex is the index in addresses of the control host to poll.
-	addressIndex  int
-	nextPoll      clock.Millis
-	sentAt        clock.Millis
-	awaitingReply bool
-	// lastUpToDateReply is the time of the last reply from a control host in
-	// contact with a quorum.
-	lastUpToDateReply clock.Millis
-}
-
-func (l *controlLink) init(addresses []string) { l.addresses = addresses }
-
 // pollControl polls a control host for releases. The fetcher of the data centre
-// polls at short intervals and reports for all entry hosts. The others poll
-// rarely, in case the fetcher cannot reach a control host; a host without a
-// bundle polls as often as the fetcher.
+// reports for all entry hosts.
 func (c *Core) pollControl() {
-	l := &c.control
-	if len(l.addresses) == 0 {
-		return
-	}
-	if l.awaitingReply && c.now-l.sentAt > pollTimeout {
-		l.awaitingReply = false
-		l.addressIndex = (l.addressIndex + 1) % len(l.addresses)
-		l.nextPoll = c.now
-	}
-	if c.now < l.nextPoll || l.awaitingReply {
-		return
-	}
 	isFetcher := c.fetcher() == c.opts.Name
-	l.nextPoll = c.now + backupPollInterval/2 + clock.Millis(c.rand.Int64N(int64(backupPollInterval)))
-	if isFetcher || c.activeVersion() == 0 {
-		l.nextPoll = c.now + pollInterval
+	address := c.control.Due(c.now, isFetcher || c.activeVersion() == 0)
+	if address == "" {
+		return
 	}
-	l.awaitingReply, l.sentAt = true, c.now
-	poll := msgs.Poll{Position: c.releases.Position()}
+	m := msgs.Poll{Position: c.releases.Position()}
 	if isFetcher {
-		poll.Report = c.report()
+		m.Report = c.report()
 	}
-	c.out.Frames = append(c.out.Frames, Frame{l.addresses[l.addressIndex], codec.Encode(codec.Poll, poll)})
+	c.out.Frames = append(c.out.Frames, Frame{address, codec.Encode(codec.Poll, m)})
 }
 
 // report returns the number of live entry hosts of the data centre, their lowest
@@ -290,8 +252,8 @@
 // within healthWindow after activation.
 func (c *Core) health() (healthy bool, reason string) {
 	for name, s := range c.services {
-		served, refused := s.load.served+s.load.lastServed, s.load.refused+s.load.lastRefused
-		if len(s.ids) == 0 && refused >= minRefusals {
+		served, refused := s.load.Recent()
+		if s.places.Current().Len() == 0 && refused >= minRefusals {
 			return false, name + " has no server"
 		}
 		if refused >= minRefusals && refused > served && c.now-c.releaseActivatedAt < healthWindow {
@@ -308,21 +270,10 @@
 	healthWindow = clock.Minute
 )
 
-// onPollReply applies the update of a control host, or switches to the next
-// control host if this one has no contact with a quorum.
+// onPollReply applies the update of a control host that is in contact with a quorum.
 func (c *Core) onPollReply(m *msgs.PollReply) {
-	l := &c.control
-	l.awaitingReply = false
-	if !m.Current {
-		l.addressIndex = (l.addressIndex + 1) % len(l.addresses)
-		l.nextPoll = min(l.nextPoll, c.now+pullInterval)
-		return
-	}
-	l.lastUpToDateReply = c.now
-	if i := slices.Index(l.addresses, m.Leader); i >= 0 {
-		l.addressIndex = i
-	}
-	if m.Update != nil {
+	c.control.HandleReply(c.now, m.Current, m.Leader)
+	if m.Current && m.Update != nil {
 		c.onUpdate(m.Update)
 	}
 }
--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -7,6 +7,7 @@
 	"monsooncleat.example/monsooncleat/internal/ask/ledger"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/hash"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
@@ -62,7 +63,7 @@
 func (c *Core) handleRequest(s *service, p *inner.Packet, in *arrival) {
 	req, err := envel.DecodeRequest(p.Payload)
 	if err != nil || req.Cancel {
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 		return
 	}
 	key := ledger.Key{Service: s.spec.Name(), Client: p.Key.Src().Addr(), ID: req.ID}
@@ -84,7 +85,7 @@
 		return
 	}
 	if c.declinesNewWork() {
-		c.counters.Add(StoodAside, 1)
+		c.counters.Add(count.StoodAside, 1)
 		return
 	}
 	historyKnown := c.historyKnown(bucket, req, in)
@@ -93,7 +94,7 @@
 			if c.hopLimitReached(in) {
 				return
 			}
-			c.counters.Add(RequestsAsked, 1)
+			c.counters.Add(count.RequestsAsked, 1)
 			c.relay(target, p, in, geneve.FlagLookup)
 			return
 		}
@@ -118,9 +119,9 @@
 
 // joinResend handles a resend of a known request.
 func (c *Core) joinResend(s *service, e *ledger.Entry, req *envel.Request, returnTo ledger.ReturnPath) {
-	c.counters.Add(RequestsJoined, 1)
+	c.counters.Add(count.RequestsJoined, 1)
 	if e.Request != nil && e.BodyHash != hash.Bytes(req.Body) {
-		c.counters.Add(RequestsClashed, 1)
+		c.counters.Add(count.RequestsClashed, 1)
 		c.sendAnswer(returnTo, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)})
 		return
 	}
@@ -128,7 +129,7 @@
 		e.Request, e.BodyHash = req, hash.Bytes(req.Body)
 	}
 	if req.Try < e.Request.Try {
-		c.counters.Add(AnswersLate, 1)
+		c.counters.Add(count.AnswersLate, 1)
 		return
 	}
 	// The client only accepts an answer to its latest try.
@@ -167,13 +168,13 @@
 // history, a request that is not idempotent gets the outcome unknown, because
 // another host may have sent it.
 func (c *Core) admitRequest(s *service, key ledger.Key, req *envel.Request, returnTo ledger.ReturnPath, historyKnown bool) {
-	c.counters.Add(RequestsTaken, 1)
+	c.counters.Add(count.RequestsTaken, 1)
 	c.leaseHolder.Arrive(c.now, s.spec.Name())
 	fenced := c.fenced()
 	if !req.Idempotent && (fenced || !historyKnown) {
-		c.counters.Add(RequestsUncertain, 1)
+		c.counters.Add(count.RequestsUncertain, 1)
 		if fenced {
-			c.counters.Add(RequestsFenced, 1)
+			c.counters.Add(count.RequestsFenced, 1)
 		}
 		c.sendAnswer(returnTo, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.Unknown})
 		return
@@ -256,7 +257,7 @@
 func (c *Core) dispatch(s *service, e *ledger.Entry, server string) {
 	srv := c.servers.Find(server)
 	if srv == nil || srv.Info().Service != s.spec.Name() && !c.opts.Disabled.ServiceCheck {
-		c.counters.Add(CrossedPrevented, 1)
+		c.counters.Add(count.CrossedPrevented, 1)
 		c.leaseHolder.Release(c.now, s.spec.Name(), server, 0, lease.Shed)
 		c.complete(s, e, envel.Answer{Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)})
 		return
@@ -271,7 +272,7 @@
 		Idempotent: e.Request.Idempotent, Timeout: remaining, Body: e.Request.Body,
 	}
 	packet := inner.BuildUDP(c.opts.Answers, e.ReturnPaths[0].Service, envel.EncodeRequest(&msg))
-	c.counters.Add(RequestsSent, 1)
+	c.counters.Add(count.RequestsSent, 1)
 	c.sendToServer(e, c.parseAddr(srv.Info().Address), packet)
 	if e.Request.Idempotent {
 		c.requestTimers.Add(c.now+max(minAttemptTimeout, remaining/3), requestTimer{timerAttempt, e.Key, attempt.Number})
@@ -299,7 +300,7 @@
 func (c *Core) recordAndForward(p *inner.Packet, in *arrival) {
 	req, err := envel.DecodeRequest(p.Payload)
 	if err != nil {
-		c.counters.Add(Malformed, 1)
+		c.counters.Add(count.Malformed, 1)
 		return
 	}
 	client, err := netip.ParseAddr(req.Client)
@@ -326,7 +327,7 @@
 	if e.Attempt(req.Attempt) == nil {
 		e.Attempts = append(e.Attempts, ledger.Attempt{Number: req.Attempt, Server: c.serverByAddress(s, in.origin)})
 	}
-	c.counters.Add(RequestsNoted, 1)
+	c.counters.Add(count.RequestsNoted, 1)
 	c.send(in.origin, p.Raw, nil)
 }
 
@@ -344,9 +345,9 @@
 
 // serverByAddress returns the name of the server of s at addr, or "".
 func (c *Core) serverByAddress(s *service, addr netip.AddrPort) string {
-	for _, b := range s.table.Backends() {
-		if srv := c.servers.Find(b.Name); srv != nil && c.parseAddr(srv.Info().Address) == addr {
-			return b.Name
+	for _, name := range s.places.Current().Names() {
+		if srv := c.servers.Find(name); srv != nil && c.parseAddr(srv.Info().Address) == addr {
+			return name
 		}
 	}
 	return ""
@@ -355,7 +356,7 @@
 // replyForServer sends the outcome to the owner in place of the server. The
 // answer is sent without Geneve, as servers send theirs to Options.Answers.
 func (c *Core) replyForServer(p *inner.Packet, req *envel.Request, outcome envel.Outcome) {
-	c.counters.Add(RequestsNoteRefused, 1)
+	c.counters.Add(count.RequestsNoteRefused, 1)
 	a := envel.EncodeAnswer(&envel.Answer{ID: req.ID, Try: req.Try, Attempt: req.Attempt, Outcome: outcome})
 	c.sendBuffer = append(c.sendBuffer, a...)
 	c.out.Datagrams = append(c.out.Datagrams, Datagram{p.Key.Src(), c.sendBuffer[len(c.sendBuffer)-len(a):]})
@@ -372,12 +373,12 @@
 // if the refused try cannot be recorded, because then a duplicate of the packet
 // could still be run later.
 func (c *Core) refuseRequest(s *service, e *ledger.Entry) {
-	s.load.refused++
+	s.load.Refuse()
 	if !c.refusedTries.Add(c.now, e.Key.Hash(), e.Request.Try) {
-		c.counters.Add(RequestsDropped, 1)
+		c.counters.Add(count.RequestsDropped, 1)
 		return
 	}
-	c.counters.Add(RequestsRefused, 1)
+	c.counters.Add(count.RequestsRefused, 1)
 	a := envel.Answer{ID: e.Key.ID, Try: e.Request.Try, Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)}
 	for _, r := range e.ReturnPaths {
 		c.sendAnswer(r, &a)
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -1,11 +1,11 @@
 package core
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/entry/batch"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/member"
 	"monsooncleat.example/monsooncleat/internal/wire/codec"
@@ -33,101 +33,38 @@
 	// formerOwnerRetention is how long after a membership change a host keeps
 	// records of flows of which it is neither owner nor successor.
 	formerOwnerRetention = handoverPeriod + 2*clock.Second
-	// replicationBytesPerSecond and maxReplicationBurstBytes are the rate and the
-	// burst size of the token bucket that limits flow replication.
-	replicationBytesPerSecond = 4000
-	maxReplicationBurstBytes  = 32_000
-	maxItemsPerFrame          = 64
-	// maxQueuedFlows is the maximum length of the replication queue.
-	maxQueuedFlows = 16 * maxItemsPerFrame
-	// itemBytes is the approximate encoded size of a flowItem.
-	itemBytes = 32
 )
 
-// flowItem is one flow in a frame. Service and Server are indexes into
-// flowReplicas.Names.
-type flowItem struct {
-	Key     []byte
-	Service int
-	Server  int
-	Version uint32
-	ISN     uint32
-	State   table.State
-}
-
-// flowReplicas is a frame that replicates flows to another host.
-type flowReplicas struct {
-	From  string
-	Names []string
-	Items []flowItem
-}
-
-// flowReplicator holds the state of flow replication to other hosts.
-type flowReplicator struct {
-	// sweepPending is set until a full sweep has completed after the last change
-	// of the membership, the server list or the bundle.
-	sweepPending bool
-	// queue holds flows to replicate at the next tick.
-	queue      []inner.Key
-	byteBudget float64
-	refilledAt clock.Millis
-	// overBudget is set if a flow was skipped in this sweep because byteBudget
-	// was exhausted.
-	overBudget bool
-	// batches holds the frames under construction, and nameIndex the positions
-	// of names in them, both by target host.
-	batches   map[string]*flowReplicas
-	nameIndex map[string]map[table.NameID]int
-}
-
 // restartSweep begins a full sweep after a change of the membership, the server
 // list or the bundle.
 func (c *Core) restartSweep() {
-	c.replicator.sweepPending, c.replicator.overBudget = true, false
+	c.replicator.RestartSweep()
 	c.flows.Rewind()
 }
 
-// enqueue queues the flow of r for replication at the next tick, if it is an
-// exception then. If the queue is full, a full sweep replicates it.
-func (fr *flowReplicator) enqueue(r *table.Record) {
+// replicateSoon replicates the flow of r at the next tick, if it is an exception then.
+func (c *Core) replicateSoon(r *table.Record) {
 	r.ReplicatedTo = 0
-	if len(fr.queue) < maxQueuedFlows {
-		fr.queue = append(fr.queue, r.Key)
-		return
-	}
-	fr.sweepPending = true
-}
-
-// idle reports whether nothing is left to replicate.
-func (fr *flowReplicator) idle() bool {
-	return !fr.sweepPending && !fr.overBudget && len(fr.queue) == 0
+	c.replicator.Enqueue(r.Key)
 }
 
 // sweepFlows replicates the queued flows and visits the next part of the flow
 // table, to expire, replicate and probe flows.
 func (c *Core) sweepFlows() {
-	fr := &c.replicator
-	fr.byteBudget = min(maxReplicationBurstBytes, fr.byteBudget+replicationBytesPerSecond*float64(c.now-fr.refilledAt)/1000)
-	fr.refilledAt = c.now
-	fr.batches, fr.nameIndex = map[string]*flowReplicas{}, map[string]map[table.NameID]int{}
-	queue := fr.queue
-	fr.queue = nil
+	queue := c.replicator.Begin(c.now)
 	for i := range queue {
 		if r := c.flows.Find(&queue[i], queue[i].Hash()); r != nil {
 			c.replicateFlow(r)
 		}
 	}
 	tableSlots := sweepTableSlots
-	if fr.sweepPending {
+	if c.replicator.SweepPending() {
 		tableSlots = fullSweepTableSlots
 	}
 	if c.flows.Sweep(tableSlots, c.visitFlow) {
-		fr.sweepPending = fr.overBudget
-		fr.overBudget = false
-	}
-	for _, host := range slices.Sorted(maps.Keys(fr.batches)) {
-		c.sendFrame(host, codec.Exceptions, fr.batches[host])
+		c.replicator.SweepDone()
 	}
+	c.replicator.Flush()
 }
 
 // visitFlow removes r if it is expired or no longer needed on this host, and
@@ -198,13 +135,12 @@
 	if r.ReplicatedTo == id && !(isOwner && c.now-r.ReplicatedAt >= c.replicaRefreshInterval(r)) {
 		return
 	}
-	if c.replicator.byteBudget < itemBytes {
-		c.replicator.overBudget = true
+	if !c.replicator.TakeBudget() {
 		return
 	}
-	c.replicator.byteBudget -= itemBytes
 	r.ReplicatedTo, r.ReplicatedAt = id, c.now
-	c.addToBatch(target, r)
+	c.counters.Add(count.FlowsCopied, 1)
+	c.replicator.Add(target, r)
 }
 
 // replicaRefreshInterval is the interval at which the owner replicates a flow
@@ -216,48 +152,14 @@
 	return openingTimeout
 }
 
-// addToBatch adds r to the frame for target, and first sends the frame if it is
-// full.
-func (c *Core) addToBatch(target string, r *table.Record) {
-	fr := &c.replicator
-	batch := fr.batches[target]
-	if batch == nil || len(batch.Items) >= maxItemsPerFrame {
-		if batch != nil {
-			c.sendFrame(target, codec.Exceptions, batch)
-		}
-		batch = &flowReplicas{From: c.opts.Name}
-		fr.batches[target] = batch
-		fr.nameIndex[target] = map[table.NameID]int{}
-	}
-	c.counters.Add(FlowsCopied, 1)
-	batch.Items = append(batch.Items, flowItem{
-		Key:     r.Key.Append(nil),
-		Service: fr.nameIndexOf(target, batch, c.interner, r.Service),
-		Server:  fr.nameIndexOf(target, batch, c.interner, r.Server),
-		Version: r.Version, ISN: r.ISN, State: r.State,
-	})
-}
-
-// nameIndexOf returns the index of a name in batch, and adds the name if
-// necessary.
-func (fr *flowReplicator) nameIndexOf(target string, batch *flowReplicas, interner *table.Interner, id table.NameID) int {
-	i, ok := fr.nameIndex[target][id]
-	if !ok {
-		i = len(batch.Names)
-		batch.Names = append(batch.Names, interner.Name(id))
-		fr.nameIndex[target][id] = i
-	}
-	return i
-}
-
 // onFlowReplicas stores flows from another host: as replicas, or as its own
 // flows if this host is now their owner.
-func (c *Core) onFlowReplicas(m *flowReplicas) {
+func (c *Core) onFlowReplicas(m *batch.Frame) {
 	for i := range m.Items {
 		item := &m.Items[i]
 		key, err := inner.ParseKey(item.Key)
 		if err != nil || item.Service >= len(m.Names) || item.Server >= len(m.Names) || min(item.Service, item.Server) < 0 {
-			c.counters.Add(Malformed, 1)
+			c.counters.Add(count.Malformed, 1)
 			continue
 		}
 		r := c.storeReplica(&key, item, c.interner.ID(m.Names[item.Service]), c.interner.ID(m.Names[item.Server]))
@@ -270,7 +172,7 @@
 // storeReplica stores item, unless this host already owns a record of the flow
 // that was not adopted, or the flow table is full. It returns the record if it is
 // a replica, or else nil.
-func (c *Core) storeReplica(key *inner.Key, item *flowItem, service, server table.NameID) *table.Record {
+func (c *Core) storeReplica(key *inner.Key, item *batch.Item, service, server table.NameID) *table.Record {
 	hash := key.Hash()
 	isOwner := c.owners.Home(c.bucketOf(hash)) == c.opts.Name
 	r := c.flows.Find(key, hash)
@@ -308,7 +210,7 @@
 		return
 	}
 	r.Probes++
-	c.counters.Add(FlowsProbed, 1)
+	c.counters.Add(count.FlowsProbed, 1)
 	probe := inner.Segment{Flags: inner.ACK, Seq: r.Ack - 1, Ack: r.Seq}
 	c.sendToClient(r, inner.BuildTCP(r.Key.Dst(), r.Key.Src(), probe))
 }
@@ -316,7 +218,7 @@
 // resetBothEnds sends a TCP reset to the client and to the server, and removes
 // the flow. It is used when packets no longer reach one of them.
 func (c *Core) resetBothEnds(r *table.Record, serviceAddr netip.AddrPort) {
-	c.counters.Add(FlowsSilent, 1)
+	c.counters.Add(count.FlowsSilent, 1)
 	client := r.Key.Src()
 	c.sendToClient(r, inner.BuildTCP(serviceAddr, client, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Ack, Ack: r.Seq}))
 	if srv := c.servers.Find(c.interner.Name(r.Server)); srv != nil && srv.Info().Service == c.interner.Name(r.Service) {
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -9,6 +9,8 @@
 	"monsooncleat.example/monsooncleat/internal/ask/ledger"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
+	"monsooncleat.example/monsooncleat/internal/entry/meter"
+	"monsooncleat.example/monsooncleat/internal/entry/place"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/homes"
 	"monsooncleat.example/monsooncleat/internal/host/member"
@@ -22,67 +24,18 @@
 type service struct {
 	spec *spec.Service
 	id   table.NameID
-	placement
-	// previous holds the replaced placements, oldest first. truncated is set
-	// once older ones were discarded.
-	previous  []placement
-	truncated bool
+	// places holds the default placements of flows.
+	places place.History
 	// flowsByServer counts the flows that this host owns, and flowCount is
 	// their sum.
 	flowsByServer map[table.NameID]int
 	flowCount     int
 	queue         []*ledger.Entry
-	load          loadMeter
+	load          meter.Meter
 	// retryTokens is the retry budget: each retry takes one token.
 	retryTokens float64
 }
 
-// placement maps flow hashes to default servers during a period of time.
-type placement struct {
-	table *maglev.Table
-	// backends is the list from which table was built, and ids holds the IDs of
-	// table.Backends() by index.
-	backends []maglev.Backend
-	ids      []table.NameID
-	// since is the time at which the placement became active, or zero if it may
-	// have been active before this host started serving. until is the time at
-	// which it was replaced.
-	since, until clock.Millis
-}
-
-// server returns the default server for the hash of a flow, or zero.
-func (p *placement) server(hash uint64) table.NameID {
-	if i := p.table.Index(hash); i >= 0 {
-		return p.ids[i]
-	}
-	return 0
-}
-
-// maxPreviousPlacements is the number of replaced placements kept per service.
-const maxPreviousPlacements = 4
-
-// placementAt returns the placement that was active at the given time. If that
-// placement was discarded, it returns the oldest one kept. If that placement had
-// no server, or there was none, it returns the current one.
-func (s *service) placementAt(at clock.Millis) *placement {
-	if s.truncated && at < s.previous[0].since {
-		return &s.previous[0]
-	}
-	for i := range s.previous {
-		if p := &s.previous[i]; p.since <= at && at < p.until && p.table.Len() > 0 {
-			return p
-		}
-	}
-	return &s.placement
-}
-
-// clearHistory discards the previous placements, as if the current one had
-// always been active.
-func (s *service) clearHistory() {
-	s.previous, s.truncated = nil, false
-	s.placement.since = 0
-}
-
 // clearWork drops the flow counts and the queue.
 func (s *service) clearWork() {
 	clear(s.flowsByServer)
@@ -135,7 +88,7 @@
 	self := c.opts.Name
 	for b := range homes.Buckets {
 		if ownerID := c.bootIDs[c.owners.Home(b)]; ownerID != c.bucketOwner[b] {
-			c.history[b].ownerChanged(c.now, c.now-c.ownerLag(previous, b))
+			c.history[b].Changed(c.now, c.now-c.ownerLag(previous, b), handoverPeriod)
 			c.bucketOwner[b] = ownerID
 		}
 		responsible := c.owners.Home(b) == self || c.owners.Successor(b) == self
@@ -201,20 +154,7 @@
 		info := srv.Info()
 		backends = append(backends, maglev.Backend{Name: info.Name, Weight: max(1, info.Weight)})
 	}
-	if s.table != nil && slices.Equal(backends, s.backends) {
-		return
-	}
-	if s.table != nil {
-		s.placement.until = c.now
-		s.previous = append(s.previous, s.placement)
-		if len(s.previous) > maxPreviousPlacements {
-			s.previous, s.truncated = s.previous[1:], true
-		}
-	}
-	s.placement = placement{table: maglev.New(s.spec.TableSize(), backends), backends: backends, since: c.now}
-	for _, b := range s.table.Backends() {
-		s.ids = append(s.ids, c.interner.ID(b.Name))
-	}
+	s.places.Set(c.now, s.spec.TableSize(), backends, c.interner.ID)
 }
 
 // leaseLimit returns the number of slots to lease out for a server. New is set
@@ -250,7 +190,7 @@
 			s = &service{id: c.interner.ID(svc.Name()), flowsByServer: map[table.NameID]int{}, retryTokens: retryBurst}
 		}
 		if s.spec != nil && s.spec.TableSize() != svc.TableSize() {
-			s.table = nil
+			s.places.DropCurrent()
 		}
 		s.spec = svc
 		next[svc.Name()] = s
--- a/internal/entry/core/counters.go
+++ b/internal/entry/count/count.go
@@ -1,9 +1,10 @@
-package core
+// Package count names the event counters of an entry host and holds their values.
+package count
 
 // Counter identifies an event counter.
 type Counter uint8
 
-// Counters of a Core.
+// Counters of an entry host.
 const (
 	// PacketsIn counts packets from the fabric.
 	PacketsIn Counter = iota
@@ -30,7 +31,7 @@
 	// FlowsUnknown counts mid-stream packets refused for lack of a record.
 	FlowsUnknown
 	// FlowsRefused counts flows refused for lack of a server, or because
-	// Options.MaxFlows was reached.
+	// the limit of flows was reached.
 	FlowsRefused
 	// FlowsServerGone counts flows refused because their server is gone.
 	FlowsServerGone
@@ -101,7 +102,7 @@
 // String returns the counter's name in metrics and dumps.
 func (c Counter) String() string { return counterNames[c] }
 
-// Counters holds the event counters of a Core.
+// Counters holds the values of the event counters. The zero value has counted nothing.
 type Counters struct {
 	values [CounterCount]uint64
 }
@@ -120,6 +121,3 @@
 	}
 	return out
 }
-
-// Counters returns the event counters since the start of the process.
-func (c *Core) Counters() *Counters { return &c.counters }
--- a/internal/entry/daemon/admin.go
+++ b/internal/entry/daemon/admin.go
@@ -12,6 +12,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/serve/roster"
 )
 
@@ -29,7 +30,7 @@
 
 // stats is a copy of the core's counters that other goroutines may read.
 type stats struct {
-	// values holds the counters. Its length must be at least core.CounterCount.
+	// values holds the counters. Its length must be at least count.CounterCount.
 	values [64]atomic.Uint64
 	flows  atomic.Int64
 	ready  atomic.Bool
@@ -39,8 +40,8 @@
 
 // update copies the counters of c. It runs on the goroutine that owns c.
 func (s *stats) update(c *core.Core) {
-	for i := range core.CounterCount {
-		s.values[i].Store(c.Counters().Get(core.Counter(i)))
+	for i := range count.CounterCount {
+		s.values[i].Store(c.Counters().Get(count.Counter(i)))
 	}
 	s.flows.Store(int64(c.Flows()))
 	s.ready.Store(c.Ready())
@@ -49,8 +50,8 @@
 
 // publishMetrics registers the metrics of the host.
 func (d *Daemon) publishMetrics() {
-	for i := range core.CounterCount {
-		d.metrics.Gauge(core.Counter(i).String(), func() int64 { return int64(d.stats.values[i].Load()) })
+	for i := range count.CounterCount {
+		d.metrics.Gauge(count.Counter(i).String(), func() int64 { return int64(d.stats.values[i].Load()) })
 	}
 	d.metrics.Gauge("flows", d.stats.flows.Load)
 	d.metrics.Gauge("packetRingDepth", func() int64 { return int64(d.packets.Depth()) })
--- a/internal/proof/matrix/detect_test.go
+++ b/internal/proof/matrix/detect_test.go
@@ -10,6 +10,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
 	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
 )
 
 // countObservers counts the live hosts that list the host called name in the given
@@ -57,7 +58,7 @@
 	cl.run(clock.Minute)
 	declaredDead := uint64(0)
 	for _, h := range cl.hosts {
-		declaredDead += h.core.Counters().Get(core.Deposed)
+		declaredDead += h.core.Counters().Get(count.Deposed)
 	}
 	t.Logf("measure: with 5%% of messages lost for a minute, live hosts were declared dead %d times", declaredDead)
 	c.Check(declaredDead, qt.Equals, uint64(0))
