lab: compare mechanisms over seeds; explain: group losses by cause

monsooncleat lab -ablate plays each scenario with each mechanism of a relay switched off and prints the paired difference over the seeds with its 95% interval; overload at three times the demand is a scenario. monsooncleat explain -summary groups what the logs of many processes report as refused, dropped or unanswered by cause, service, data centre and second, as a table and, with -plot, as an SVG file.

--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -47,8 +47,8 @@
 		{"member", "add|remove NAME", "add or remove a control host", runMember},
 		{"keys", "operator|shared FILE", "create a key", runKeys},
 		{"dump", "ADDRESS", "print the state of one process", runDump},
-		{"explain", "FLOW LOG...", "explain from logs why a flow failed", runExplain},
-		{"lab", "[-seeds COUNT] [-load NAME]", "compare flow placement strategies in a simulation", runLab},
+		{"explain", "FLOW LOG... | -summary LOG...", "explain from logs why a flow failed, or what was lost", runExplain},
+		{"lab", "[-ablate] [-seeds COUNT] [-load NAME]", "compare strategies and mechanisms in a simulation", runLab},
 		{"check", "entry|control|operator|bundle FILE", "check a settings file or a bundle", runCheck},
 		{"version", "", "print the version", runVersion},
 	}
--- a/internal/cli/cmds/explain.go
+++ b/internal/cli/cmds/explain.go
@@ -5,36 +5,42 @@
 	"errors"
 	"flag"
 	"fmt"
-	"maps"
 	"os"
-	"slices"
 
 	"github.com/rotisserie/eris"
 
 	"monsooncleat.example/monsooncleat/internal/cli/trace"
-	"monsooncleat.example/monsooncleat/internal/lab/simnet"
 )
 
 // runExplain prints the lines of several processes' logs that concern one flow,
 // and the likely cause of its failure.
 func runExplain(_ context.Context, e *env, args []string) error {
 	fs := e.newFlags("explain")
+	summary := fs.Bool("summary", false, "group the losses in all logs by cause, service, data centre and second")
+	plot := fs.String("plot", "", "with -summary, also write a plot over time to the SVG `FILE`")
 	if err := fs.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return err
 		}
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	if fs.NArg() < 2 {
-		return fmt.Errorf("%w: expected a flow and at least one log file", errUsage)
-	}
-	var lines []trace.Line
-	for _, path := range fs.Args()[1:] {
-		logLines, err := readLog(path)
+	switch {
+	case *summary && fs.NArg() < 1:
+		return fmt.Errorf("%w: expected at least one log file", errUsage)
+	case *summary:
+		lines, err := readLogs(fs.Args())
 		if err != nil {
 			return err
 		}
-		lines = append(lines, logLines...)
+		return e.printSummary(trace.Summarize(lines), *plot)
+	case *plot != "":
+		return fmt.Errorf("%w: -plot goes with -summary", errUsage)
+	case fs.NArg() < 2:
+		return fmt.Errorf("%w: expected a flow and at least one log file", errUsage)
+	}
+	lines, err := readLogs(fs.Args()[1:])
+	if err != nil {
+		return err
 	}
 	explanation, err := trace.Explain(fs.Arg(0), lines)
 	if err != nil {
@@ -47,6 +53,42 @@
 	return err
 }
 
+// printSummary prints the losses as a Markdown table and, unless path is empty, plots
+// them.
+func (e *env) printSummary(s *trace.Summary, path string) error {
+	fmt.Fprintln(e.out, "| cause | service | data centre | packets | seconds | most in a second | at |\n| --- | --- | --- | --- | --- | --- | --- |")
+	for _, l := range s.Losses {
+		if _, err := fmt.Fprintf(e.out, "| %s | %s | %s | %d | %d | %d | %s |\n", l.Cause, l.Service, l.Centre, l.Count, len(l.BySecond),
+			l.BySecond[l.Peak], l.Peak.Format("15:04:05")); err != nil {
+			return err
+		}
+	}
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "create plot")
+	}
+	if err := s.Plot(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return eris.Wrap(f.Close(), "write plot")
+}
+
+func readLogs(paths []string) ([]trace.Line, error) {
+	var lines []trace.Line
+	for _, path := range paths {
+		logLines, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, logLines...)
+	}
+	return lines, nil
+}
+
 func readLog(path string) ([]trace.Line, error) {
 	f, err := os.Open(path)
 	if err != nil {
@@ -55,32 +97,3 @@
 	defer f.Close()
 	return trace.Read(path, f)
 }
-
-// runLab simulates each scenario with each flow placement strategy and prints the
-// request outcomes as a Markdown table.
-func runLab(_ context.Context, e *env, args []string) error {
-	fs := e.newFlags("lab")
-	seeds := fs.Int("seeds", 8, "`COUNT` of seeds to simulate")
-	only := fs.String("load", "", "`NAME` of the scenario to simulate: calm, burst, crash, release or cut (default: all)")
-	if err := parse(fs, args, 0); err != nil {
-		return err
-	}
-	if *seeds < 1 {
-		return fmt.Errorf("%w: expected -seeds of at least 1", errUsage)
-	}
-	fmt.Fprintln(e.out, "| scenario | strategy | on time | worst 2 s | failed | shed | p50 ms | p99 ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
-	strategies := simnet.Strategies()
-	for _, scenario := range simnet.Scenarios() {
-		if *only != "" && scenario.Name != *only {
-			continue
-		}
-		for _, name := range slices.Sorted(maps.Keys(strategies)) {
-			summary := simnet.Summarize(scenario, strategies[name], *seeds)
-			if _, err := fmt.Fprintf(e.out, "| %s | %s | %.4f | %.3f | %.1f | %.1f | %d | %d |\n", scenario.Name, name,
-				summary.OnTime, summary.WorstWindow, summary.Failed, summary.Shed, summary.P50, summary.P99); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -147,6 +147,7 @@
 	"serverEnded":  "the server process it was bound to had ended: it left, restarted, or another server took its address",
 	"noServer":     "no server of the service accepted new flows",
 	"noConfig":     "the entry host had no routing table yet",
+	"overloaded":   "its servers could not have answered in time",
 	"unknownToken": "the entry host did not know the server that the packet's token names",
 }
 
--- a/internal/lab/simnet/scenario.go
+++ b/internal/lab/simnet/scenario.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
 
@@ -76,13 +77,15 @@
 	// ExchangeInterval is the interval at which hosts exchange their loads, or 0
 	// for never. It is also the delay until the hosts learn of a replacement.
 	ExchangeInterval clock.Millis
+	// Off holds the mechanisms of the entry hosts that are switched off.
+	Off tune.Off
 	// ExchangeDelay is the age of the loads when an exchange delivers them.
 	ExchangeDelay clock.Millis
 }
 
 // Scenarios returns the scenarios to compare: one without faults (calm), and one
-// each with a burst, crashed servers, a rolling replacement of servers (release)
-// and a partition (cut).
+// each with a burst, crashed servers, a rolling replacement of servers (release),
+// a partition (cut) and three times the usual demand (overload).
 func Scenarios() []Scenario {
 	calm := Scenario{
 		Name: "calm", DataCentres: 4, Hosts: 3, Servers: 4, Slots: 2, Queue: 8, LongFlows: 75, Skew: 0.2, ThinkTime: 950, ShortFlowRate: 21,
@@ -96,7 +99,7 @@
 	release.Name, release.Replaced, release.ReplaceAt = "release", 6, 5000
 	cut := calm
 	cut.Name, cut.CutAt, cut.CutDuration = "cut", 6000, 5500
-	return []Scenario{calm, burst, crash, release, cut}
+	return []Scenario{calm, burst, crash, release, cut, Overload(3, 6000)}
 }
 
 // Overload returns a scenario in which the given multiple of the usual demand is
--- a/internal/lab/simnet/simulation.go
+++ b/internal/lab/simnet/simulation.go
@@ -69,7 +69,7 @@
 	for c := range scenario.DataCentres {
 		for range scenario.Hosts {
 			sim.hosts = append(sim.hosts, &host{c, core.New(core.Options{
-				Centre: centreName(c), Choice: strategy, DefaultIdleTimeout: 15_000, MaxFlows: 100_000,
+				Centre: centreName(c), Choice: strategy, DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: scenario.Off,
 				// Silence is reported by announceServers only.
 				Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
 			}, rand.New(rand.NewPCG(sim.rand.Uint64(), 1)))})
--- a/internal/lab/simnet/simulation_test.go
+++ b/internal/lab/simnet/simulation_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/lab/simnet"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
@@ -76,3 +77,17 @@
 		qt.Check(t, mean >= test.want, qt.IsTrue, qt.Commentf("factor %v: %.3f of the capacity on time, want %.2f", test.factor, mean, test.want))
 	}
 }
+
+// TestCompareIsPaired compares a scenario with itself, and with one that switches off
+// what it depends on.
+func TestCompareIsPaired(t *testing.T) {
+	c := qt.New(t)
+	scenario := simnet.Overload(3, 3000)
+	same := simnet.Compare(scenario, scenario, choose.DefaultSettings, 3)
+	c.Check(same.OnTime.Change, qt.Equals, 0.0)
+	c.Check(same.OnTime.Error, qt.Equals, 0.0)
+	without := scenario
+	without.Off = without.Off.With(tune.Admission)
+	d := simnet.Compare(scenario, without, choose.DefaultSettings, 3)
+	c.Check(d.OnTime.Change+d.OnTime.Error < 0, qt.IsTrue, qt.Commentf("%+v", d))
+}
