--- a/internal/conf/tune/tune.go
+++ b/internal/conf/tune/tune.go
@@ -22,8 +22,6 @@
 	LocalExcess
 	// LongFlows places flows of many requests by the number of such flows.
 	LongFlows
-	// WarmUp counts the load of a server that has just started as higher.
-	WarmUp
 	// LoadExchange uses the loads that other hosts report.
 	LoadExchange
 	// Backoff avoids a server that leaves packets unanswered.
@@ -40,8 +38,6 @@
 	Admission
 	// Priorities refuses less urgent flows at lower loads.
 	Priorities
-	// HoldPackets keeps packets that cannot be routed yet.
-	HoldPackets
 	// FirstTable takes the first routing table without a quorum.
 	FirstTable
 	mechanisms
@@ -49,8 +45,8 @@
 
 // names are the names in settings, in the order of the constants.
 var names = [mechanisms]string{
-	"sampling", "localFirst", "localExcess", "longFlows", "warmUp", "loadExchange", "backoff", "trials",
-	"moveOpenings", "correctTokens", "quorumSilence", "admission", "priorities", "holdPackets", "firstTable",
+	"sampling", "localFirst", "localExcess", "longFlows", "loadExchange", "backoff", "trials",
+	"moveOpenings", "correctTokens", "quorumSilence", "admission", "priorities", "firstTable",
 }
 
 // String returns the name in settings.
--- a/internal/lab/simnet/simulation.go
+++ b/internal/lab/simnet/simulation.go
@@ -178,7 +178,6 @@
 		sim.after(sim.scenario.ReplaceAt+clock.Millis(i)*clock.Second, func() {
 			replacement := sim.addServer(old.centre)
 			replacement.coldUntil = sim.now + coldDuration
-			replacement.record.WarmUp = coldDuration
 			old.record.State, old.record.Seq, old.draining = fleet.Draining, 2, true
 			sim.after(sim.scenario.ExchangeInterval, func() { sim.announceServers(nil) })
 		})
--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -314,11 +314,11 @@
 	if !possible {
 		return
 	}
-	print := e.fingerprint()
+	state := e.fingerprint()
 	x.mu.Lock()
 	x.played++
-	known := x.seen[print]
-	x.seen[print] = true
+	known := x.seen[state]
+	x.seen[state] = true
 	x.mu.Unlock()
 	if !known {
 		e.finish()
--- a/internal/proof/layout/layout_test.go
+++ b/internal/proof/layout/layout_test.go
@@ -18,7 +18,7 @@
 	"/internal/host/homes", "/internal/host/member", "/internal/host/rumor", "/internal/serve/lease",
 	"/internal/serve/maglev", "/internal/serve/roster", "/internal/serve/fleet", "/internal/serve/choose",
 	"/internal/bundle/routes", "/internal/dir/core", "/internal/dir/poll", "/internal/dir/evict", "/internal/dir/tables", "/internal/dir/loads",
-	"/internal/entry/batch", "/internal/entry/meter", "/internal/entry/place", "/internal/entry/poll", "/internal/dir/share", "/internal/dir/watch", "/internal/serve/admit", "/internal/token/hold",
+	"/internal/entry/batch", "/internal/entry/meter", "/internal/entry/place", "/internal/entry/poll", "/internal/dir/share", "/internal/dir/watch", "/internal/serve/admit",
 	"/internal/token/tokens", "/internal/token/core", "/internal/lab/simnet",
 }
 
--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -21,8 +21,6 @@
 	// trialInterval is the time between trial flows to a server whose backoff has
 	// ended. It covers the first retransmission of an opening packet.
 	trialInterval = 400 * clock.Millis(1)
-	// warmUpFactor multiplies the load of a server that is warming up.
-	warmUpFactor = 1.6
 	// inFlightWeight is the weight of a request in flight relative to a long flow.
 	// Requests in flight decide between servers with similar numbers of long flows,
 	// and outweigh those numbers where requests queue up.
@@ -43,9 +41,8 @@
 
 // Backend is the load and the health of one server as seen by one host.
 type Backend struct {
-	slots       int
-	centre      string
-	warmUpUntil clock.Millis
+	slots  int
+	centre string
 
 	// inFlight is the number of requests in flight that this host forwarded.
 	inFlight int
@@ -69,9 +66,6 @@
 	return &Backend{slots: max(slots, 1), centre: centre}
 }
 
-// WarmUp marks the server as warming up, and therefore slow, until end.
-func (b *Backend) WarmUp(end clock.Millis) { b.warmUpUntil = end }
-
 // SetRemoteLoad sets the load from all other hosts.
 func (b *Backend) SetRemoteLoad(load Load) { b.remote = load }
 
@@ -142,14 +136,11 @@
 // Load returns the load per slot of the server with one more flow of the given
 // kind: the requests in flight for Short, the weighted sum of long flows and
 // requests in flight for Long.
-func (b *Backend) Load(now clock.Millis, kind Kind) float64 {
+func (b *Backend) Load(kind Kind) float64 {
 	load := (float64(b.inFlight) + float64(b.remote.InFlight) + 1) / float64(b.slots)
 	if kind == Long {
 		load = (float64(b.flows)+float64(b.remote.Flows)+1)/float64(b.slots) + inFlightWeight*load
 	}
-	if now < b.warmUpUntil {
-		load *= warmUpFactor
-	}
 	return load
 }
 
--- a/internal/serve/choose/policy.go
+++ b/internal/serve/choose/policy.go
@@ -85,9 +85,9 @@
 	if p.settings.ByRequests {
 		kind = Short
 	}
-	best := p.leastLoaded(now, kind, candidates, backend, p.compared(now, candidates, backend))
+	best := p.leastLoaded(kind, candidates, backend, p.compared(now, candidates, backend))
 	if best < 0 {
-		best = p.leastLoaded(now, kind, candidates, backend, func(*Backend) bool { return true })
+		best = p.leastLoaded(kind, candidates, backend, func(*Backend) bool { return true })
 	}
 	if best >= 0 && !p.settings.UnlimitedTrials {
 		backend(candidates[best]).recordPick(now)
@@ -133,7 +133,7 @@
 
 // leastLoaded returns the index of the least loaded candidate among a random
 // sample of the eligible ones, or -1.
-func (p *LeastLoaded[T]) leastLoaded(now clock.Millis, kind Kind, candidates []T, backend func(T) *Backend,
+func (p *LeastLoaded[T]) leastLoaded(kind Kind, candidates []T, backend func(T) *Backend,
 	eligible func(*Backend) bool,
 ) int {
 	n := len(candidates)
@@ -148,7 +148,7 @@
 		if !eligible(b) {
 			continue
 		}
-		load := b.Load(now, kind)
+		load := b.Load(kind)
 		if b.centre != p.centre {
 			load += p.settings.RemotePenalty
 		}
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -47,8 +47,6 @@
 	// Slots is the number of requests that the server processes concurrently.
 	Slots int   `msgpack:"slots"`
 	State State `msgpack:"state"`
-	// WarmUp is the remaining time for which the server is slow after its start.
-	WarmUp clock.Millis `msgpack:"warmUp"`
 }
 
 // supersedes reports whether r is newer than old, a record of the same server.
@@ -66,7 +64,7 @@
 // depends on.
 func (r *Record) equivalent(old *Record) bool {
 	return r.Started == old.Started && r.Service == old.Service && r.Address == old.Address &&
-		r.Centre == old.Centre && r.Slots == old.Slots && r.State == old.State && (r.WarmUp > 0) == (old.WarmUp > 0)
+		r.Centre == old.Centre && r.Slots == old.Slots && r.State == old.State
 }
 
 // Server is the latest record of a server and its liveness, derived by this host
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -249,9 +249,6 @@
 			c.servers[e.ID] = s
 			c.tokens.Add(e.ID, e.Started, s)
 		}
-		if e.WarmUp > 0 && !c.options.Off.Has(tune.WarmUp) {
-			s.backend.WarmUp(e.LastAnnounced() + e.WarmUp)
-		}
 		if e.Usable() {
 			c.services[e.Service] = append(c.services[e.Service], s)
 		}
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -48,7 +48,7 @@
 		c.stats.DroppedNoServer++
 		return Action{Verdict: Drop, Reason: NoServer}
 	}
-	load := s.backend.Load(now, kind)
+	load := s.backend.Load(kind)
 	if !admitted {
 		c.stats.ResetOverloaded++
 		return Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.entry.Service, Load: load}
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -12,9 +12,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
-	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/token/core"
-	"monsooncleat.example/monsooncleat/internal/token/hold"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
 )
 
@@ -47,10 +45,6 @@
 	// confirmedAt is the latest update.confirmedAt received, or 0 if there was none.
 	confirmedAt clock.Millis
 	tickedAt    clock.Millis
-	// held are packets that could not be routed when they arrived, and retryHeld is
-	// set when an update may have changed that.
-	held      hold.Buffer
-	retryHeld bool
 	// These limit the rate of log lines.
 	decisionLimiters map[core.Reason]*logs.Limiter
 	timeoutLimiter   *logs.Limiter
@@ -107,7 +101,6 @@
 		return
 	}
 	f.confirmedAt = max(f.confirmedAt, u.confirmedAt)
-	f.retryHeld = f.held.Len() > 0
 	for _, s := range f.d.core.Learn(now, &u.changes) {
 		if omitted, ok := f.serverLimiter.Allow(now); ok {
 			f.d.log.Info("Server known.", "id", s.ID, "state", s.State.String(), "started", int64(s.Started), "seq", s.Seq,
@@ -151,22 +144,9 @@
 	if f.d.updates.Depth() > 0 {
 		f.runPeriodic(now)
 	}
-	if f.retryHeld {
-		f.retryHeld = false
-		for _, p := range f.held.Take(now) {
-			f.route(c, now, p.ArrivedAt, p.Datagram)
-		}
-	}
-	f.route(c, now, now, datagram)
-	return gnet.None
-}
-
-// route decides on a packet and carries out the decision. A packet that cannot be
-// routed yet is held until the next update.
-func (f *forwarder) route(c gnet.Conn, now, arrivedAt clock.Millis, datagram []byte) {
 	if !f.d.codec.Decode(datagram, &f.packet) {
 		f.d.log.Warn("Received an invalid datagram.", "bytes", len(datagram))
-		return
+		return gnet.None
 	}
 	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL
 	a := f.d.core.HandlePacket(now, &f.packet, upToDate)
@@ -181,11 +161,8 @@
 		// Clients receive resets at the port number of Settings.Packets.
 		f.send(c, netip.AddrPortFrom(f.packet.From.Addr(), f.d.settings.Packets.Port()))
 	case core.Drop:
-		if f.d.settings.Off.Has(tune.HoldPackets) {
-			return
-		}
-		f.held.Add(now, arrivedAt, datagram)
 	}
+	return gnet.None
 }
 
 func (f *forwarder) send(c gnet.Conn, to netip.AddrPort) {
