--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -333,3 +333,18 @@
 	c.Assert(timeouts, qt.HasLen, 1)
 	c.Check(timeouts[0].Established, qt.IsFalse)
 }
+
+// TestNeverGoesBackToAnOlderTable offers tables in a random order, as from control hosts
+// of which some lag behind. The version in force must never decrease.
+func TestNeverGoesBackToAnOlderTable(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		h := newCore(seed)
+		for now := clock.Millis(10); now < 400; now += 10 {
+			before, offered := h.Version(), uint64(1+r.IntN(20))
+			accepted := h.Configure(now, table(offered, routeX))
+			qt.Check(t, accepted, qt.Equals, offered > before)
+			qt.Check(t, h.Version(), qt.Equals, max(before, offered))
+		}
+	}
+}
