--- a/internal/serve/admit/admit.go
+++ b/internal/serve/admit/admit.go
@@ -3,9 +3,9 @@
 // flow makes the queues longer until all requests are late.
 //
 // Requests on open flows cannot be refused, so openings leave room for them. A flow
-// that carries many requests is judged by the mean load of all servers, a flow of
-// one request by the load of the server that would take it. Where routes differ in
-// priority, less urgent ones are refused at lower loads.
+// that carries many requests is judged by the mean load of the servers that it could
+// go to, a flow of one request by the load of the server that would take it. Where
+// routes differ in priority, less urgent ones are refused at lower loads.
 package admit
 
 import (
@@ -19,7 +19,7 @@
 const (
 	urgentShare = 0.5
 	otherShare  = 0.25
-	// longShare bounds the mean over all servers for a flow of many requests.
+	// longShare bounds the mean load, for a flow of many requests.
 	longShare = 0.2
 )
 
@@ -45,7 +45,8 @@
 	// Load is the number of requests in flight per slot on the selected server, with
 	// this one.
 	Load float64
-	// MeanLoad is the same over all servers that take new flows, without this one.
+	// MeanLoad is the mean of the same over the servers that were compared, without
+	// this one.
 	MeanLoad float64
 }
 
@@ -91,20 +92,21 @@
 
 // Admit reports whether a new flow may open.
 func (s *Service) Admit(o *Opening) bool {
-	if _, measured := s.responses.value(); !measured {
+	_, measured := s.responses.value()
+	switch {
+	case !measured:
 		return true
-	}
-	if o.Load > maxLoad || o.Goal == 0 {
-		return o.Load <= maxLoad
-	}
-	share := urgentShare
-	if !s.mostUrgent(o.Priority) {
-		share = otherShare
-	}
-	if o.Kind == choose.Long && o.MeanLoad > s.limit(o.Goal, longShare) {
+	case o.Load > maxLoad:
+		return false
+	case o.Goal == 0:
+		return true
+	case o.Kind == choose.Long && o.MeanLoad > s.limit(o.Goal, longShare):
 		return false
+	case s.mostUrgent(o.Priority):
+		return o.Load <= s.limit(o.Goal, urgentShare)
+	default:
+		return o.Load <= s.limit(o.Goal, otherShare)
 	}
-	return o.Load <= s.limit(o.Goal, share)
 }
 
 // limit returns the load per slot at which the expected wait takes the given share of
