token/core: compute the mean load for long flows only

Found in the last reading: the mean over the servers was computed for each opening packet, though only flows of many requests are judged by it. The constants of entry/poll have no user outside and are unexported; resignTimeout stood between the two constants of the log's timing that one comment describes. No decision changes.

--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -47,10 +47,10 @@
 	// must complete within the second that servers and operators wait for an
 	// acknowledgement.
 	heartbeatInterval = 150 * clock.Millis(1)
+	electionTimeout   = 600 * clock.Millis(1)
 	// resignTimeout is how long a stopping host waits for the others to take its
 	// vote. It covers an election and the commit of the new membership.
-	resignTimeout   = 1200 * clock.Millis(1)
-	electionTimeout = 600 * clock.Millis(1)
+	resignTimeout = 1200 * clock.Millis(1)
 )
 
 // Key authenticates the frames between hosts. It is not a secret, since the
--- a/internal/entry/poll/poll.go
+++ b/internal/entry/poll/poll.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// Interval is the interval at which the fetcher of the data centre polls
+	// interval is the interval at which the fetcher of the data centre polls
 	// the control hosts, and backupInterval the mean interval of the others.
-	Interval       = 500 * clock.Millis(1)
+	interval       = 500 * clock.Millis(1)
 	backupInterval = 30 * clock.Second
 	timeout        = 1500 * clock.Millis(1)
-	// SoonDelay is the maximum delay of the next poll after an update or after a
+	// soonDelay is the maximum delay of the next poll after an update or after a
 	// reply without a quorum.
-	SoonDelay = 300 * clock.Millis(1)
+	soonDelay = 300 * clock.Millis(1)
 )
 
 // Poller schedules the polls. It is not safe for concurrent use.
@@ -58,7 +58,7 @@
 	}
 	p.nextAt = now + backupInterval/2 + clock.Millis(p.rand.Int64N(int64(backupInterval)))
 	if frequent {
-		p.nextAt = now + Interval
+		p.nextAt = now + interval
 	}
 	p.awaitingReply, p.sentAt = true, now
 	return p.addresses[p.index]
@@ -67,7 +67,7 @@
 func (p *Poller) next() { p.index = (p.index + 1) % len(p.addresses) }
 
 // Soon brings the next poll forward, after an update.
-func (p *Poller) Soon(now clock.Millis) { p.nextAt = min(p.nextAt, now+SoonDelay) }
+func (p *Poller) Soon(now clock.Millis) { p.nextAt = min(p.nextAt, now+soonDelay) }
 
 // HandleReply records a reply. Current is set if the control host is in contact with a
 // quorum; if not, the next control host is polled soon. Leader is the address of the
--- a/internal/serve/admit/admit.go
+++ b/internal/serve/admit/admit.go
@@ -46,7 +46,7 @@
 	// this one.
 	Load float64
 	// MeanLoad is the mean of the same over the servers that were compared, without
-	// this one.
+	// this one. It is used for long flows only.
 	MeanLoad float64
 }
 
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -67,7 +67,10 @@
 	service.RecordOpening(priority)
 	o := admit.Opening{
 		Kind: kind, Goal: route.LatencyGoal, Priority: priority,
-		Load: s.backend.Load(choose.Short), MeanLoad: c.policy.MeanUtilization(now, list, backendOf),
+		Load: s.backend.Load(choose.Short),
+	}
+	if kind == choose.Long {
+		o.MeanLoad = c.policy.MeanUtilization(now, list, backendOf)
 	}
 	admitted = p.Ack > 0 || c.options.Off.Has(tune.Admission) || service.Admit(&o)
 	for range refusalAttempts {
