dir/core: log and count the voters that are silent while no leader is known

Nothing in the logs of a control host without a quorum said which votes were missing: after the last "Leader changed." with an empty leader only the refused calls followed.

A host that knows no leader now logs every 2 s its term, last entry, commit index, whether a membership change is pending, and how long each voter has been silent. The metrics logVoters and logVotersSilent show a vote too many before it does harm. No decision changes.

--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -97,7 +97,7 @@
 // routing table, its peers, its disk, and its start and stop.
 var hostMessages = []string{
 	"Routing table in force.", "Control host", "Ready.", "Stopping.", "Entry host is", "News were lost.",
-	"Contact with the quorum changed.", "Disk", "Settings reloaded.",
+	"Contact with the quorum changed.", "No leader is known.", "Disk", "Settings reloaded.",
 }
 
 // Explain selects the lines about a flow, which is given as the client's address
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -79,9 +79,7 @@
 	// resigning is set after Resign, and resigned once the others have removed the
 	// vote of this host.
 	resigning, resigned bool
-	// lastLeader and wasCurrent are the values logged last.
-	lastLeader raft.ID
-	wasCurrent bool
+	status              status
 
 	lastRequestID uint64
 	requests      map[uint64]*request
@@ -99,7 +97,7 @@
 func New(options Options, stored raft.Stored, now clock.Millis, r *rand.Rand) *Core {
 	c := &Core{
 		options: options, rand: r, now: now,
-		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now),
+		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now), status: status{leaderSeenAt: now},
 	}
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
 	c.list = share.NewList(options.Fleet, options.RunID, now, group{c}, send)
@@ -207,24 +205,13 @@
 		c.requestJoin()
 		c.requestResignation()
 		c.updateMembership()
-		c.logStatusChanges()
+		c.logStatus()
 	}
 	c.retryRequests()
 	c.replicator.Tick(now)
 	c.maintainServers()
 }
 
-func (c *Core) logStatusChanges() {
-	if leader := c.node.Leader(); leader != c.lastLeader {
-		c.lastLeader = leader
-		c.logLine("Leader changed.", "leader", leader, "term", c.node.Term(), "commit", c.node.Commit())
-	}
-	if current := c.Current(); current != c.wasCurrent {
-		c.wasCurrent = current
-		c.logLine("Contact with the quorum changed.", "current", current, "leader", c.node.Leader())
-	}
-}
-
 // HandleMessage handles one message from another host.
 func (c *Core) HandleMessage(now clock.Millis, from ReplyHandle, e *msgs.Envelope) {
 	c.now = now
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -120,10 +120,12 @@
 	publishTime *admin.Histogram
 	logLimiter  *logs.Limiter
 
-	// version, current and servers are copies of the core's state for the metrics.
-	version atomic.Uint64
-	current atomic.Int64
-	servers atomic.Int64
+	// The fields below are copies of the core's state for the metrics.
+	version      atomic.Uint64
+	current      atomic.Int64
+	voters       atomic.Int64
+	silentVoters atomic.Int64
+	servers      atomic.Int64
 
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
@@ -260,6 +262,8 @@
 func (d *Daemon) updateMetrics() {
 	d.version.Store(d.core.Version())
 	d.servers.Store(int64(d.core.Fleet().Len()))
+	d.voters.Store(int64(len(d.core.Node().Conf().Voters)))
+	d.silentVoters.Store(int64(d.core.SilentVoters()))
 	d.current.Store(0)
 	if d.core.Current() {
 		d.current.Store(1)
--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -20,6 +20,8 @@
 		"framesDropped":    func() int64 { return int64(d.peers.Dropped()) },
 		"configVersion":    func() int64 { return int64(d.version.Load()) },
 		"logCurrent":       func() int64 { return d.current.Load() },
+		"logVoters":        func() int64 { return d.voters.Load() },
+		"logVotersSilent":  func() int64 { return d.silentVoters.Load() },
 		"serversKnown":     func() int64 { return d.servers.Load() },
 	}
 	for name, read := range gauges {
