proof/dirsim: kill a replaced host, and lose disks while all others lose power

The explorer gets the steps kill (such a removal), wipeAll (as many disks as must be borne, while all hosts lose power) and ackWipeAll (the same right after an acknowledgement), also while membership changes, and groups of 5 and 8 hosts that must bear 2 losses.

--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -31,8 +31,7 @@
 	silentAfter = 3600
 	forgetAfter = 90_000
 	reuseAfter  = 2000
-	// maxLosses and evictAfter are the options of core.Options.
-	maxLosses  = 1
+	// evictAfter is the option of core.Options.
 	evictAfter = 2000
 	// resignTimeout is how long a host that stops waits for its resignation.
 	resignTimeout = 1200
@@ -97,6 +96,8 @@
 	rand   *rand.Rand
 	hosts  map[string]*host
 	seeds  []string
+	// maxLosses is the option of core.Options.
+	maxLosses int
 	// cutLinks holds the directed links, as sender and receiver, that drop all
 	// messages.
 	cutLinks map[[2]string]bool
@@ -127,10 +128,16 @@
 
 func hostAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
 
-// newSimulation starts n hosts. The first three are seeds.
+// newSimulation starts n hosts that must bear one loss at once. The first three are
+// seeds.
 func newSimulation(t *testing.T, seed uint64, n int) *simulation {
+	return newSimulationWithLosses(t, seed, n, 1)
+}
+
+// newSimulationWithLosses starts n hosts that must bear maxLosses losses at once.
+func newSimulationWithLosses(t *testing.T, seed uint64, n, maxLosses int) *simulation {
 	sim := &simulation{
-		c: qt.New(t), now: 1, rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*host{},
+		c: qt.New(t), now: 1, rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*host{}, maxLosses: maxLosses,
 		cutLinks: map[[2]string]bool{}, answers: map[core.CallID]func(core.Answer){},
 		leaders: map[uint64]raft.ID{}, votes: map[vote]raft.ID{}, committed: map[uint64]uint64{},
 	}
@@ -165,7 +172,7 @@
 		ID: raft.ID(h.address + "/" + h.disk.identity), Seeds: sim.seeds, RunID: sim.lastRunID,
 		Timing:    raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
 		Fleet:     fleet.Options{SilentAfter: silentAfter, ForgetAfter: forgetAfter, ReuseAfter: reuseAfter},
-		MaxLosses: maxLosses, EvictAfter: evictAfter,
+		MaxLosses: sim.maxLosses, EvictAfter: evictAfter,
 	}
 	if founder {
 		for _, s := range sim.seeds {
--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/dir/core"
 )
 
 var (
@@ -23,14 +25,18 @@
 )
 
 // history is a sequence of steps on a number of hosts. It is written as, for
-// example, "4/1 add+ retire:leader wipe:follower+": hosts and seed, then the steps, a
-// plus sign for a long pause after one.
+// example, "4/1/7 add+ retire:leader wipe:follower+": hosts, losses that they must bear
+// at once, and seed, then the steps, a plus sign for a long pause after one.
 type history struct {
-	hosts int
-	seed  uint64
-	steps []step
+	hosts, losses int
+	seed          uint64
+	steps         []step
 }
 
+// groups are the numbers of hosts that are explored, with the losses that they must
+// bear at once.
+var groups = []history{{hosts: 3, losses: 1}, {hosts: 4, losses: 1}, {hosts: 5, losses: 1}, {hosts: 5, losses: 2}}
+
 // step is an action, on a host that is selected by role, and the pause after it.
 type step struct {
 	action string
@@ -50,7 +56,7 @@
 }
 
 func (h history) String() string {
-	out := fmt.Sprintf("%d/%d", h.hosts, h.seed)
+	out := fmt.Sprintf("%d/%d/%d", h.hosts, h.losses, h.seed)
 	for _, s := range h.steps {
 		out += " " + s.String()
 	}
@@ -60,7 +66,7 @@
 func parseHistory(c *qt.C, text string) history {
 	var h history
 	fields := strings.Fields(text)
-	_, err := fmt.Sscanf(fields[0], "%d/%d", &h.hosts, &h.seed)
+	_, err := fmt.Sscanf(fields[0], "%d/%d/%d", &h.hosts, &h.losses, &h.seed)
 	c.Assert(err, qt.IsNil)
 	for _, f := range fields[1:] {
 		var s step
@@ -78,7 +84,7 @@
 		for _, action := range []string{"publish", "add", "powerAll"} {
 			out = append(out, step{action, "", long})
 		}
-		for _, action := range []string{"retire", "lose", "wipe", "power", "freeze", "cut"} {
+		for _, action := range []string{"retire", "kill", "lose", "wipe", "wipeAll", "ackWipeAll", "power", "freeze", "cut"} {
 			for _, role := range []string{"leader", "follower"} {
 				out = append(out, step{action, role, long})
 			}
@@ -92,6 +98,8 @@
 	// longPause is the time after which a host that came back or was added no
 	// longer counts as lost.
 	longPause = recoveryTimeout
+	// ackWait is how long a disk loss waits for the acknowledgement that it follows.
+	ackWait = 400
 	// faultTime is how long a freeze or a partition lasts.
 	faultTime = 2500
 	// recoverTimeout is the platform's limit for the recovery after the last fault.
@@ -103,10 +111,10 @@
 // explorer plays one history.
 type explorer struct {
 	*simulation
-	// calmSince is when the last fault ended, diskLost whether a disk was lost
+	// calmSince is when the last fault ended, disksLost the number of disks lost
 	// since the hosts were last calm for longPause.
 	calmSince int64
-	diskLost  bool
+	disksLost int
 	// spare is set while a host that was added may replace one.
 	spare   bool
 	added   int
@@ -118,11 +126,11 @@
 func (e *explorer) calm() bool { return int64(e.now)-e.calmSince >= int64(longPause) }
 
 // apply performs a step. It returns false if the step is impossible or would lose
-// more than the hosts must bear: one disk until the others have been undisturbed for
-// the recovery time. Losses of power, freezes and partitions may overlap.
+// more than the hosts must bear: maxLosses disks until the others have been undisturbed
+// for the recovery time. Losses of power, freezes and partitions may overlap.
 func (e *explorer) apply(s step) bool {
 	if e.calm() {
-		e.diskLost = false
+		e.disksLost = 0
 	}
 	target := e.target(s.role)
 	if s.role != "" && target == "" {
@@ -138,44 +146,49 @@
 		}
 		e.spare = true
 		e.addHost()
-	case "retire":
+	case "retire", "kill":
 		// The replacement must have had its recovery time.
 		if !e.spare || !e.calm() {
 			return false
 		}
 		e.spare = false
-		e.stop(target)
+		if s.action == "retire" {
+			e.stop(target)
+		} else {
+			e.powerOff(target)
+		}
 		e.forget(target)
 	case "lose":
-		if e.diskLost || e.added == maxAdded {
+		if e.disksLost == e.maxLosses || e.added == maxAdded {
 			return false
 		}
-		e.diskLost = true
+		e.disksLost++
 		e.powerOff(target)
 		e.forget(target)
 		e.run(300)
 		e.addHost()
 	case "wipe":
-		if e.diskLost {
+		if e.disksLost == e.maxLosses {
 			return false
 		}
-		e.diskLost = true
+		e.disksLost++
 		e.wipe(target)
 		e.run(300)
 		e.powerOn(target)
+	case "wipeAll", "ackWipeAll":
+		if e.disksLost > 0 {
+			return false
+		}
+		if s.action == "ackWipeAll" {
+			e.publishUntilAcked(target)
+		}
+		e.wipeAll(target)
 	case "power":
 		e.powerOff(target)
 		e.run(300)
 		e.powerOn(target)
 	case "powerAll":
-		hosts := e.liveHosts()
-		for _, addr := range hosts {
-			e.powerOff(addr)
-		}
-		e.run(300)
-		for _, addr := range hosts {
-			e.powerOn(addr)
-		}
+		e.powerAll(nil)
 	case "freeze":
 		e.freeze(target)
 		e.run(faultTime)
@@ -187,7 +200,7 @@
 	default:
 		panic("unknown action " + s.action)
 	}
-	if s.action != "publish" && s.action != "retire" {
+	if s.action != "publish" && s.action != "retire" && s.action != "kill" {
 		e.calmSince = int64(e.now)
 	}
 	e.run(shortPause)
@@ -201,6 +214,46 @@
 	return true
 }
 
+// powerAll takes the power from all hosts at the same moment, and the disks from those
+// in wiped.
+func (e *explorer) powerAll(wiped []string) {
+	hosts := e.liveHosts()
+	for _, addr := range hosts {
+		e.powerOff(addr)
+		if slices.Contains(wiped, addr) {
+			e.wipe(addr)
+		}
+	}
+	e.run(300)
+	for _, addr := range hosts {
+		e.powerOn(addr)
+	}
+}
+
+// wipeAll erases as many disks as the hosts must bear, that of target first, while all
+// hosts lose power.
+func (e *explorer) wipeAll(target string) {
+	hosts := e.liveHosts()
+	first := slices.Index(hosts, target)
+	var wiped []string
+	for i := range min(e.maxLosses, len(hosts)) {
+		wiped = append(wiped, hosts[(first+i)%len(hosts)])
+	}
+	e.disksLost = e.maxLosses
+	e.powerAll(wiped)
+}
+
+// publishUntilAcked publishes a version at addr and returns as soon as it is
+// acknowledged, or after ackWait.
+func (e *explorer) publishUntilAcked(addr string) {
+	acked := false
+	e.version++
+	e.publish(addr, e.version, func(core.Answer) { acked = true })
+	for end := e.now + ackWait; !acked && e.now < end; {
+		e.run(1)
+	}
+}
+
 // target returns the host that a role selects: the leader, or the follower that
 // comes next after it. It returns "" if there is no leader.
 func (e *explorer) target(role string) string {
@@ -228,7 +281,7 @@
 
 // begin starts the hosts and publishes a first version.
 func begin(t *testing.T, h history) *explorer {
-	e := &explorer{simulation: newSimulation(t, h.seed, h.hosts)}
+	e := &explorer{simulation: newSimulationWithLosses(t, h.seed, h.hosts, h.losses)}
 	e.run(2500)
 	e.version++
 	e.publishWithRetry(e.version, ackTimeout)
@@ -277,7 +330,7 @@
 		fmt.Fprint(h, addr, n.Role(), n.Leader(), maxTerm-n.Term(), maxLast-n.Last(), n.Last()-n.Commit(),
 			n.Conf(), e.acked-e.hosts[addr].core.Version(), ";")
 	}
-	fmt.Fprint(h, e.diskLost, e.spare, e.calm(), e.added)
+	fmt.Fprint(h, e.disksLost, e.spare, e.calm(), e.added)
 	return h.Sum64()
 }
 
@@ -336,7 +389,7 @@
 // shrink removes steps from a failing history while it still fails.
 func shrink(t *testing.T, h history) history {
 	for i := 0; i < len(h.steps); {
-		shorter := history{h.hosts, h.seed, slices.Delete(slices.Clone(h.steps), i, i+1)}
+		shorter := history{h.hosts, h.losses, h.seed, slices.Delete(slices.Clone(h.steps), i, i+1)}
 		if e, possible := play(t, shorter, true); possible && len(e.violations) > 0 {
 			h = shorter
 			continue
@@ -367,20 +420,21 @@
 		qt.Check(t, e.violations, qt.HasLen, 0)
 		return
 	}
-	for _, hosts := range []int{3, 4, 5} {
-		x := &exploration{seen: map[uint64]bool{}, frontier: []history{{hosts: hosts, seed: 1}}}
+	for _, group := range groups {
+		group.seed = 1
+		x := &exploration{seen: map[uint64]bool{}, frontier: []history{group}}
 		start := time.Now()
 		for depth := 1; depth <= *exploreDepth; depth++ {
 			var next []history
 			for _, h := range x.frontier {
 				for _, s := range allSteps() {
-					next = append(next, history{hosts, h.seed, append(slices.Clone(h.steps), s)})
+					next = append(next, history{h.hosts, h.losses, h.seed, append(slices.Clone(h.steps), s)})
 				}
 			}
 			x.frontier = nil
 			x.forEach(len(next), func(i int) { x.playOne(t, next[i]) })
-			t.Logf("%d hosts, length %d: %d histories played, %d states, %d failed, %d s",
-				hosts, depth, x.played, len(x.seen), len(x.failed), int(time.Since(start).Seconds()))
+			t.Logf("%d hosts, %d losses, length %d: %d histories played, %d states, %d failed, %d s",
+				group.hosts, group.losses, depth, x.played, len(x.seen), len(x.failed), int(time.Since(start).Seconds()))
 		}
 		x.report(t)
 	}
@@ -388,18 +442,19 @@
 
 // TestExploreRandomHistories plays long random histories.
 func TestExploreRandomHistories(t *testing.T) {
-	for _, hosts := range []int{3, 4, 5, 8} {
-		x := &exploration{seen: map[uint64]bool{}}
-		x.forEach(*exploreSeeds, func(seed int) { x.playRandom(t, hosts, uint64(seed)) })
-		t.Logf("%d hosts: %d random histories of %d steps, %d failed", hosts, x.played, *exploreLength, len(x.failed))
-		x.report(t)
+	for _, group := range append(slices.Clone(groups), history{hosts: 8, losses: 2}) {
+		t.Run(fmt.Sprintf("%dHosts%dLosses", group.hosts, group.losses), func(t *testing.T) {
+			x := &exploration{seen: map[uint64]bool{}}
+			x.forEach(*exploreSeeds, func(seed int) { x.playRandom(t, history{group.hosts, group.losses, uint64(seed), nil}) })
+			t.Logf("%d random histories of %d steps, %d failed", x.played, *exploreLength, len(x.failed))
+			x.report(t)
+		})
 	}
 }
 
 // playRandom draws steps and plays those that are possible.
-func (x *exploration) playRandom(t *testing.T, hosts int, seed uint64) {
-	r, steps := rand.New(rand.NewPCG(seed, 3)), allSteps()
-	h := history{hosts: hosts, seed: seed}
+func (x *exploration) playRandom(t *testing.T, h history) {
+	r, steps := rand.New(rand.NewPCG(h.seed, 3)), allSteps()
 	e := begin(t, h)
 	for len(h.steps) < *exploreLength {
 		if s := steps[r.IntN(len(steps))]; e.apply(s) {
--- a/internal/proof/dirsim/replace_test.go
+++ b/internal/proof/dirsim/replace_test.go
@@ -92,6 +92,42 @@
 	}
 }
 
+// TestDiskLossRightAfterReplacedHostIsKilled kills a control host whose replacement has
+// had its recovery time, and loses a disk before the vote of the killed host is removed.
+func TestDiskLossRightAfterReplacedHostIsKilled(t *testing.T) {
+	for _, restOff := range []bool{false, true} {
+		for _, n := range []int{3, 4, 5} {
+			for old := 1; old <= n; old++ {
+				for lost := 1; lost <= n+1; lost++ {
+					if lost == old {
+						continue
+					}
+					sim := newSimulation(t, uint64(n*100+old*10+lost), n)
+					sim.run(2500)
+					sim.publishWithRetry(1, ackTimeout)
+					sim.add(hostAddress(n+1), false)
+					sim.run(recoveryTimeout)
+					sim.powerOff(hostAddress(old))
+					delete(sim.hosts, hostAddress(old))
+					if restOff {
+						sim.powerOffAll(n+1, hostAddress(lost))
+					}
+					sim.wipe(hostAddress(lost))
+					sim.run(500)
+					sim.powerOnAll(n+1, "")
+					sim.awaitConvergence(2 * recoveryTimeout)
+					sim.publishWithRetry(2, ackTimeout)
+					for _, addr := range sim.liveHosts() {
+						sim.verifyRead(addr, nil)
+					}
+					sim.run(clock.Second)
+					sim.c.Check(sim.violations, qt.HasLen, 0, qt.Commentf("%d hosts, %d replaced, %d wiped, rest powered off: %t", n, old, lost, restOff))
+				}
+			}
+		}
+	}
+}
+
 // TestRollingRestartKeepsAllVotes restarts all hosts one after another. Each gives up
 // its vote and must get it back.
 func TestRollingRestartKeepsAllVotes(t *testing.T) {
