agree/raft: elect and commit with half of an even number of voters once one lost its disk

Cause: a control host that was replaced for good still had its vote when the disk of another was lost, so 2 logs of 4 votes were left, for good.

Class: a quorum that counts votes which can never be cast again. A dead vote can only be told from a silent one if its disk says so: a host that joins under a new identity now names the identities that it had (learned from the members that others reply with), and the others mark these as lost. In a committed membership with an even number of voters, half of them is then a quorum, if none of the half lost its disk and all replied after the loss was known. Half intersects every majority; two disjoint halves would each need a voter that replied after the loss of the other, before its own. A pending membership now needs a quorum of the voters before it, too, and a host stores that a membership is committed as soon as it knows it.

Ruled out: three voters and a spare learner (the spare cannot vote when two are gone, and an entry may be on the two that are lost); faster removal (shortens the gap only).

--- a/internal/agree/raft/elect.go
+++ b/internal/agree/raft/elect.go
@@ -58,7 +58,7 @@
 }
 
 func (n *Node) requestVotes(kind Kind, term uint64) {
-	for _, id := range n.log.conf().Voters {
+	for _, id := range n.electors() {
 		if id != n.id {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
 		}
@@ -68,14 +68,7 @@
 // countVotes starts the election after a won pre-vote, and takes the leadership
 // after a won election.
 func (n *Node) countVotes() {
-	granted := 0
-	voters := n.log.conf().Voters
-	for _, id := range voters {
-		if n.votes[id] {
-			granted++
-		}
-	}
-	if granted < quorum(len(voters)) {
+	if !n.quorumOf(func(id ID) bool { return n.votes[id] }) {
 		return
 	}
 	if n.role == PreCandidate {
@@ -85,18 +78,27 @@
 	n.becomeLeader()
 }
 
+// quorumOf reports whether the voters for which agrees is true are a quorum.
+func (n *Node) quorumOf(agrees func(ID) bool) bool {
+	value := func(id ID) int {
+		if agrees(id) {
+			return 1
+		}
+		return 0
+	}
+	return reachedByQuorum(n.electorates(), value, n.keptDisk) > 0
+}
+
 // abandonLostElection returns to follower once too many voters have rejected the
 // candidate for it to win. It schedules a pre-vote after a short delay: after a
 // split vote no candidate can win the term, and if another candidate has won, its
 // append resets the deadline.
 func (n *Node) abandonLostElection() {
-	voters, rejected := n.log.conf().Voters, 0
-	for _, id := range voters {
-		if granted, replied := n.votes[id]; replied && !granted {
-			rejected++
-		}
+	mayGrant := func(id ID) bool {
+		granted, replied := n.votes[id]
+		return granted || !replied
 	}
-	if rejected > len(voters)-quorum(len(voters)) {
+	if !n.quorumOf(mayGrant) {
 		n.becomeFollower(n.state.Term, "")
 		n.electionDeadline = n.now + n.preVoteDelay()
 	}
--- a/internal/agree/raft/log.go
+++ b/internal/agree/raft/log.go
@@ -78,10 +78,32 @@
 	return l.confs[len(l.confs)-1].conf
 }
 
-func (l *entryLog) confPending() bool {
-	return len(l.confs) > 0 && l.confs[len(l.confs)-1].index > l.commit
+// electingConfs returns the latest membership that is known to be committed and the one
+// in effect, or nil if they are the same. A membership is only proposed once the one
+// before is committed, so at most the last one is pending.
+func (l *entryLog) electingConfs() (committed Conf, pending *Conf) {
+	if !l.confPending() {
+		return l.conf(), nil
+	}
+	last := len(l.confs) - 1
+	committed = l.snapshot.Conf
+	if last > 0 {
+		committed = l.confs[last-1].conf
+	}
+	return committed, &l.confs[last].conf
 }
 
+// confIndex returns the index of the entry that holds the membership in effect, or 0 if
+// the snapshot does.
+func (l *entryLog) confIndex() uint64 {
+	if len(l.confs) == 0 {
+		return 0
+	}
+	return l.confs[len(l.confs)-1].index
+}
+
+func (l *entryLog) confPending() bool { return l.confIndex() > l.commit }
+
 // confAtIndex returns the membership in effect at index.
 func (l *entryLog) confAtIndex(index uint64) Conf {
 	c := l.snapshot.Conf
--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -57,6 +57,10 @@
 	// followers is nil unless the node is the leader.
 	followers   map[ID]*progress
 	leaderSince clock.Millis
+	// lost holds the members that lost their disks, lossLearnedAt when this node
+	// learned of the latest.
+	lost          map[ID]bool
+	lossLearnedAt clock.Millis
 	// leaderCommit is the highest commit index received from a leader.
 	leaderCommit uint64
 
@@ -68,7 +72,7 @@
 // New returns the node with the given id and stored state. Random timeouts are
 // drawn from r.
 func New(id ID, timing Timing, stored Stored, now clock.Millis, r *rand.Rand) *Node {
-	n := &Node{id: id, timing: timing, rand: r, state: stored.State, now: now}
+	n := &Node{id: id, timing: timing, rand: r, state: stored.State, now: now, lost: map[ID]bool{}}
 	n.log.restore(stored.Snapshot)
 	for _, e := range stored.Entries {
 		n.log.append(e)
@@ -139,24 +143,15 @@
 // quorumAckedSentAt returns the latest time such that a quorum acknowledged
 // messages sent at that time or later.
 func (n *Node) quorumAckedSentAt() clock.Millis {
-	voters := n.log.conf().Voters
-	sentTimes := make([]clock.Millis, 0, len(voters))
-	for _, id := range voters {
+	sentAt := func(id ID) clock.Millis {
 		if id == n.id {
-			sentTimes = append(sentTimes, n.now)
-		} else if p := n.followers[id]; p != nil {
-			sentTimes = append(sentTimes, p.ackedSentAt)
+			return n.now
 		}
+		return n.LastAcknowledged(id)
 	}
-	if len(sentTimes) == 0 {
-		return 0
-	}
-	slices.Sort(sentTimes)
-	return sentTimes[len(sentTimes)-quorum(len(voters))]
+	return reachedByQuorum(n.electorates(), sentAt, n.acknowledgedSinceLoss)
 }
 
-func quorum(voters int) int { return voters/2 + 1 }
-
 // Tick advances the clock of the node to now. Call it several times per heartbeat
 // interval.
 func (n *Node) Tick(now clock.Millis) {
@@ -177,14 +172,26 @@
 		n.becomeFollower(n.state.Term, "")
 		return
 	}
-	for _, id := range n.log.conf().Members() {
-		if id != n.id && n.now-n.progressOf(id).sentAt >= n.timing.Heartbeat {
+	for _, id := range n.receivers() {
+		if n.now-n.progressOf(id).sentAt >= n.timing.Heartbeat {
 			n.progressOf(id).inFlight = false
 			n.sendAppend(id)
 		}
 	}
 }
 
+// receivers returns the nodes that this node, the leader, replicates the log to: all
+// other members, and voters whose removal is not committed yet.
+func (n *Node) receivers() []ID {
+	out := n.electors()
+	for _, id := range n.log.conf().Learners {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return slices.DeleteFunc(out, func(id ID) bool { return id == n.id })
+}
+
 func (n *Node) progressOf(id ID) *progress {
 	p := n.followers[id]
 	if p == nil {
@@ -247,10 +254,8 @@
 	e := Entry{Index: n.log.last() + 1, Term: n.state.Term, Kind: kind, Data: data}
 	n.log.append(e)
 	n.out.Entries = append(n.out.Entries, e)
-	for _, id := range n.log.conf().Members() {
-		if id != n.id {
-			n.sendAppend(id)
-		}
+	for _, id := range n.receivers() {
+		n.sendAppend(id)
 	}
 	return e.Index
 }
@@ -286,7 +291,7 @@
 		n.out.Committed = slices.Clone(n.log.slice(n.log.delivered+1, n.log.commit))
 		n.log.delivered = n.log.commit
 	}
-	if n.stateDirty || len(n.out.Entries) > 0 {
+	if n.stateDirty || len(n.out.Entries) > 0 || n.confCommitUnstored() && n.storableCommit() >= n.log.confIndex() {
 		n.state.Commit = n.storableCommit()
 		state := n.state
 		n.out.State = &state
@@ -297,6 +302,13 @@
 	return out
 }
 
+// confCommitUnstored reports whether the membership in effect is committed but not yet
+// stored as such. After a restart without a leader, only a committed one lets half of
+// the voters suffice.
+func (n *Node) confCommitUnstored() bool {
+	return !n.log.confPending() && n.state.Commit < n.log.confIndex()
+}
+
 // storableCommit returns the commit index to store with the pending output. It covers
 // only entries that are on disk before: if the write of the new ones is torn, the log
 // on disk may hold others in their place.
--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -182,20 +182,13 @@
 // advanceCommit commits the entries that are persisted on a quorum. As Raft
 // requires, it only counts replicas for entries of the current term.
 func (n *Node) advanceCommit() {
-	voters := n.log.conf().Voters
-	matches := make([]uint64, 0, len(voters))
-	for _, id := range voters {
+	match := func(id ID) uint64 {
 		if id == n.id {
-			matches = append(matches, n.log.persisted)
-		} else {
-			matches = append(matches, n.Match(id))
+			return n.log.persisted
 		}
+		return n.Match(id)
 	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-quorum(len(voters))]
+	index := reachedByQuorum(n.electorates(), match, n.acknowledgedSinceLoss)
 	if t, ok := n.log.term(index); !ok || t != n.state.Term || index <= n.log.commit {
 		return
 	}
--- /dev/null
+++ b/internal/agree/raft/safety_test.go
@@ -0,0 +1,189 @@
+package raft_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+)
+
+var safetySeeds = flag.Int("safety.seeds", 1500, "number of random schedules")
+
+// member is a node and what is on its disk. Each member has a clock of its own.
+type member struct {
+	node   *raft.Node
+	now    clock.Millis
+	stored raft.Stored
+	lost   bool
+}
+
+// schedule delivers messages in any order and any number of times, changes the
+// membership, and erases disks. It checks what must hold whatever is lost: one leader a
+// term, and one entry committed at each index.
+type schedule struct {
+	rand      *rand.Rand
+	members   map[raft.ID]*member
+	ids       []raft.ID
+	network   []raft.Message
+	leaders   map[uint64]raft.ID
+	committed map[uint64]uint64
+	failure   string
+}
+
+func newSchedule(seed uint64) *schedule {
+	s := &schedule{
+		rand: rand.New(rand.NewPCG(seed, 5)), members: map[raft.ID]*member{},
+		leaders: map[uint64]raft.ID{}, committed: map[uint64]uint64{},
+	}
+	var voters []raft.ID
+	for i := range 3 + s.rand.IntN(2) {
+		voters = append(voters, raft.ID(fmt.Sprint("n", i)))
+	}
+	founded := raft.Stored{
+		State:    raft.HardState{Term: 1},
+		Snapshot: raft.Snapshot{Index: 1, Term: 1, Conf: raft.Conf{Voters: voters}},
+	}
+	for _, id := range voters {
+		s.add(id, founded)
+	}
+	return s
+}
+
+func (s *schedule) add(id raft.ID, stored raft.Stored) {
+	s.members[id] = &member{stored: stored}
+	s.ids = append(s.ids, id)
+	s.restart(s.members[id], id)
+}
+
+func (s *schedule) restart(m *member, id raft.ID) {
+	stored := m.stored
+	stored.Entries = slices.Clone(stored.Entries)
+	timing := raft.Timing{Heartbeat: 100, Election: 400}
+	m.node = raft.New(id, timing, stored, m.now, rand.New(rand.NewPCG(s.rand.Uint64(), 6)))
+}
+
+// take stores the output of a member and puts its messages on the network.
+func (s *schedule) take(m *member) {
+	for out := m.node.Take(); !out.Empty(); out = m.node.Take() {
+		if out.State != nil {
+			m.stored.State = *out.State
+		}
+		if out.Snapshot != nil {
+			m.stored.Snapshot, m.stored.Entries = *out.Snapshot, nil
+		}
+		for _, e := range out.Entries {
+			m.stored.Entries = append(m.stored.Entries[:e.Index-m.stored.Snapshot.Index-1], e)
+		}
+		s.network = append(s.network, out.Messages...)
+		for _, e := range out.Committed {
+			if term, known := s.committed[e.Index]; known && term != e.Term {
+				s.failure = fmt.Sprintf("entry %d committed in terms %d and %d", e.Index, term, e.Term)
+			}
+			s.committed[e.Index] = e.Term
+		}
+		if n := len(out.Entries); n > 0 {
+			m.node.Persisted(out.Entries[n-1].Index, out.Entries[n-1].Term)
+		}
+	}
+	if m.node.Role() != raft.Leader {
+		return
+	}
+	term := m.node.Term()
+	if other, known := s.leaders[term]; known && other != m.node.ID() {
+		s.failure = fmt.Sprintf("term %d has the leaders %s and %s", term, other, m.node.ID())
+	}
+	s.leaders[term] = m.node.ID()
+}
+
+func (s *schedule) pick() (raft.ID, *member) {
+	id := s.ids[s.rand.IntN(len(s.ids))]
+	return id, s.members[id]
+}
+
+// step performs one random event.
+func (s *schedule) step() {
+	id, m := s.pick()
+	switch r := s.rand.IntN(1000); {
+	case r < 640 && len(s.network) > 0:
+		s.deliver()
+	case m.lost:
+	case r < 860:
+		m.now += clock.Millis(s.rand.IntN(300))
+		m.node.Tick(m.now)
+	case r < 900:
+		_, _, _ = m.node.Propose(m.now, []byte("x"))
+	case r < 950:
+		s.changeMembership(m)
+	case r < 970:
+		s.restart(m, id)
+	case r < 985:
+		// Any member may learn of a loss, at any time after it.
+		if lost, other := s.pick(); other.lost {
+			m.node.MarkLost(m.now, lost)
+		}
+	case r < 990 && len(s.ids) < 8:
+		m.lost = true
+		s.add(raft.ID(fmt.Sprint("n", len(s.ids))), raft.Stored{})
+	}
+	if !m.lost {
+		s.take(m)
+	}
+}
+
+// deliver delivers a message, and sometimes keeps a copy. A quarter are lost.
+func (s *schedule) deliver() {
+	i := s.rand.IntN(len(s.network))
+	if s.rand.IntN(2) == 0 {
+		i = len(s.network) - 1 - s.rand.IntN(min(len(s.network), 6))
+	}
+	message := s.network[i]
+	if s.rand.IntN(20) > 0 {
+		s.network = slices.Delete(s.network, i, i+1)
+	}
+	if to := s.members[message.To]; to != nil && !to.lost && s.rand.IntN(4) > 0 {
+		to.node.Step(to.now, message)
+		s.take(to)
+	}
+}
+
+// changeMembership proposes to add, promote or remove a member.
+func (s *schedule) changeMembership(m *member) {
+	conf := m.node.Conf()
+	id, _ := s.pick()
+	without := func(ids []raft.ID) []raft.ID {
+		return slices.DeleteFunc(ids, func(o raft.ID) bool { return o == id })
+	}
+	switch {
+	case slices.Contains(conf.Voters, id):
+		conf.Voters = without(conf.Voters)
+	case slices.Contains(conf.Learners, id):
+		conf.Learners, conf.Voters = without(conf.Learners), append(conf.Voters, id)
+	default:
+		conf.Learners = append(conf.Learners, id)
+	}
+	_ = m.node.ProposeConf(m.now, conf)
+}
+
+// TestNoScheduleLosesACommittedEntry plays random schedules with disk losses and
+// membership changes.
+func TestNoScheduleLosesACommittedEntry(t *testing.T) {
+	commits := 0
+	for seed := range *safetySeeds {
+		s := newSchedule(uint64(seed))
+		for range 1500 {
+			s.step()
+			if s.failure != "" {
+				break
+			}
+		}
+		commits += len(s.committed)
+		qt.Check(t, s.failure, qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+	t.Logf("%d schedules, %d entries committed", *safetySeeds, commits)
+}
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -74,6 +74,8 @@
 	// knownAddresses are the control hosts to send join requests to.
 	knownAddresses []string
 	nextJoinAt     clock.Millis
+	// formerIDs are the IDs of this host with disks that it lost.
+	formerIDs []raft.ID
 	// contacts holds when the control hosts were last heard from.
 	contacts *watch.Tracker
 	// resigning is set after Resign, and resigned once the others have removed the
--- a/internal/dir/core/members.go
+++ b/internal/dir/core/members.go
@@ -17,7 +17,7 @@
 	}
 	c.nextJoinAt = c.now + joinInterval
 	for _, address := range c.knownAddresses {
-		c.sendNow(address, &msgs.Envelope{JoinRequest: &msgs.JoinRequest{ID: c.options.ID}})
+		c.sendNow(address, &msgs.Envelope{JoinRequest: &msgs.JoinRequest{ID: c.options.ID, Former: c.formerIDs}})
 	}
 }
 
@@ -25,6 +25,11 @@
 	c.addAddresses([]string{addressOf(m.ID)})
 	conf := c.node.Conf()
 	c.sendNow(addressOf(m.ID), &msgs.Envelope{JoinReply: &msgs.JoinReply{Members: conf.Members(), Leader: c.node.Leader()}})
+	for _, id := range m.Former {
+		if sameHost(id, m.ID) && id != m.ID {
+			c.node.MarkLost(c.now, id)
+		}
+	}
 	if !c.diskFailed && c.node.Leads(c.now) {
 		c.addLearner(m.ID)
 	}
@@ -33,9 +38,17 @@
 func (c *Core) onJoinReply(m *msgs.JoinReply) {
 	for _, id := range m.Members {
 		c.addAddresses([]string{addressOf(id)})
+		if sameHost(id, c.options.ID) && id != c.options.ID && !slices.Contains(c.formerIDs, id) {
+			c.formerIDs = append(c.formerIDs, id)
+			c.logLine("The log names this host with a disk that it no longer has.", "former", id, "id", c.options.ID)
+		}
 	}
 }
 
+// sameHost reports whether two IDs belong to one host, with different disks unless they
+// are equal.
+func sameHost(a, b raft.ID) bool { return addressOf(a) == addressOf(b) }
+
 // addLearner adds a host as a learner. In the same change it removes members with
 // the same address: they are that host with an earlier disk.
 func (c *Core) addLearner(id raft.ID) {
@@ -43,9 +56,9 @@
 	if conf.Has(id) {
 		return
 	}
-	sameHost := func(o raft.ID) bool { return addressOf(o) == addressOf(id) }
-	conf.Voters = slices.DeleteFunc(conf.Voters, sameHost)
-	conf.Learners = slices.DeleteFunc(conf.Learners, sameHost)
+	former := func(o raft.ID) bool { return sameHost(o, id) }
+	conf.Voters = slices.DeleteFunc(conf.Voters, former)
+	conf.Learners = slices.DeleteFunc(conf.Learners, former)
 	conf.Learners = append(conf.Learners, id)
 	if err := c.node.ProposeConf(c.now, conf); err == nil {
 		c.logLine("Host added as a learner.", "id", id)
--- a/internal/dir/core/status.go
+++ b/internal/dir/core/status.go
@@ -37,7 +37,7 @@
 	case c.now-max(s.leaderSeenAt, s.noLeaderAt) >= noLeaderInterval:
 		s.noLeaderAt = c.now
 		c.logLine("No leader is known.", "for", int64(c.now-s.leaderSeenAt), "term", c.node.Term(), "last", c.node.Last(),
-			"commit", c.node.Commit(), "confPending", c.node.ConfPending(), "silence", c.voterSilence())
+			"commit", c.node.Commit(), "confPending", c.node.ConfPending(), "lost", c.node.Lost(), "silence", c.voterSilence())
 	}
 }
 
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -76,6 +76,8 @@
 // JoinRequest asks for the sender to be added to the replicated log.
 type JoinRequest struct {
 	ID raft.ID `msgpack:"id"`
+	// Former are the IDs that the sender had with earlier disks, which are lost.
+	Former []raft.ID `msgpack:"former,omitempty"`
 }
 
 // JoinReply answers a request to join with the members and the leader that the
--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -33,6 +33,9 @@
 	reuseAfter  = 2000
 	// evictAfter is the option of core.Options.
 	evictAfter = 2000
+	// maxDelay is the longest delay of a message. A host may lose its disk and be a
+	// member again meanwhile.
+	maxDelay = 1500
 	// resignTimeout is how long a host that stops waits for its resignation.
 	resignTimeout = 1200
 )
@@ -102,8 +105,12 @@
 	// messages.
 	cutLinks map[[2]string]bool
 	// lossRate is the part of all messages that is lost.
-	lossRate  float64
+	lossRate float64
+	// slowRate is the part of all messages that take up to maxDelay.
+	slowRate  float64
 	bytesSent int
+	// logf, unless it is nil, gets the log lines of all hosts.
+	logf func(format string, args ...any)
 
 	lastCallID core.CallID
 	answers    map[core.CallID]func(core.Answer)
@@ -219,6 +226,11 @@
 // schedules the write to the disk. The other messages are sent after that write.
 func (sim *simulation) handleOutput(h *host) {
 	out := h.core.Take()
+	if sim.logf != nil {
+		for _, l := range out.LogLines {
+			sim.logf("%d %s: %s %v", sim.now, h.address, l.Text, l.Fields)
+		}
+	}
 	for _, s := range out.SendNow {
 		sim.send(h.address, s)
 	}
@@ -247,14 +259,18 @@
 	})
 }
 
-// send delivers a message after 1 or 2 ms, unless the link is cut or the
-// message is lost.
+// send delivers a message after 1 or 2 ms or, if it is a slow one, after up to maxDelay,
+// unless the link is cut or the message is lost.
 func (sim *simulation) send(from string, s core.OutMessage) {
 	sim.bytesSent += len(s.Body)
 	if sim.cutLinks[[2]string{from, s.Address}] || sim.rand.Float64() < sim.lossRate {
 		return
 	}
-	sim.events.Add(sim.now+1+clock.Millis(sim.rand.IntN(2)), func() {
+	delay := 1 + clock.Millis(sim.rand.IntN(2))
+	if sim.slowRate > 0 && sim.rand.Float64() < sim.slowRate {
+		delay = clock.Millis(sim.rand.IntN(maxDelay))
+	}
+	sim.events.Add(sim.now+delay, func() {
 		h := sim.hosts[s.Address]
 		if h == nil {
 			return
--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -21,6 +21,7 @@
 	exploreDepth   = flag.Int("explore.depth", 2, "length of the histories that are explored exhaustively")
 	exploreSeeds   = flag.Int("explore.seeds", 40, "number of random histories per number of hosts")
 	exploreLength  = flag.Int("explore.length", 9, "length of random histories")
+	exploreLog     = flag.Bool("explore.log", false, "print the log lines of the hosts, with -explore.history")
 	exploreHistory = flag.String("explore.history", "", "play only this history, as a failure printed it")
 )
 
@@ -104,6 +105,9 @@
 	faultTime = 2500
 	// recoverTimeout is the platform's limit for the recovery after the last fault.
 	recoverTimeout = 12_000
+	// slowRate is the part of the messages that are slow during the steps and short
+	// pauses of histories with an odd seed.
+	slowRate = 0.02
 	// maxAdded bounds the number of hosts that a history adds.
 	maxAdded = 3
 )
@@ -111,12 +115,15 @@
 // explorer plays one history.
 type explorer struct {
 	*simulation
+	steps []step
 	// calmSince is when the last fault ended, disksLost the number of disks lost
 	// since the hosts were last calm for longPause.
 	calmSince int64
 	disksLost int
 	// spare is set while a host that was added may replace one.
-	spare   bool
+	spare bool
+	// slow is set if some messages are slow.
+	slow    bool
 	added   int
 	version uint64
 }
@@ -136,6 +143,10 @@
 	if s.role != "" && target == "" {
 		return false
 	}
+	if e.slow {
+		e.slowRate = slowRate
+	}
+	defer func() { e.slowRate = 0 }()
 	switch s.action {
 	case "publish":
 		e.version++
@@ -193,6 +204,7 @@
 		e.freeze(target)
 		e.run(faultTime)
 		e.unfreeze(target)
+	case "pause":
 	case "cut":
 		e.isolate(target, true)
 		e.run(faultTime)
@@ -200,10 +212,11 @@
 	default:
 		panic("unknown action " + s.action)
 	}
-	if s.action != "publish" && s.action != "retire" && s.action != "kill" {
+	if !slices.Contains([]string{"publish", "retire", "kill", "pause"}, s.action) {
 		e.calmSince = int64(e.now)
 	}
 	e.run(shortPause)
+	e.slowRate = 0
 	if s.long {
 		e.run(longPause)
 	}
@@ -281,11 +294,12 @@
 
 // begin starts the hosts and publishes a first version.
 func begin(t *testing.T, h history) *explorer {
-	e := &explorer{simulation: newSimulationWithLosses(t, h.seed, h.hosts, h.losses)}
+	e := &explorer{steps: h.steps, simulation: newSimulationWithLosses(t, h.seed, h.hosts, h.losses)}
 	e.run(2500)
 	e.version++
 	e.publishWithRetry(e.version, ackTimeout)
 	e.run(longPause)
+	e.slow = h.seed%2 == 1
 	return e
 }
 
@@ -301,14 +315,23 @@
 	e.checkLogs()
 }
 
+// applyAll performs the steps of the history until one is not possible, and reports
+// whether all were.
+func (e *explorer) applyAll() bool {
+	for _, s := range e.steps {
+		if !e.apply(s) {
+			return false
+		}
+	}
+	return true
+}
+
 // play plays a history. It returns false if a step was not possible. Unless finish
 // is false, the hosts must then recover.
 func play(t *testing.T, h history, finish bool) (*explorer, bool) {
 	e := begin(t, h)
-	for _, s := range h.steps {
-		if !e.apply(s) {
-			return e, false
-		}
+	if !e.applyAll() {
+		return e, false
 	}
 	if finish {
 		e.finish()
@@ -415,8 +438,12 @@
 // version must be read back, the logs must agree, and the hosts must elect a leader.
 func TestExploreFaultOrders(t *testing.T) {
 	if *exploreHistory != "" {
-		e, possible := play(t, parseHistory(qt.New(t), *exploreHistory), true)
-		qt.Check(t, possible, qt.IsTrue, qt.Commentf("a step of the history is not possible"))
+		e := begin(t, parseHistory(qt.New(t), *exploreHistory))
+		if *exploreLog {
+			e.logf = t.Logf
+		}
+		qt.Check(t, e.applyAll(), qt.IsTrue, qt.Commentf("a step of the history is not possible"))
+		e.finish()
 		qt.Check(t, e.violations, qt.HasLen, 0)
 		return
 	}
@@ -452,16 +479,20 @@
 	}
 }
 
-// playRandom draws steps and plays those that are possible.
+// playRandom draws steps and plays those that are possible, and a pause instead of the
+// others.
 func (x *exploration) playRandom(t *testing.T, h history) {
 	r, steps := rand.New(rand.NewPCG(h.seed, 3)), allSteps()
 	e := begin(t, h)
-	for len(h.steps) < *exploreLength {
-		if s := steps[r.IntN(len(steps))]; e.apply(s) {
-			h.steps = append(h.steps, s)
+	for played := 0; played < *exploreLength; {
+		s := steps[r.IntN(len(steps))]
+		if e.apply(s) {
+			played++
 		} else {
-			e.run(shortPause)
+			s = step{action: "pause"}
+			e.apply(s)
 		}
+		h.steps = append(h.steps, s)
 	}
 	e.finish()
 	x.mu.Lock()
