dir/core: number requests differently in each run of a control host

What an operator saw: a version is acknowledged that was never in the log, or a read returns an older version than the one acknowledged.

Cause: each run of a control host numbered its requests to the leader from 1. After a restart, the leader's reply to a request of the earlier run, which was still on its way or waited for a quorum, completed the request of the same number. Replications of announcements had the same fault: a draining server could be acknowledged by a record that another one had sent.

Change: the IDs of a run follow its random run ID, shifted by 32 bits.

Looked at: entry hosts take replies only from the connection of their request.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -39,7 +39,7 @@
 	// EvictAfter is the silence after which a voter is removed from the log.
 	EvictAfter clock.Millis
 	// RunID is a random number that identifies this run of the process. Positions
-	// in the list of server changes are valid within one run only.
+	// in the list of server changes, and request IDs, are valid within one run only.
 	RunID uint64
 }
 
@@ -102,13 +102,18 @@
 		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now), status: status{leaderSeenAt: now},
 	}
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
+	c.lastRequestID = firstRequestID(options.RunID)
 	c.list = share.NewList(options.Fleet, options.RunID, now, group{c}, send)
-	c.replicator = share.NewReplicator(group{c}, send)
+	c.replicator = share.NewReplicator(group{c}, send, firstRequestID(options.RunID))
 	c.addAddresses(options.Seeds)
 	c.Restart(now, options.ID, stored)
 	return c
 }
 
+// firstRequestID returns the ID that the requests of a run of the process follow. A
+// late reply to a request of an earlier run must not match one of this run.
+func firstRequestID(runID uint64) uint64 { return runID << 32 }
+
 // Restart creates the Raft node anew from the state stored on disk, at the
 // start and after a disk failure. The ID differs from the one before if the content
 // of the disk was lost.
--- a/internal/dir/share/replicate.go
+++ b/internal/dir/share/replicate.go
@@ -33,9 +33,10 @@
 	pending map[uint64]*replication
 }
 
-// NewReplicator returns a Replicator among the voters of group.
-func NewReplicator(group Group, send Send) *Replicator {
-	return &Replicator{group: group, send: send, pending: map[uint64]*replication{}}
+// NewReplicator returns a Replicator among the voters of group. Its request IDs follow
+// lastID.
+func NewReplicator(group Group, send Send, lastID uint64) *Replicator {
+	return &Replicator{group: group, send: send, lastID: lastID, pending: map[uint64]*replication{}}
 }
 
 // Len returns the number of records that wait for a quorum.
--- a/internal/dir/share/replicate_test.go
+++ b/internal/dir/share/replicate_test.go
@@ -20,7 +20,7 @@
 
 func TestRecordIsReplicatedOnceAQuorumHasIt(t *testing.T) {
 	sent := map[raft.ID]int{}
-	r := share.NewReplicator(fourVoters{}, func(to raft.ID, _ *msgs.Envelope) { sent[to]++ })
+	r := share.NewReplicator(fourVoters{}, func(to raft.ID, _ *msgs.Envelope) { sent[to]++ }, 0)
 	var outcomes []bool
 	r.Start(0, fleet.Record{ID: "s"}, func(replicated bool) { outcomes = append(outcomes, replicated) })
 	qt.Check(t, sent, qt.DeepEquals, map[raft.ID]int{"b": 1, "c": 1, "d": 1})
@@ -37,7 +37,7 @@
 }
 
 func TestReplicationEndsWithoutAQuorum(t *testing.T) {
-	r := share.NewReplicator(fourVoters{}, func(raft.ID, *msgs.Envelope) {})
+	r := share.NewReplicator(fourVoters{}, func(raft.ID, *msgs.Envelope) {}, 0)
 	var outcomes []bool
 	r.Start(0, fleet.Record{ID: "s"}, func(replicated bool) { outcomes = append(outcomes, replicated) })
 	r.HandleReply(&msgs.ReplicateReply{From: "b", RequestID: 1})
--- a/internal/proof/dirsim/faults_test.go
+++ b/internal/proof/dirsim/faults_test.go
@@ -204,6 +204,28 @@
 	}
 }
 
+// TestReplyToEarlierRunAcknowledgesNothing restarts a host while the leader still has a
+// publication of its earlier run to commit. The reply must not acknowledge another one.
+func TestReplyToEarlierRunAcknowledgesNothing(t *testing.T) {
+	sim := newSimulation(t, 9, 3)
+	sim.run(2500)
+	leader := sim.leader()
+	others := slices.DeleteFunc(sim.liveHosts(), func(addr string) bool { return addr == leader })
+	restarted := others[0]
+	sim.isolate(others[1], true)
+	sim.publish(restarted, 2, nil)
+	sim.run(3)
+	sim.powerOff(restarted)
+	sim.powerOn(restarted)
+	sim.publish(restarted, 3, nil)
+	sim.run(200)
+	sim.isolate(others[1], false)
+	sim.run(2 * clock.Second)
+	sim.verifyRead(leader, nil)
+	sim.run(clock.Second)
+	sim.c.Check(sim.violations, qt.HasLen, 0)
+}
+
 // TestSuccessiveDiskLossesLoseNoVersion erases the disk of one host after another,
 // each as soon as the previous one has had its recovery time.
 func TestSuccessiveDiskLossesLoseNoVersion(t *testing.T) {
