token/intake: decide packets of open flows before openings, and read them in bursts

Cause: packets were decided in the order of their arrival. The input grew to seconds of openings, behind which acknowledgements and requests of open flows waited. Loads and response times were computed from these late packets, so servers looked loaded and slow, openings were refused after the load had gone, and servers were avoided for answers that had arrived long ago.

Change: the event loop reads all that has arrived, without a wake-up for each datagram, decides packets of open flows at once and openings in between, from a bounded queue. A packet that may have waited here for over 20 ms is no measurement of a server, and no evidence against it. Datagrams are read and sent without allocations. The metrics inputWaitMicros, openingWaitMicros and openingsDiscarded and the line "Host is behind." show the state.

TestStormOfOpeningsDelaysNoOpenFlow plays three times what the host can decide, without a network; TestPacketThatWaitedOnThisHostBlamesNoServer failed before (no field for it).

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -42,6 +42,9 @@
 	// flowActiveTimeout is how long after its last packet a long flow counts as
 	// active through this host. Flows move to other hosts without notice.
 	flowActiveTimeout = 3 * clock.Second
+	// maxMeasuredWait is how long a packet may wait on this host and still count for
+	// the response times and the failures of servers.
+	maxMeasuredWait = 20 * clock.Millis(1)
 	// removedRouteTTL is how long the address of a removed route is kept, so that
 	// packets of its flows are reset at once. It is the maximum lifetime of a flow.
 	removedRouteTTL = 60 * clock.Second
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -75,7 +75,7 @@
 	if f.established {
 		return c.forward(s, NoReason)
 	}
-	if s.backend.RecordUnanswered(now, f.openedAt) {
+	if !p.late() && s.backend.RecordUnanswered(now, f.openedAt) {
 		c.stats.Avoided++
 	}
 	// The server has failed if it is in backoff, silent or ended. From the second
@@ -178,7 +178,7 @@
 	f.lastAt = now
 	if !f.established {
 		a.Handshake = now - f.openedAt
-		if !f.retransmitted {
+		if !f.retransmitted && !p.late() {
 			c.admissionOf(s.entry.Service).RecordHandshake(a.Handshake)
 		}
 		f.established = true
@@ -197,7 +197,7 @@
 		f.ack = p.Ack
 		if f.inFlight {
 			a.Response = now - f.requestedAt
-			if !f.retransmitted {
+			if !f.retransmitted && !p.late() {
 				c.admissionOf(s.entry.Service).RecordResponse(a.Response, f.loadAtRequest)
 			}
 		}
@@ -212,7 +212,7 @@
 	} else if p.Length > 0 && f.inFlight {
 		// The client retransmits a request that the server has not answered.
 		f.retransmitted = true
-		if s.backend.RecordUnanswered(now, f.requestedAt) {
+		if !p.late() && s.backend.RecordUnanswered(now, f.requestedAt) {
 			c.stats.Avoided++
 		}
 	}
--- a/internal/token/core/place_test.go
+++ b/internal/token/core/place_test.go
@@ -84,3 +84,17 @@
 	p.From = netip.MustParseAddrPort("100.64.0.9:8")
 	c.Check(h.HandlePacket(7000, p, false).Verdict, qt.Equals, core.Forward)
 }
+
+// TestPacketThatWaitedOnThisHostBlamesNoServer retransmits an opening packet that a busy
+// host decides late. The server may have answered long before.
+func TestPacketThatWaitedOnThisHostBlamesNoServer(t *testing.T) {
+	c := qt.New(t)
+	h := newCore(1)
+	first := h.HandlePacket(10, syn(0), true)
+	late := syn(1)
+	late.Waited = 300
+	a := h.HandlePacket(330, late, true)
+	c.Check(a.Number, qt.Equals, first.Number)
+	c.Check(h.Stats().Avoided, qt.Equals, uint64(0))
+	c.Check(h.HandlePacket(340, syn(1), true).Reason, qt.Equals, core.MovedFlow)
+}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -34,8 +34,15 @@
 	Open  bool
 	Close bool
 	Abort bool
+	// Waited is the longest time for which the packet may have waited on this host
+	// before it is decided.
+	Waited clock.Millis
 }
 
+// late reports whether the packet may have waited for so long that it says little about
+// when its sender sent it.
+func (p *Packet) late() bool { return p.Waited > maxMeasuredWait }
+
 // Verdict is the decision on a packet.
 type Verdict uint8
 
@@ -80,6 +87,8 @@
 	CorrectedToken
 	// Overloaded means that the servers could not answer a new flow in time.
 	Overloaded
+	// Reasons is the number of reasons.
+	Reasons
 )
 
 // String returns the reason in camel case.
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -101,6 +101,11 @@
 
 	handshakes *admin.Histogram
 	responses  *admin.Histogram
+	// inputWait and openingWait hold, for each tick, the longest wait of a packet of an
+	// open flow and of an opening packet on this host.
+	inputWait         *admin.Histogram
+	openingWait       *admin.Histogram
+	openingsDiscarded atomic.Int64
 	// reasons counts decisions by reason, opened counts new flows by service.
 	reasons *expvar.Map
 	opened  *expvar.Map
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/token/core"
+	"monsooncleat.example/monsooncleat/internal/token/intake"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
 )
 
@@ -23,11 +24,20 @@
 	// was last confirmed. In that time, a route or server that the host does not
 	// know is taken not to exist.
 	confirmationTTL = 1500 * clock.Millis(1)
+	// maxReceiveTime is how long datagrams are decided before the event loop gets a
+	// turn.
+	maxReceiveTime = 50 * clock.Millis(1)
+	// maxDatagram is the largest datagram, as routers and servers exchange them.
+	maxDatagram = 1500
 	// maxAddresses bounds the cache of socket addresses.
 	maxAddresses = 8192
 	// linesPerSecond is the rate limit for each kind of log line about a decision, a
 	// timeout or a server.
 	linesPerSecond = 25
+	// behindThreshold is the wait of a packet on this host from which it is logged, and
+	// behindLinesPerSecond the limit for these lines.
+	behindThreshold      = 50 * clock.Millis(1)
+	behindLinesPerSecond = 2
 )
 
 // forwarder is the event loop that owns the core.
@@ -41,7 +51,13 @@
 	booted    chan struct{}
 	packet    core.Packet
 	buffer    []byte
-	addresses map[netip.AddrPort]*net.UDPAddr
+	addresses map[netip.AddrPort]*unix.SockaddrInet4
+	queue     *intake.Queue
+	// fd is the socket, which gnet owns. It is known from the first datagram on.
+	fd int
+	// reasons and opened count decisions until the next tick, when they are published.
+	reasons [core.Reasons]int64
+	opened  map[string]int64
 	// confirmedAt is the latest update.confirmedAt received, or 0 if there was none.
 	confirmedAt clock.Millis
 	tickedAt    clock.Millis
@@ -49,13 +65,18 @@
 	decisionLimiters map[core.Reason]*logs.Limiter
 	timeoutLimiter   *logs.Limiter
 	serverLimiter    *logs.Limiter
+	behindLimiter    *logs.Limiter
 }
 
 func newForwarder(d *Daemon) *forwarder {
-	return &forwarder{
-		d: d, addresses: map[netip.AddrPort]*net.UDPAddr{}, decisionLimiters: map[core.Reason]*logs.Limiter{},
+	f := &forwarder{
+		d: d, addresses: map[netip.AddrPort]*unix.SockaddrInet4{}, decisionLimiters: map[core.Reason]*logs.Limiter{},
+		opened:         map[string]int64{},
 		timeoutLimiter: logs.NewLimiter(linesPerSecond), serverLimiter: logs.NewLimiter(linesPerSecond),
+		behindLimiter: logs.NewLimiter(behindLinesPerSecond),
 	}
+	f.queue = intake.New(f, d.clock.Now, maxDatagram)
+	return f
 }
 
 func (f *forwarder) run(ctx context.Context) error {
@@ -75,6 +96,7 @@
 func (f *forwarder) OnTick() (time.Duration, gnet.Action) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.queue.Resume(maxReceiveTime)
 	f.runPeriodic(f.d.clock.Now())
 	return tickInterval, gnet.None
 }
@@ -88,6 +110,8 @@
 	if now-f.tickedAt >= clock.FromDuration(tickInterval) {
 		f.tickedAt = now
 		f.logTimeouts(now, f.d.core.Tick(now))
+		f.publishCounts()
+		f.recordWaits(now)
 		stats := f.d.core.Stats()
 		f.d.stats.Store(&stats)
 		loads := f.d.core.Loads()
@@ -95,6 +119,22 @@
 	}
 }
 
+// recordWaits publishes how long packets have waited on this host since the last tick,
+// and logs it while the host is behind.
+func (f *forwarder) recordWaits(now clock.Millis) {
+	s := f.queue.Stats()
+	f.d.inputWait.Record(s.LongestWait.Duration())
+	f.d.openingWait.Record(s.LongestOpeningWait.Duration())
+	f.d.openingsDiscarded.Store(int64(s.Discarded))
+	if max(s.LongestWait, s.LongestOpeningWait) < behindThreshold {
+		return
+	}
+	if omitted, ok := f.behindLimiter.Allow(now); ok {
+		f.d.log.Warn("Host is behind.", "openFlows", int64(s.LongestWait), "openings", int64(s.LongestOpeningWait),
+			"waiting", f.queue.Len(), "discarded", s.Discarded, "omitted", omitted)
+	}
+}
+
 func (f *forwarder) applyUpdate(now clock.Millis, u update) {
 	if u.dump != nil {
 		u.dump <- f.d.state()
@@ -131,7 +171,8 @@
 	}
 }
 
-// OnTraffic implements gnet.EventHandler.
+// OnTraffic implements gnet.EventHandler. It reads what has arrived besides the first
+// datagram without going back to the event loop, which costs two system calls for each.
 func (f *forwarder) OnTraffic(c gnet.Conn) gnet.Action {
 	datagram, err := c.Next(-1)
 	if err != nil {
@@ -139,15 +180,38 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.fd = c.Fd()
+	f.queue.Receive(datagram, f.read, maxReceiveTime)
+	return gnet.None
+}
+
+// read implements intake.Source. The datagrams name their senders themselves.
+func (f *forwarder) read(buffer []byte) (int, bool) {
+	n, err := unix.Read(f.fd, buffer)
+	return n, err == nil
+}
+
+// Classify implements intake.Handler.
+func (f *forwarder) Classify(datagram []byte) intake.Class {
+	if !f.d.codec.Decode(datagram, &f.packet) {
+		f.d.log.Warn("Received an invalid datagram.", "bytes", len(datagram))
+		return intake.Invalid
+	}
+	if f.packet.Open {
+		return intake.Opening
+	}
+	return intake.Established
+}
+
+// Decide implements intake.Handler.
+func (f *forwarder) Decide(datagram []byte, waited clock.Millis) {
 	now := f.d.clock.Now()
 	// Apply queued updates first, so that the packet is routed by the latest state.
-	if f.d.updates.Depth() > 0 {
+	if f.d.updates.Depth() > 0 || now-f.tickedAt >= clock.FromDuration(tickInterval) {
 		f.runPeriodic(now)
 	}
-	if !f.d.codec.Decode(datagram, &f.packet) {
-		f.d.log.Warn("Received an invalid datagram.", "bytes", len(datagram))
-		return gnet.None
-	}
+	f.d.codec.Decode(datagram, &f.packet)
+	f.packet.Waited = waited
 	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL
 	a := f.d.core.HandlePacket(now, &f.packet, upToDate)
 	f.recordMetrics(&a)
@@ -155,26 +219,25 @@
 	switch a.Verdict {
 	case core.Forward:
 		f.buffer = f.d.codec.Forward(f.buffer[:0], datagram, &a)
-		f.send(c, a.Server)
+		f.send(a.Server)
 	case core.Reset:
 		f.buffer = f.d.codec.Reset(f.buffer[:0], &f.packet)
 		// Clients receive resets at the port number of Settings.Packets.
-		f.send(c, netip.AddrPortFrom(f.packet.From.Addr(), f.d.settings.Packets.Port()))
+		f.send(netip.AddrPortFrom(f.packet.From.Addr(), f.d.settings.Packets.Port()))
 	case core.Drop:
 	}
-	return gnet.None
 }
 
-func (f *forwarder) send(c gnet.Conn, to netip.AddrPort) {
+func (f *forwarder) send(to netip.AddrPort) {
 	address := f.addresses[to]
 	if address == nil {
 		if len(f.addresses) >= maxAddresses {
 			clear(f.addresses)
 		}
-		address = net.UDPAddrFromAddrPort(to)
+		address = &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()}
 		f.addresses[to] = address
 	}
-	if _, err := c.SendTo(f.buffer, address); err != nil {
+	if err := unix.Sendto(f.fd, f.buffer, 0, address); err != nil {
 		f.d.reasons.Add("sendFailed", 1)
 		f.d.log.Warn("Failed to send a datagram.", "to", to, "err", err)
 	}
@@ -189,11 +252,23 @@
 	if a.Response > 0 {
 		f.d.responses.Record(a.Response.Duration())
 	}
-	if a.Reason != core.NoReason {
-		f.d.reasons.Add(a.Reason.String(), 1)
-	}
+	f.reasons[a.Reason]++
 	if a.Reason == core.NewFlow {
-		f.d.opened.Add(a.Service, 1)
+		f.opened[a.Service]++
+	}
+}
+
+// publishCounts adds the decisions since the last call to the metrics.
+func (f *forwarder) publishCounts() {
+	for reason, n := range f.reasons {
+		if n > 0 && core.Reason(reason) != core.NoReason {
+			f.d.reasons.Add(core.Reason(reason).String(), n)
+		}
+	}
+	f.reasons = [core.Reasons]int64{}
+	for service, n := range f.opened {
+		f.d.opened.Add(service, n)
+		delete(f.opened, service)
 	}
 }
 
--- /dev/null
+++ b/internal/token/intake/intake.go
@@ -0,0 +1,173 @@
+// Package intake orders the datagrams that an entry host has received and not decided
+// yet. It is designed for storms of opening packets on a host that is short of
+// processor time: packets of open flows are decided first, so that neither their
+// requests nor the acknowledgements that loads are computed from wait behind openings.
+//
+// The package does no I/O.
+package intake
+
+import "monsooncleat.example/monsooncleat/internal/base/clock"
+
+const (
+	// readBurst is the number of datagrams that are read before openings get a turn.
+	readBurst = 512
+	// openingBurst is the number of openings that are decided before more datagrams
+	// are read.
+	openingBurst = 16
+	// maxOpenings bounds the openings that wait. When there are more, the oldest is
+	// discarded: its client is the next to send a copy or to give up.
+	maxOpenings = 1024
+)
+
+// Class tells packets apart by how urgent they are.
+type Class uint8
+
+// Classes.
+const (
+	// Invalid datagrams are discarded by Handler.Classify.
+	Invalid Class = iota
+	// Established is a packet of an open flow.
+	Established
+	// Opening is a packet that opens a flow, or a copy of one.
+	Opening
+)
+
+// Handler classifies and decides datagrams.
+type Handler interface {
+	// Classify returns the class of a datagram.
+	Classify(datagram []byte) Class
+	// Decide decides on a datagram. Waited is the longest time for which it may have
+	// waited on this host since it arrived.
+	Decide(datagram []byte, waited clock.Millis)
+}
+
+// Source reads a datagram that has arrived into buffer. It returns false if there is
+// none.
+type Source func(buffer []byte) (size int, ok bool)
+
+// Stats are the counters of a Queue.
+type Stats struct {
+	// Discarded counts openings for which there was no room.
+	Discarded uint64
+	// LongestWait is the longest wait of a packet of an open flow, and
+	// LongestOpeningWait that of an opening, since the previous call of Stats.
+	LongestWait, LongestOpeningWait clock.Millis
+}
+
+// opening is an opening packet that waits.
+type opening struct {
+	datagram []byte
+	// emptySince is when the source was last known to be empty before the datagram was
+	// read.
+	emptySince clock.Millis
+}
+
+// Queue holds the openings that wait. It is not safe for concurrent use.
+type Queue struct {
+	handler Handler
+	now     func() clock.Millis
+	buffer  []byte
+	// emptyAt is when the source was last empty. Whatever is read has arrived later. If
+	// drained, it was empty when the latest call of Receive returned, and the next call
+	// comes when something has arrived.
+	emptyAt clock.Millis
+	drained bool
+	// openings is a ring: the oldest is at first.
+	openings    [maxOpenings]opening
+	first, size int
+	stats       Stats
+}
+
+// New returns an empty Queue for datagrams of up to maxDatagram bytes.
+func New(handler Handler, now func() clock.Millis, maxDatagram int) *Queue {
+	return &Queue{handler: handler, now: now, buffer: make([]byte, maxDatagram), drained: true}
+}
+
+// Receive takes a datagram that was just read, then reads more from source and decides
+// until none is left or limit has passed. Openings that are left over are decided by
+// the next call of Receive or Resume.
+func (q *Queue) Receive(datagram []byte, source Source, limit clock.Millis) {
+	start := q.now()
+	if q.drained {
+		q.emptyAt, q.drained = start, false
+	}
+	q.accept(datagram)
+	for {
+		empty := q.read(source)
+		now := q.now()
+		if empty {
+			q.emptyAt = now
+		}
+		if empty && q.size == 0 {
+			q.drained = true
+			return
+		}
+		if now-start >= limit {
+			return
+		}
+		q.decideOpenings(openingBurst)
+	}
+}
+
+// Resume decides on openings that an earlier call has left over, until limit has passed.
+func (q *Queue) Resume(limit clock.Millis) {
+	for start := q.now(); q.size > 0 && q.now()-start < limit; {
+		q.decideOpenings(openingBurst)
+	}
+}
+
+// read reads a burst from source and reports whether that is empty now.
+func (q *Queue) read(source Source) (empty bool) {
+	for range readBurst {
+		n, ok := source(q.buffer)
+		if !ok {
+			return true
+		}
+		q.accept(q.buffer[:n])
+	}
+	return false
+}
+
+func (q *Queue) accept(datagram []byte) {
+	switch q.handler.Classify(datagram) {
+	case Established:
+		waited := q.now() - q.emptyAt
+		q.stats.LongestWait = max(q.stats.LongestWait, waited)
+		q.handler.Decide(datagram, waited)
+	case Opening:
+		q.push(datagram)
+	case Invalid:
+	}
+}
+
+func (q *Queue) push(datagram []byte) {
+	if q.size == maxOpenings {
+		q.stats.Discarded++
+		q.first = (q.first + 1) % maxOpenings
+		q.size--
+	}
+	o := &q.openings[(q.first+q.size)%maxOpenings]
+	o.datagram, o.emptySince = append(o.datagram[:0], datagram...), q.emptyAt
+	q.size++
+}
+
+func (q *Queue) decideOpenings(limit int) {
+	for range min(limit, q.size) {
+		o := &q.openings[q.first]
+		q.first = (q.first + 1) % maxOpenings
+		q.size--
+		waited := q.now() - o.emptySince
+		q.stats.LongestOpeningWait = max(q.stats.LongestOpeningWait, waited)
+		q.handler.Decide(o.datagram, waited)
+	}
+}
+
+// Len returns the number of openings that wait.
+func (q *Queue) Len() int { return q.size }
+
+// Stats returns the counters and restarts the longest waits.
+func (q *Queue) Stats() Stats {
+	s := q.stats
+	q.stats.LongestWait, q.stats.LongestOpeningWait = 0, 0
+	return s
+}
--- /dev/null
+++ b/internal/token/intake/intake_test.go
@@ -0,0 +1,114 @@
+package intake_test
+
+import (
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/token/intake"
+)
+
+// host decides datagrams that consist of their class and the time of their arrival, in
+// units of 10 ms. Each decision and each read takes time.
+type host struct {
+	now         clock.Millis
+	perDecision clock.Millis
+	arriving    [][2]byte
+	decided     map[intake.Class][]clock.Millis
+	order       []intake.Class
+	promised    []clock.Millis
+}
+
+func (h *host) Classify(d []byte) intake.Class { return intake.Class(d[0]) }
+
+func (h *host) Decide(d []byte, waited clock.Millis) {
+	h.now += h.perDecision
+	class := intake.Class(d[0])
+	h.decided[class] = append(h.decided[class], h.now-10*clock.Millis(d[1]))
+	h.order = append(h.order, class)
+	h.promised = append(h.promised, waited)
+}
+
+// read is an intake.Source of what has arrived by now.
+func (h *host) read(buffer []byte) (int, bool) {
+	if len(h.arriving) == 0 || 10*clock.Millis(h.arriving[0][1]) > h.now {
+		return 0, false
+	}
+	n := copy(buffer, h.arriving[0][:])
+	h.arriving = h.arriving[1:]
+	return n, true
+}
+
+func newHost(perDecision clock.Millis) (*host, *intake.Queue) {
+	h := &host{perDecision: perDecision, decided: map[intake.Class][]clock.Millis{}}
+	return h, intake.New(h, func() clock.Millis { return h.now }, 16)
+}
+
+// serve calls Receive whenever something has arrived, as an event loop does.
+func (h *host) serve(q *intake.Queue, end clock.Millis) {
+	buffer := make([]byte, 16)
+	for h.now < end {
+		if n, ok := h.read(buffer); ok {
+			q.Receive(buffer[:n], h.read, 50)
+			continue
+		}
+		q.Resume(50)
+		h.now++
+	}
+}
+
+// TestStormOfOpeningsDelaysNoOpenFlow has a host that decides 1,000 packets a second.
+// For a second, 3,000 openings arrive, beside 300 packets of open flows.
+func TestStormOfOpeningsDelaysNoOpenFlow(t *testing.T) {
+	h, q := newHost(1)
+	for tick := range byte(100) {
+		for i := range 33 {
+			class := intake.Opening
+			if i%11 == 0 {
+				class = intake.Established
+			}
+			h.arriving = append(h.arriving, [2]byte{byte(class), tick})
+		}
+	}
+	h.serve(q, 5000)
+	established := h.decided[intake.Established]
+	qt.Check(t, established, qt.HasLen, 300)
+	slices.Sort(established)
+	// A burst of openings, of reads and of what arrived meanwhile may come before.
+	qt.Check(t, established[len(established)-1] <= 100, qt.IsTrue, qt.Commentf("waited up to %d ms", established[len(established)-1]))
+	qt.Check(t, q.Len(), qt.Equals, 0)
+	qt.Check(t, len(h.decided[intake.Opening])+int(q.Stats().Discarded), qt.Equals, 3000)
+}
+
+// TestWaitIsNeverUnderstated checks the bound that tells late measurements from slow
+// servers.
+func TestWaitIsNeverUnderstated(t *testing.T) {
+	h, q := newHost(2)
+	for tick := range byte(50) {
+		for i := range 1 + int(tick)%9 {
+			h.arriving = append(h.arriving, [2]byte{byte(intake.Established) + byte(i%2), tick})
+		}
+	}
+	h.serve(q, 3000)
+	for class, waits := range h.decided {
+		i := 0
+		for j, c := range h.order {
+			if c != class {
+				continue
+			}
+			// The arrival is known to 1 ms before the call that reads it.
+			qt.Check(t, h.promised[j] >= waits[i]-h.perDecision-1, qt.IsTrue, qt.Commentf("class %d, packet %d: waited %d, bound %d", class, i, waits[i], h.promised[j]))
+			i++
+		}
+	}
+}
+
+func TestQuietHostDecidesInOrder(t *testing.T) {
+	h, q := newHost(0)
+	h.arriving = [][2]byte{{byte(intake.Opening), 1}, {byte(intake.Established), 2}, {byte(intake.Invalid), 3}, {byte(intake.Opening), 4}}
+	h.serve(q, 100)
+	qt.Check(t, h.order, qt.DeepEquals, []intake.Class{intake.Opening, intake.Established, intake.Opening})
+	qt.Check(t, slices.Max(h.promised), qt.Equals, clock.Millis(0))
+}
