agree/quorum, serve/admit: take quorums and remembered refusals out of raft and token/core

Both are decisions of their own with tests of their own: what a quorum has reached, as a generic function over electorates, and refusals that hold until a request ends.

--- a/internal/agree/raft/elect.go
+++ b/internal/agree/raft/elect.go
@@ -1,6 +1,9 @@
 package raft
 
-import "monsooncleat.example/monsooncleat/internal/base/clock"
+import (
+	"monsooncleat.example/monsooncleat/internal/agree/quorum"
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+)
 
 func (n *Node) setState(term uint64, vote ID) {
 	if n.state.Term == term && n.state.Vote == vote {
@@ -68,7 +71,7 @@
 // countVotes starts the election after a won pre-vote, and takes the leadership
 // after a won election.
 func (n *Node) countVotes() {
-	if !n.quorumOf(func(id ID) bool { return n.votes[id] }) {
+	if !quorum.Agree(n.electorates(), func(id ID) bool { return n.votes[id] }, n.keptDisk) {
 		return
 	}
 	if n.role == PreCandidate {
@@ -78,17 +81,6 @@
 	n.becomeLeader()
 }
 
-// quorumOf reports whether the voters for which agrees is true are a quorum.
-func (n *Node) quorumOf(agrees func(ID) bool) bool {
-	value := func(id ID) int {
-		if agrees(id) {
-			return 1
-		}
-		return 0
-	}
-	return reachedByQuorum(n.electorates(), value, n.keptDisk) > 0
-}
-
 // abandonLostElection returns to follower once too many voters have rejected the
 // candidate for it to win. It schedules a pre-vote after a short delay: after a
 // split vote no candidate can win the term, and if another candidate has won, its
@@ -98,7 +90,7 @@
 		granted, replied := n.votes[id]
 		return granted || !replied
 	}
-	if !n.quorumOf(mayGrant) {
+	if !quorum.Agree(n.electorates(), mayGrant, n.keptDisk) {
 		n.becomeFollower(n.state.Term, "")
 		n.electionDeadline = n.now + n.preVoteDelay()
 	}
--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"monsooncleat.example/monsooncleat/internal/agree/quorum"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 )
 
@@ -149,7 +150,7 @@
 		}
 		return n.LastAcknowledged(id)
 	}
-	return reachedByQuorum(n.electorates(), sentAt, n.acknowledgedSinceLoss)
+	return quorum.Reached(n.electorates(), sentAt, n.acknowledgedSinceLoss)
 }
 
 // Tick advances the clock of the node to now. Call it several times per heartbeat
--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"monsooncleat.example/monsooncleat/internal/agree/quorum"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 )
 
@@ -188,7 +189,7 @@
 		}
 		return n.Match(id)
 	}
-	index := reachedByQuorum(n.electorates(), match, n.acknowledgedSinceLoss)
+	index := quorum.Reached(n.electorates(), match, n.acknowledgedSinceLoss)
 	if t, ok := n.log.term(index); !ok || t != n.state.Term || index <= n.log.commit {
 		return
 	}
--- a/internal/proof/dirsim/replace_test.go
+++ b/internal/proof/dirsim/replace_test.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// newReplacement starts n hosts with version 1 and another one, which has had its
+// recovery time.
+func newReplacement(t *testing.T, seed uint64, n int) *simulation {
+	sim := newSimulation(t, seed, n)
+	sim.run(2500)
+	sim.publishWithRetry(1, ackTimeout)
+	sim.add(hostAddress(n+1), false)
+	sim.run(recoveryTimeout)
+	return sim
+}
+
 // TestDiskLossRightAfterPlannedReplacement stops a control host whose replacement has
 // had its recovery time. The host no longer counts, so a disk may be lost at once.
 func TestDiskLossRightAfterPlannedReplacement(t *testing.T) {
@@ -75,11 +86,7 @@
 				if lost == old {
 					continue
 				}
-				sim := newSimulation(t, uint64(n*100+old*10+lost), n)
-				sim.run(2500)
-				sim.publishWithRetry(1, ackTimeout)
-				sim.add(hostAddress(n+1), false)
-				sim.run(recoveryTimeout)
+				sim := newReplacement(t, uint64(n*100+old*10+lost), n)
 				sim.stop(hostAddress(old))
 				delete(sim.hosts, hostAddress(old))
 				sim.powerOffAll(n+1, hostAddress(lost))
@@ -102,11 +109,7 @@
 					if lost == old {
 						continue
 					}
-					sim := newSimulation(t, uint64(n*100+old*10+lost), n)
-					sim.run(2500)
-					sim.publishWithRetry(1, ackTimeout)
-					sim.add(hostAddress(n+1), false)
-					sim.run(recoveryTimeout)
+					sim := newReplacement(t, uint64(n*100+old*10+lost), n)
 					sim.powerOff(hostAddress(old))
 					delete(sim.hosts, hostAddress(old))
 					if restOff {
--- a/internal/proof/layout/layout_test.go
+++ b/internal/proof/layout/layout_test.go
@@ -13,7 +13,7 @@
 // pure lists the packages that do no I/O. They must not import any of
 // ioPackages.
 var pure = []string{
-	"", "/internal/agree/raft", "/internal/ask/ledger", "/internal/bundle/chain", "/internal/bundle/patch",
+	"", "/internal/agree/quorum", "/internal/agree/raft", "/internal/ask/ledger", "/internal/bundle/chain", "/internal/bundle/patch",
 	"/internal/bundle/state", "/internal/ctrl/core", "/internal/entry/core", "/internal/flow/table",
 	"/internal/host/homes", "/internal/host/member", "/internal/host/rumor", "/internal/serve/lease",
 	"/internal/serve/maglev", "/internal/serve/roster", "/internal/serve/fleet", "/internal/serve/choose",
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -74,8 +74,8 @@
 	entry   *fleet.Server
 	backend *choose.Backend
 	token   tokens.Token
-	// changes is Core.changes.
-	changes *uint64
+	// refusals is Core.refusals.
+	refusals *admit.Refusals[refusal]
 	// meanInFlight is the smoothed number of requests in flight that this host
 	// forwarded.
 	meanInFlight float64
@@ -106,11 +106,8 @@
 	flows      map[flowKey]*flow
 	requestMix map[netip.AddrPort]*requestMix
 	// admission holds the estimates by service.
-	admission map[string]*admit.Service
-	refusals  map[refusalKey]refusal
-	// changes counts what may let a service admit again: requests that end, and
-	// updates.
-	changes     uint64
+	admission   map[string]*admit.Service
+	refusals    *admit.Refusals[refusal]
 	nextSweepAt clock.Millis
 	smoothedAt  clock.Millis
 	// loadsAt is when the loads of other hosts were received, or 0 if they are unknown
@@ -136,7 +133,7 @@
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
-		admission: map[string]*admit.Service{}, refusals: map[refusalKey]refusal{},
+		admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
 	}
 }
 
@@ -182,7 +179,7 @@
 	if table.Version <= c.Version() {
 		return false
 	}
-	c.changes++
+	c.refusals.Forget()
 	old := c.index
 	c.index = routes.NewIndex(table)
 	if old != nil {
@@ -206,7 +203,7 @@
 
 // Learn applies an update and returns the servers whose state changed.
 func (c *Core) Learn(now clock.Millis, u *Update) []*fleet.Server {
-	c.changes++
+	c.refusals.Forget()
 	position := c.fleet.Position()
 	for i := range u.Servers {
 		s := &u.Servers[i]
@@ -255,7 +252,7 @@
 			}
 			s = &server{
 				id: e.ID, started: e.Started, entry: e,
-				backend: choose.NewBackend(e.Slots, e.Centre), changes: &c.changes,
+				backend: choose.NewBackend(e.Slots, e.Centre), refusals: c.refusals,
 			}
 			c.servers[e.ID] = s
 			c.tokens.Add(e.ID, e.Started, s)
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -81,7 +81,7 @@
 	if f.inFlight {
 		f.inFlight = false
 		f.server.backend.RequestEnded()
-		*f.server.changes++
+		f.server.refusals.Forget()
 	}
 }
 
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -49,26 +49,10 @@
 // refused, besides the first one.
 const refusalAttempts = 3
 
-// refusalTTL bounds how long a refusal holds for further openings. In this time, the
-// shares of the priorities and the backoffs of servers change little.
-const refusalTTL = 20 * clock.Millis(1)
-
-// refusalKey identifies openings that are admitted or refused alike.
-type refusalKey struct {
-	service  string
-	kind     choose.Kind
-	goal     clock.Millis
-	priority int
-}
-
-// refusal is the refusal of an opening that no server would admit. It holds for others
-// of its kind until a request ends or an update arrives.
+// refusal describes a refused opening, for logs.
 type refusal struct {
 	server *server
 	load   float64
-	until  clock.Millis
-	// changes is Core.changes at the refusal.
-	changes uint64
 }
 
 // pickAdmitted selects the server of a new flow, or returns nil if there is none. It
@@ -79,17 +63,17 @@
 	if len(list) == 0 {
 		return nil, 0, false
 	}
-	key := refusalKey{list[0].entry.Service, kind, route.LatencyGoal, route.Priority}
+	class := admit.Class{Service: list[0].entry.Service, Kind: kind, Goal: route.LatencyGoal, Priority: route.Priority}
 	if c.options.Off.Has(tune.Priorities) {
-		key.priority = 0
+		class.Priority = 0
 	}
-	service := c.admissionOf(key.service)
-	service.RecordOpening(key.priority)
+	service := c.admissionOf(class.Service)
+	service.RecordOpening(class.Priority)
 	mayRefuse := p.Ack == 0 && !c.options.Off.Has(tune.Admission)
-	if r, known := c.refusals[key]; mayRefuse && known && now < r.until && r.changes == c.changes {
+	if r, holds := c.refusals.Find(now, class); mayRefuse && holds {
 		return r.server, r.load, false
 	}
-	o := admit.Opening{Kind: kind, Goal: key.goal, Priority: key.priority}
+	o := admit.Opening{Kind: kind, Goal: class.Goal, Priority: class.Priority}
 	for attempt := 0; attempt <= refusalAttempts; attempt++ {
 		s = list[c.policy.Pick(now, kind, list, backendOf)]
 		load = s.backend.Load(kind)
@@ -105,7 +89,7 @@
 		}
 	}
 	if o.Load = lowestLoad(list); !service.Admit(&o) {
-		c.refusals[key] = refusal{s, load, now + refusalTTL, c.changes}
+		c.refusals.Remember(now, class, refusal{s, load})
 	}
 	return s, load, false
 }
