entry/core: a successor that never owned a bucket forwards none of its unknown flows

Cause: a new owner asks the successor about a flow that it does not know, since that may have been the owner before. The successor has no record, as the flow is on its default server of now. It took itself for the previous owner and forwarded the packet to the default server of the time up to which it knew the servers, which was that of its start, before the drain.

Change: only a host that owns the bucket or owned it last does so. Others return the packet, and the new owner decides.

--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -135,8 +135,10 @@
 	// responsibleSince is the time at which this host became owner or successor
 	// of each bucket.
 	responsibleSince [homes.Buckets]clock.Millis
-	// bucketOwner holds the boot ID of each bucket's owner.
+	// bucketOwner holds the boot ID of each bucket's owner, formerOwner that of the
+	// owner before, or zero.
 	bucketOwner [homes.Buckets]table.NameID
+	formerOwner [homes.Buckets]table.NameID
 	history     [homes.Buckets]place.Owners
 	// addrs caches the fabric addresses of hosts by name, and the parsed form
 	// of server and origin addresses.
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -140,9 +140,11 @@
 // forwardAsPreviousOwner handles a mid-stream packet that the new owner relayed
 // for a lookup. If the flow's default server at the change of owner differs from
 // its current one, it forwards the packet to the default server of that time and
-// records the flow as a replica. It reports whether it forwarded the packet.
+// records the flow as a replica. A host that did not own the bucket, such as a
+// successor that the new owner asks too, cannot tell which default applied. It reports
+// whether it forwarded the packet.
 func (c *Core) forwardAsPreviousOwner(s *service, p *inner.Packet, in *arrival, hash uint64) bool {
-	if s == nil || p.Key.Proto() != inner.TCP || p.Opens() || !c.canAdopt(s, p) {
+	if s == nil || p.Key.Proto() != inner.TCP || p.Opens() || !c.ownedLast(c.bucketOf(hash)) || !c.canAdopt(s, p) {
 		return false
 	}
 	server, currentDefault := c.serverForUnknownFlow(s, hash), s.places.Current().Server(hash)
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -89,7 +89,7 @@
 	for b := range homes.Buckets {
 		if ownerID := c.bootIDs[c.owners.Home(b)]; ownerID != c.bucketOwner[b] {
 			c.history[b].Changed(c.now, c.now-c.ownerLag(previous, b), handoverPeriod)
-			c.bucketOwner[b] = ownerID
+			c.formerOwner[b], c.bucketOwner[b] = c.bucketOwner[b], ownerID
 		}
 		responsible := c.owners.Home(b) == self || c.owners.Successor(b) == self
 		wasResponsible := previous != nil && (previous.Home(b) == self || previous.Successor(b) == self)
