entry/daemon: log the counters that tell why flows broke when a host stops

A restarted host starts its counters anew, so after localRunNineHosts with a broken flow nothing told whether a host had refused its packets.

--- a/internal/entry/daemon/admin.go
+++ b/internal/entry/daemon/admin.go
@@ -38,6 +38,18 @@
 	acceptsAnnouncements atomic.Bool
 }
 
+// brokenFlowCounters returns the names and values of the counters that tell why a flow
+// may have broken on this host, for a log line.
+func (s *stats) brokenFlowCounters() []any {
+	var out []any
+	for _, c := range []count.Counter{
+		count.FlowsAdopted, count.FlowsUnknown, count.FlowsRefused, count.FlowsServerGone, count.FlowsSilent, count.CrossedPrevented,
+	} {
+		out = append(out, c.String(), s.values[c].Load())
+	}
+	return out
+}
+
 // update copies the counters of c. It runs on the goroutine that owns c.
 func (s *stats) update(c *core.Core) {
 	for i := range count.CounterCount {
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -169,7 +169,7 @@
 	}
 	err = supervisor.Stop()
 	d.peers.Close()
-	d.log.Info("Entry host is down.")
+	d.log.Info("Entry host is down.", d.stats.brokenFlowCounters()...)
 	return err
 }
 
