dir/core: name a lost disk to its host until its removal is committed

Cause: a host reports the loss of its earlier disk once it has seen the identity of that disk among the members that others reply with. While the removal of that identity is pending, the reply named only the members after it. A restart of all hosts in this time lost the knowledge for good, and the voters before the removal, 4 of which 2 were left, had no quorum.

The reply names the voters before a pending membership, too.

TestLostDiskIsReportedUntilItsRemovalIsCommitted failed before.

--- a/internal/agree/raft/elect.go
+++ b/internal/agree/raft/elect.go
@@ -61,7 +61,7 @@
 }
 
 func (n *Node) requestVotes(kind Kind, term uint64) {
-	for _, id := range n.electors() {
+	for _, id := range n.Electors() {
 		if id != n.id {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm()})
 		}
--- a/internal/agree/raft/lost.go
+++ b/internal/agree/raft/lost.go
@@ -20,8 +20,9 @@
 	return out
 }
 
-// electors returns the members of all electorates.
-func (n *Node) electors() []ID {
+// Electors returns the voters of which a quorum must agree: those of the membership in
+// effect and, until that is committed, those of the one before.
+func (n *Node) Electors() []ID {
 	var out []ID
 	for _, e := range n.electorates() {
 		for _, id := range e.Voters {
@@ -37,7 +38,7 @@
 // can follow. The caller must be certain of that: the host itself reports it, under its
 // new ID.
 func (n *Node) MarkLost(now clock.Millis, id ID) {
-	if id == n.id || n.lost[id] || !slices.Contains(n.electors(), id) {
+	if id == n.id || n.lost[id] || !slices.Contains(n.Electors(), id) {
 		return
 	}
 	n.now = now
@@ -52,7 +53,7 @@
 
 // Lost returns the voters that are known to have lost their disks.
 func (n *Node) Lost() []ID {
-	return slices.DeleteFunc(n.electors(), func(id ID) bool { return !n.lost[id] })
+	return slices.DeleteFunc(n.Electors(), func(id ID) bool { return !n.lost[id] })
 }
 
 // keptDisk reports whether a voter is not known to have lost its disk.
--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -184,7 +184,7 @@
 // receivers returns the nodes that this node, the leader, replicates the log to: all
 // other members, and voters whose removal is not committed yet.
 func (n *Node) receivers() []ID {
-	out := n.electors()
+	out := n.Electors()
 	for _, id := range n.log.conf().Learners {
 		if !slices.Contains(out, id) {
 			out = append(out, id)
--- a/internal/dir/core/members.go
+++ b/internal/dir/core/members.go
@@ -23,8 +23,8 @@
 
 func (c *Core) onJoinRequest(m *msgs.JoinRequest) {
 	c.addAddresses([]string{addressOf(m.ID)})
-	conf := c.node.Conf()
-	c.sendNow(addressOf(m.ID), &msgs.Envelope{JoinReply: &msgs.JoinReply{Members: conf.Members(), Leader: c.node.Leader()}})
+	members := append(c.node.Electors(), c.node.Conf().Learners...)
+	c.sendNow(addressOf(m.ID), &msgs.Envelope{JoinReply: &msgs.JoinReply{Members: members, Leader: c.node.Leader()}})
 	for _, id := range m.Former {
 		if sameHost(id, m.ID) && id != m.ID {
 			c.node.MarkLost(c.now, id)
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -80,8 +80,9 @@
 	Former []raft.ID `msgpack:"former,omitempty"`
 }
 
-// JoinReply answers a request to join with the members and the leader that the
-// replying host knows. It does not mean that the requesting host was added.
+// JoinReply answers a request to join with the members, those whose removal is not
+// committed included, and the leader that the replying host knows. It does not mean
+// that the requesting host was added.
 type JoinReply struct {
 	Members []raft.ID `msgpack:"members"`
 	Leader  raft.ID   `msgpack:"leader"`
--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -502,3 +502,16 @@
 		x.failed = append(x.failed, h)
 	}
 }
+
+// checkHistory plays a history that the exploration has found.
+func checkHistory(t *testing.T, text string) {
+	e, possible := play(t, parseHistory(qt.New(t), text), true)
+	qt.Check(t, possible, qt.IsTrue)
+	qt.Check(t, e.violations, qt.HasLen, 0)
+}
+
+// TestLostDiskIsReportedUntilItsRemovalIsCommitted restarts all hosts while the removal
+// of a lost disk is pending.
+func TestLostDiskIsReportedUntilItsRemovalIsCommitted(t *testing.T) {
+	checkHistory(t, "3/1/868 lose:leader+ add+ kill:leader pause pause pause pause wipe:follower powerAll")
+}
