agree/raft: tell the followers at once that a membership is committed

Cause: since a pending membership needs a quorum of the voters before it, too, a follower that does not know of the commit waits for voters that were removed. It learned of the commit with the next heartbeat, up to 150 ms later. A leader that was lost for good in this time, right after it had committed the removal of another voter, left two hosts without a quorum.

Found by the exploration ("3/1/1055 ... retire:leader pause powerAll pause lose:leader+"). The leader now sends the commit index as soon as a membership is committed.

TestFollowersKnowACommittedRemovalAtOnce failed before.

--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -193,7 +193,14 @@
 	if t, ok := n.log.term(index); !ok || t != n.state.Term || index <= n.log.commit {
 		return
 	}
+	confWasPending := n.log.confPending()
 	n.log.commit = index
+	if confWasPending && !n.log.confPending() {
+		// Until the others know this, they need a quorum of the voters before, too.
+		for _, id := range n.receivers() {
+			n.sendAppend(id)
+		}
+	}
 	n.stepDownIfRemoved()
 }
 
--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -515,3 +515,9 @@
 func TestLostDiskIsReportedUntilItsRemovalIsCommitted(t *testing.T) {
 	checkHistory(t, "3/1/868 lose:leader+ add+ kill:leader pause pause pause pause wipe:follower powerAll")
 }
+
+// TestFollowersKnowACommittedRemovalAtOnce loses a leader for good right after it has
+// committed the removal of another voter.
+func TestFollowersKnowACommittedRemovalAtOnce(t *testing.T) {
+	checkHistory(t, "3/1/1055 pause lose:follower+ pause pause freeze:follower pause add pause pause pause cut:follower+ retire:leader pause powerAll pause lose:leader+")
+}
