--- a/internal/serve/admit/admit.go
+++ b/internal/serve/admit/admit.go
@@ -66,14 +66,14 @@
 func NewService() *Service { return &Service{openings: map[int]int{}} }
 
 // RecordHandshake records the time from an opening packet to the client's next one.
-func (s *Service) RecordHandshake(now, t clock.Millis) { s.handshakes.add(now, t) }
+func (s *Service) RecordHandshake(t clock.Millis) { s.handshakes.add(t) }
 
 // RecordResponse records the time from a request to the first acknowledgement of its
 // response. Load is the number of requests per slot that were in flight on its
 // server when it began; a response that had to queue is ignored.
-func (s *Service) RecordResponse(now, t clock.Millis, load float64) {
+func (s *Service) RecordResponse(t clock.Millis, load float64) {
 	if load <= 1 {
-		s.responses.add(now, t)
+		s.responses.add(t)
 	}
 }
 
--- a/internal/serve/admit/calm.go
+++ b/internal/serve/admit/calm.go
@@ -7,10 +7,8 @@
 )
 
 const (
-	// windowSamples is the least number of measurements in one mean, and windowLength
-	// the least time that it covers: a surge brings many measurements in a short time.
+	// windowSamples is the number of measurements in one mean.
 	windowSamples = 32
-	windowLength  = clock.Second
 	// keptWindows is the number of means that the minimum is taken of. At the start
 	// of a surge, hosts learn of each other's load only after a second, so some
 	// means include requests that queued.
@@ -22,19 +20,12 @@
 type minimumMean struct {
 	sum   clock.Millis
 	count int
-	// startedAt is when the first measurement of the present window was added.
-	startedAt clock.Millis
-	means     []float64
+	means []float64
 }
 
-func (m *minimumMean) add(now, t clock.Millis) {
-	if m.count == 0 {
-		m.startedAt = now
-	}
+func (m *minimumMean) add(t clock.Millis) {
 	m.sum += t
-	m.count++
-	first := len(m.means) == 0
-	if m.count < windowSamples || !first && now-m.startedAt < windowLength {
+	if m.count++; m.count < windowSamples {
 		return
 	}
 	m.means = append(m.means, float64(m.sum)/float64(m.count))
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -179,7 +179,7 @@
 	if !f.established {
 		a.Handshake = now - f.openedAt
 		if !f.retransmitted && !p.late() {
-			c.admissionOf(s.entry.Service).RecordHandshake(now, a.Handshake)
+			c.admissionOf(s.entry.Service).RecordHandshake(a.Handshake)
 		}
 		f.established = true
 		f.moveTo(s)
@@ -198,7 +198,7 @@
 		if f.inFlight {
 			a.Response = now - f.requestedAt
 			if !f.retransmitted && !p.late() {
-				c.admissionOf(s.entry.Service).RecordResponse(now, a.Response, f.loadAtRequest)
+				c.admissionOf(s.entry.Service).RecordResponse(a.Response, f.loadAtRequest)
 			}
 		}
 		f.endRequest()
