--- a/internal/proof/matrix/stall_test.go
+++ b/internal/proof/matrix/stall_test.go
@@ -1,6 +1,7 @@
 package matrix_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -10,6 +11,11 @@
 	"monsooncleat.example/monsooncleat/internal/entry/core"
 )
 
+var (
+	stallFirst = flag.Uint64("stall.first", 1, "first seed of TestRestartsOfStallingHosts")
+	stallSeeds = flag.Uint64("stall.seeds", 1, "number of seeds of TestRestartsOfStallingHosts")
+)
+
 // longestStall is shorter than the time after which a host is declared dead. Several
 // stalls in a row may be longer.
 const longestStall = 700
@@ -62,3 +68,13 @@
 // TestOwnerThatStallsRunsNoRefusedRequest guards against a request that runs on an
 // owner which the others took for dead, after its successor has refused it.
 func TestOwnerThatStallsRunsNoRefusedRequest(t *testing.T) { restartStallingHosts(t, 27) }
+
+// TestRestartsOfStallingHosts plays the seeds that the flags name.
+func TestRestartsOfStallingHosts(t *testing.T) {
+	for seed := *stallFirst; seed < *stallFirst+*stallSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			restartStallingHosts(t, seed)
+		})
+	}
+}
