--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -120,9 +120,9 @@
 	}()
 	c.Assert(server.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
 	buf := make([]byte, 64)
-	for range 8000 {
+	for i := range 8000 {
 		n, err := server.Read(buf)
-		c.Assert(err, qt.IsNil)
+		c.Assert(err, qt.IsNil, qt.Commentf("after %d datagrams; %s", i, d.Metrics().Values()))
 		c.Assert(n, qt.Equals, plainSize+4)
 		c.Assert(tokens.Token(binary.BigEndian.Uint32(buf)), qt.Equals, tokens.Candidate("i-1", 0, 0))
 	}
