token/daemon: count a datagram to an address that is not IPv4 as not sent

Cause, found in reading the change: since datagrams are sent with a cached IPv4 socket address, a server that announces an IPv6 address, which the platform's bodies accept, would have made the conversion panic and ended the relay. Before, the send failed with an error. It is counted and logged as a failed send again. Checked: the tests of token/daemon and proof/metric, gofumpt, revive and vet; not the whole script, and no test of its own.

--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -229,6 +229,11 @@
 }
 
 func (f *forwarder) send(to netip.AddrPort) {
+	if !to.Addr().Unmap().Is4() {
+		f.d.reasons.Add("sendFailed", 1)
+		f.d.log.Warn("Failed to send a datagram: not an IPv4 address.", "to", to)
+		return
+	}
 	address := f.addresses[to]
 	if address == nil {
 		if len(f.addresses) >= maxAddresses {
