entry/core: run no try of a deposed owner that this host has refused

Ruled out: a fence by suspicion.

Change: the successor answers NotRun in place of the server for a try that it has refused. It is the last process before the server, so no stall of the owner comes after the check. No lease and no further message is needed.

--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -296,7 +296,8 @@
 // recordAndForward records a request for its owner and forwards it to the
 // server. It replies with an outcome instead if the service is unknown or the
 // client's address invalid, if this host is neither owner nor successor, if its
-// ledger is full, or if it has accepted the request as owner.
+// ledger is full, or if it has refused the try or accepted the request as owner: the
+// sender may not know yet that it no longer owns the bucket.
 func (c *Core) recordAndForward(p *inner.Packet, in *arrival) {
 	req, err := envel.DecodeRequest(p.Payload)
 	if err != nil {
@@ -315,6 +316,10 @@
 		c.replyForServer(p, req, envel.NotRun)
 		return
 	}
+	if c.refusedTries.Has(c.now, key.Hash(), req.Try) {
+		c.replyForServer(p, req, envel.NotRun)
+		return
+	}
 	e := c.ledger.Find(key)
 	if e != nil && e.Stage != ledger.Replica {
 		c.replyForServer(p, req, envel.Unknown)
