entry/core, cli/trace: log each flow that an entry host resets, with the reason

Each reset and refusal is now a line "Flow decided." with client, route, server and reason, within 25 lines a second, and explain names the cause.

--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -148,6 +148,9 @@
 	"noServer":     "no server of the service accepted new flows",
 	"noConfig":     "the entry host had no routing table yet",
 	"overloaded":   "its servers could not have answered in time",
+	"unknownFlow":  "the entry host had no record of the flow and could not find its server",
+	"noProgress":   "its client kept retransmitting a segment that its server did not acknowledge",
+	"clientSilent": "its client answered no probe",
 	"unknownToken": "the entry host did not know the server that the packet's token names",
 }
 
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -114,6 +114,9 @@
 type Output struct {
 	Datagrams []Datagram
 	Frames    []Frame
+	// Resets are the flows that were reset, for logs. Some are left out if there are
+	// many.
+	Resets []Reset
 	// Release is the active release if it changed, else nil. The caller stores
 	// it, so that it survives a restart.
 	Release *chain.Update
@@ -356,6 +359,7 @@
 func (c *Core) ClearOutput() {
 	c.out.Datagrams = c.out.Datagrams[:0]
 	c.out.Frames = c.out.Frames[:0]
+	c.out.Resets = c.out.Resets[:0]
 	c.out.Release = nil
 	c.sendBuffer = c.sendBuffer[:0]
 }
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -108,20 +108,20 @@
 	}
 	if s == nil {
 		c.counters.Add(count.NoService, 1)
-		c.refuse(p, in)
+		c.refuse(p, in, 0, NoService)
 		return
 	}
 	opens := p.Key.Proto() == inner.UDP || p.Opens()
 	if !opens && !c.canAdopt(s, p) {
 		c.counters.Add(count.FlowsUnknown, 1)
-		c.refuse(p, in)
+		c.refuse(p, in, 0, UnknownFlow)
 		return
 	}
 	server := c.chooseServer(s, hash, opens)
 	if server == 0 || c.flows.Len() >= c.opts.MaxFlows {
 		s.load.Refuse()
 		c.counters.Add(count.FlowsRefused, 1)
-		c.refuse(p, in)
+		c.refuse(p, in, 0, NoServer)
 		return
 	}
 	r := c.addFlow(s, p, hash, server)
@@ -322,19 +322,21 @@
 	srv := c.servers.Find(c.interner.Name(r.Server))
 	if srv == nil || srv.Ended(c.now) {
 		c.counters.Add(count.FlowsServerGone, 1)
+		server := r.Server
 		c.removeFlow(r)
-		c.refuse(p, in)
+		c.refuse(p, in, server, ServerEnded)
 		return
 	}
 	info := srv.Info()
 	if info.Service != c.interner.Name(r.Service) && !c.opts.Disabled.ServiceCheck {
 		c.counters.Add(count.CrossedPrevented, 1)
+		server := r.Server
 		c.removeFlow(r)
-		c.refuse(p, in)
+		c.refuse(p, in, server, ServerEnded)
 		return
 	}
 	if r.Retransmits >= maxRetransmits && !c.opts.Disabled.IdleProbes {
-		c.resetBothEnds(r, p.Key.Dst())
+		c.resetBothEnds(r, NoProgress)
 		return
 	}
 	c.counters.Add(count.PacketsForwarded, 1)
@@ -354,15 +356,3 @@
 	c.addrs[address] = addr
 	return addr
 }
-
-// refuse rejects p with an ICMP port unreachable message for UDP, or a reset
-// for TCP.
-func (c *Core) refuse(p *inner.Packet, in *arrival) {
-	if p.Key.Proto() == inner.UDP {
-		c.send(in.origin, inner.BuildUnreachable(p), nil)
-		return
-	}
-	if p.Flags&inner.RST == 0 {
-		c.send(in.origin, inner.BuildReset(p), nil)
-	}
-}
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"net/netip"
-
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/entry/batch"
 	"monsooncleat.example/monsooncleat/internal/entry/count"
@@ -206,7 +204,7 @@
 		return
 	}
 	if r.Probes >= maxProbes {
-		c.resetBothEnds(r, r.Key.Dst())
+		c.resetBothEnds(r, ClientSilent)
 		return
 	}
 	r.Probes++
@@ -217,9 +215,10 @@
 
 // resetBothEnds sends a TCP reset to the client and to the server, and removes
 // the flow. It is used when packets no longer reach one of them.
-func (c *Core) resetBothEnds(r *table.Record, serviceAddr netip.AddrPort) {
+func (c *Core) resetBothEnds(r *table.Record, reason ResetReason) {
 	c.counters.Add(count.FlowsSilent, 1)
-	client := r.Key.Src()
+	c.noteReset(&r.Key, r.Server, reason)
+	client, serviceAddr := r.Key.Src(), r.Key.Dst()
 	c.sendToClient(r, inner.BuildTCP(serviceAddr, client, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Ack, Ack: r.Seq}))
 	if srv := c.servers.Find(c.interner.Name(r.Server)); srv != nil && srv.Info().Service == c.interner.Name(r.Service) {
 		reset := inner.BuildTCP(client, serviceAddr, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Seq, Ack: r.Ack})
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -37,6 +37,8 @@
 	releaseFileName = "release"
 	dataFolderMode  = 0o700
 	departDelay     = 100 * time.Millisecond
+	// resetLinesPerSecond is the rate limit for log lines about resets.
+	resetLinesPerSecond = 25
 )
 
 // event is an event for the goroutine that owns the core, other than a
@@ -69,7 +71,9 @@
 	drained    chan struct{}
 	departed   bool
 	sendErrors atomic.Uint64
-	stats      stats
+	// resetLimiter limits the rate of log lines about resets.
+	resetLimiter *logs.Limiter
+	stats        stats
 }
 
 // New returns a Daemon with the release stored before a restart, if any.
@@ -78,7 +82,7 @@
 		settings: settings, clock: source, log: factory.Logger("entry"),
 		packets: ring.New[*link.Datagram](packetRingSize), answers: ring.New[*link.Datagram](packetRingSize),
 		events: ring.New[event](eventRingSize), releases: ring.New[*chain.Update](releaseRingSize),
-		metrics: admin.NewMetrics(), drained: make(chan struct{}),
+		metrics: admin.NewMetrics(), drained: make(chan struct{}), resetLimiter: logs.NewLimiter(resetLinesPerSecond),
 	}
 	boot := uint64(clock.UnixMillis())
 	r := rand.New(rand.NewPCG(boot, uint64(os.Getpid())))
@@ -256,12 +260,24 @@
 	for _, frame := range out.Frames {
 		d.peers.Send(frame.To, frame.Body)
 	}
+	d.logResets(out.Resets)
 	if out.Release != nil {
 		d.storeRelease(out.Release)
 	}
 	d.core.ClearOutput()
 }
 
+// logResets logs the flows that the core has reset, within the rate limit.
+func (d *Daemon) logResets(resets []core.Reset) {
+	for i := range resets {
+		r := &resets[i]
+		if omitted, ok := d.resetLimiter.Allow(d.clock.Now()); ok {
+			d.log.Info("Flow decided.", "flow", r.Client.String()+">"+r.Service.String(), "outcome", "reset", "why", r.Reason.String(),
+				"server", r.Server, "omitted", omitted)
+		}
+	}
+}
+
 // storeRelease logs a newly activated release and queues it for writing.
 func (d *Daemon) storeRelease(update *chain.Update) {
 	last := update.Releases[len(update.Releases)-1]
