stand/server: keep a stream when a late copy of its SYN arrives

A copy of the SYN that arrived after data made the stand-in server start the stream anew. A TCP server answers a copy of the SYN of an open connection with an acknowledgement of what it has (RFC 9293). TestLateCopyOfOpeningSegmentKeepsTheStream failed before.

That this was the cause of the broken flow in that run is likely, not shown: the run kept no line about the flow.

--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -89,6 +89,8 @@
 
 // stream is the state of one open TCP connection.
 type stream struct {
+	// isn is the client's initial sequence number.
+	isn uint32
 	// recvNext is the next sequence number expected from the client.
 	recvNext uint32
 	// sendSeq is the sequence number of all segments after the SYN. It does not
@@ -315,8 +317,8 @@
 	case p.Flags&inner.RST != 0:
 		delete(s.streams, p.Key)
 	case p.Opens():
-		if st == nil || st.recvNext != p.Seq+1 {
-			st = &stream{recvNext: p.Seq + 1, sendSeq: 1}
+		if st == nil || st.isn != p.Seq {
+			st = &stream{isn: p.Seq, recvNext: p.Seq + 1, sendSeq: 1}
 			s.streams[p.Key] = st
 		}
 		s.sendToClient(p, inner.Segment{Flags: inner.SYN | inner.ACK, Seq: 0, Ack: st.recvNext})
