serve/lease: return surplus slots evenly over the servers

A host that held more slots than it needed returned all of the surplus from the server with the most. Of 24 slots on three servers it kept {1, 0, 7}, and sent its requests to the third server. Surplus is now taken from the highest level downwards. TestSurplusLeavesSlotsOnEachServer failed before.

--- a/internal/serve/lease/holder.go
+++ b/internal/serve/lease/holder.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 )
@@ -72,6 +73,42 @@
 	return max(0, s.granted-s.used)
 }
 
+// held returns the leased slots, in use or not.
+func (s *heldServer) held(now clock.Millis) int {
+	if now >= s.expires {
+		return 0
+	}
+	return s.granted
+}
+
+// surplusByServer returns how many slots to give up on each server, surplus in total
+// if as many are unused. It takes them from the servers with the most leased slots, so
+// that the rest stays spread over the servers.
+func surplusByServer(now clock.Millis, servers []*heldServer, surplus int) []int {
+	returns := make([]int, len(servers))
+	above := func(level int) (sum int) {
+		for _, s := range servers {
+			sum += max(0, s.held(now)-max(level, s.used))
+		}
+		return sum
+	}
+	highest := 0
+	for _, s := range servers {
+		highest = max(highest, s.held(now))
+	}
+	// No server keeps more unused slots than level, except for the rest of the surplus.
+	level := sort.Search(highest, func(l int) bool { return above(l) <= surplus })
+	rest := surplus - above(level)
+	for i, s := range servers {
+		returns[i] = max(0, s.held(now)-max(level, s.used))
+		if rest > 0 && level > s.used && s.held(now) >= level && level > 0 {
+			returns[i]++
+			rest--
+		}
+	}
+	return returns
+}
+
 // pool holds the servers and the load of one service.
 type pool struct {
 	servers map[string]*heldServer
@@ -377,17 +414,14 @@
 	if have >= need {
 		reclaimServer = ""
 	}
-	for _, s := range p.byGranted() {
+	servers := p.byGranted()
+	returns := surplusByServer(now, servers, surplus)
+	for i, s := range servers {
 		keeper := keeperOf(s.name)
 		if keeper == "" {
 			continue
 		}
-		held := s.granted
-		if now >= s.expires {
-			held = 0
-		}
-		returned := min(surplus, max(0, held-s.used))
-		surplus -= returned
+		held, returned := s.held(now), returns[i]
 		if held+s.used+extra[s.name] == 0 {
 			continue
 		}
