serve/fleet: find the changes since a position without visiting all servers

Each poll of an entry host visited all servers of a control host to find those that changed after a position, 600 for 294 hosts 3.3 times a second. The fleet now lists its servers in the order of their latest change. TestChangesAreFoundByPosition compares both ways.

--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -138,11 +138,17 @@
 	position uint64
 	// lastChange is the position of the latest change.
 	lastChange uint64
+	changes    changeLog
+	touches    changeLog
 }
 
 // New returns an empty Fleet.
 func New(options Options) *Fleet {
-	return &Fleet{options: options, servers: map[string]*Server{}, owners: map[netip.AddrPort]*Server{}}
+	return &Fleet{
+		options: options, servers: map[string]*Server{}, owners: map[netip.AddrPort]*Server{},
+		changes: changeLog{latest: func(s *Server) uint64 { return s.lastChange }},
+		touches: changeLog{latest: func(s *Server) uint64 { return s.lastTouch }},
+	}
 }
 
 // Len returns the number of records held.
@@ -259,8 +265,10 @@
 func (f *Fleet) touch(s *Server, changed bool) {
 	f.position++
 	s.lastTouch = f.position
+	f.touches.add(f.position, s, len(f.servers))
 	if changed {
 		s.lastChange, f.lastChange = f.position, f.position
+		f.changes.add(f.position, s, len(f.servers))
 	}
 }
 
@@ -300,33 +308,18 @@
 
 func (f *Fleet) remove(id string, s *Server) {
 	delete(f.servers, id)
+	s.lastChange, s.lastTouch = 0, 0
 	if f.owners[s.Address] == s {
 		delete(f.owners, s.Address)
 	}
 }
 
 // ChangedSince returns the servers that changed after position.
-func (f *Fleet) ChangedSince(position uint64) []*Server {
-	var out []*Server
-	for _, s := range f.servers {
-		if s.lastChange > position {
-			out = append(out, s)
-		}
-	}
-	return out
-}
+func (f *Fleet) ChangedSince(position uint64) []*Server { return f.changes.since(position) }
 
 // TouchedSince returns the servers that changed, or sent an announcement
 // directly to this host, after position.
-func (f *Fleet) TouchedSince(position uint64) []*Server {
-	var out []*Server
-	for _, s := range f.servers {
-		if s.lastTouch > position {
-			out = append(out, s)
-		}
-	}
-	return out
-}
+func (f *Fleet) TouchedSince(position uint64) []*Server { return f.touches.since(position) }
 
 // SetSilent sets whether a server is silent, as reported by another host.
 func (f *Fleet) SetSilent(now clock.Millis, id string, silent bool) {
--- a/internal/serve/fleet/fleet_test.go
+++ b/internal/serve/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -146,3 +147,48 @@
 		c.Assert(got, qt.DeepEquals, want)
 	}
 }
+
+// TestChangesAreFoundByPosition compares the changes since each position with a visit
+// of all servers, while servers change, announce themselves and are forgotten.
+func TestChangesAreFoundByPosition(t *testing.T) {
+	f := fleet.New(fleet.Options{SilentAfter: 100, ForgetAfter: 200})
+	r := rand.New(rand.NewPCG(3, 4))
+	type step struct {
+		position uint64
+		ids      map[string]bool
+	}
+	var steps []step
+	changedAt, forgotten := map[string]uint64{}, 0
+	for now := clock.Millis(1); now < 6000; now += 2 {
+		before := f.LastChange()
+		id := fmt.Sprint("i-", r.IntN(40))
+		record := fleet.Record{ID: id, Seq: uint64(now), Service: "s", State: fleet.Ready, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(r.IntN(40))}), 80)}
+		if r.IntN(20) == 0 {
+			record.State = fleet.Draining
+		}
+		f.Apply(now, now, record, r.IntN(2) == 0)
+		if r.IntN(30) == 0 {
+			f.SetSilent(now, id, true)
+		}
+		known := f.Len()
+		f.Expire(now)
+		forgotten += known - f.Len()
+		steps = append(steps, step{position: before})
+		for _, s := range f.ChangedSince(before) {
+			changedAt[s.ID] = f.LastChange()
+		}
+	}
+	qt.Assert(t, forgotten > 0, qt.IsTrue)
+	for _, s := range steps {
+		want, got := map[string]bool{}, map[string]bool{}
+		f.Each(func(server *fleet.Server) {
+			if changedAt[server.ID] > s.position {
+				want[server.ID] = true
+			}
+		})
+		for _, server := range f.ChangedSince(s.position) {
+			got[server.ID] = true
+		}
+		qt.Assert(t, got, qt.DeepEquals, want)
+	}
+}
