--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -31,7 +31,9 @@
 	// bootstrap the log.
 	Founders []raft.ID
 	// Seeds are the addresses of the control hosts to contact first.
-	Seeds  []string
+	Seeds []string
+	// Centre is the data centre of the host.
+	Centre string
 	Timing raft.Timing
 	Fleet  fleet.Options
 	// MaxLosses is the number of control hosts that may be lost at once.
@@ -89,7 +91,10 @@
 	// index.
 	proposals map[uint64]proposal
 
-	list       *share.List
+	list   *share.List
+	blocks *share.Blocks
+	// centres holds the data centres of the control hosts by address.
+	centres    map[string]string
 	replicator *share.Replicator
 
 	out Output
@@ -104,6 +109,8 @@
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
 	c.lastRequestID = firstRequestID(options.RunID)
 	c.list = share.NewList(options.Fleet, options.RunID, now, group{c}, send)
+	c.blocks = share.NewBlocks(c.list)
+	c.centres = map[string]string{addressOf(options.ID): options.Centre}
 	c.replicator = share.NewReplicator(group{c}, send, firstRequestID(options.RunID))
 	c.addAddresses(options.Seeds)
 	c.Restart(now, options.ID, stored)
@@ -163,6 +170,9 @@
 	return !c.diskFailed && c.node.Current(c.now) && c.node.CaughtUp()
 }
 
+// EntryHosts returns the number of entry hosts that poll this host.
+func (c *Core) EntryHosts() int { return c.loads.Hosts() }
+
 // Pending returns the number of calls that wait for a quorum.
 func (c *Core) Pending() int { return len(c.requests) + c.replicator.Len() }
 
--- a/internal/dir/core/log.go
+++ b/internal/dir/core/log.go
@@ -28,8 +28,13 @@
 		m := &o.Messages[i]
 		c.out.SendAfterSync = append(c.out.SendAfterSync, OutMessage{addressOf(m.To), msgs.Encode(&msgs.Envelope{Raft: m})})
 	}
+	confChanged := false
 	for i := range o.Committed {
 		c.applyEntry(&o.Committed[i])
+		confChanged = confChanged || o.Committed[i].Kind == raft.EntryConf
+	}
+	if confChanged {
+		c.logLine("Membership changed.", "voters", c.node.Conf().Voters, "learners", c.node.Conf().Learners)
 	}
 	if len(o.Committed) > 0 {
 		c.compact()
@@ -60,9 +65,6 @@
 	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
 		c.applyTable(e.Data)
 	}
-	if e.Kind == raft.EntryConf {
-		c.logLine("Membership changed.", "voters", c.node.Conf().Voters, "learners", c.node.Conf().Learners)
-	}
 	c.completeProposal(e.Index, e.Term)
 }
 
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -71,7 +71,7 @@
 func (c *Core) maintainServers() {
 	if c.list.SyncDue(c.now) {
 		c.contacts.Retain(c.node.Conf().Members())
-		c.list.RequestSync(func(m *msgs.Sync) { m.ContactAges = c.contacts.Ages(c.now) })
+		c.list.RequestSync(func(m *msgs.Sync) { m.ContactAges, m.Centre = c.contacts.Ages(c.now), c.options.Centre })
 	}
 	saved, err := c.list.Save(c.now)
 	if err != nil {
@@ -89,8 +89,11 @@
 
 func (c *Core) onSync(m *msgs.Sync) {
 	c.contacts.Merge(c.now, m.ContactAges)
+	if m.Centre != "" {
+		c.centres[addressOf(m.From)] = m.Centre
+	}
 	r := c.list.ReplyToSync(c.now, m)
-	r.Loads = c.loads.LocalSum(c.now, "")
+	r.Loads = c.loads.LocalSum(c.now)
 	c.sendNow(addressOf(m.From), &msgs.Envelope{SyncReply: r})
 }
 
@@ -98,28 +101,3 @@
 	c.loads.SetControlSum(c.now, string(m.From), m.Loads)
 	c.list.HandleSyncReply(c.now, m)
 }
-
-// onFetch replies to an entry host with the state of this host and the silent
-// servers and, unless the fetch is brief, with the changes since the last fetch.
-func (c *Core) onFetch(from ReplyHandle, m *msgs.Fetch) {
-	r := &msgs.FetchReply{
-		RequestID: m.RequestID, Current: c.Current(), RunID: c.options.RunID, Version: c.tables.Version(), SilentServers: c.list.Silent(),
-	}
-	if !m.Brief {
-		c.addChanges(r, m)
-	}
-	c.reply(from, &msgs.Envelope{FetchReply: r})
-}
-
-// addChanges records the loads that the entry host reports. It adds to r the
-// total loads, the changed servers and routes, and the addresses of the control
-// hosts.
-func (c *Core) addChanges(r *msgs.FetchReply, m *msgs.Fetch) {
-	c.loads.SetReport(c.now, m.Name, m.Loads)
-	r.Loads = c.loads.Total(c.now, m.Name)
-	r.Delta = c.tables.DeltaSince(m.Version)
-	r.Servers, r.Position = c.list.Changes(c.now, m.RunID, m.Since)
-	for _, id := range c.node.Conf().Members() {
-		r.ControlHosts = append(r.ControlHosts, addressOf(id))
-	}
-}
--- a/internal/dir/daemon/calls.go
+++ b/internal/dir/daemon/calls.go
@@ -6,14 +6,15 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/core"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/order"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
 // call runs submit on the core goroutine and waits for the answer. It returns
-// Unavailable if the event queue is full or when ctx is done.
+// Unavailable if the queue is full or when ctx is done.
 func (d *Daemon) call(ctx context.Context, submit func(now clock.Millis, callID core.CallID)) core.Answer {
 	answer := make(chan core.Answer, 1)
-	if !d.events.Offer(event{call: submit, answer: answer}) {
+	if !d.inbox.Offer(d.clock.Now(), order.Call, nil, event{call: submit, answer: answer}) {
 		return core.Answer{Code: core.Unavailable}
 	}
 	select {
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -21,15 +21,24 @@
 	"monsooncleat.example/monsooncleat/internal/conf/site"
 	"monsooncleat.example/monsooncleat/internal/dir/core"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/order"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/wire/frame"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
 )
 
 const (
-	// eventRingSize is the capacity of the queue of messages, calls and other
-	// events.
-	eventRingSize = 4096
+	// eventRingSize is the capacity of the queue of events other than messages and
+	// calls.
+	eventRingSize = 256
+	// consensusLimit, callLimit and fetchLimit are the capacities of the queue of
+	// messages and calls. A fetch takes the place of one that waits on the same
+	// connection, so fetchLimit bounds the number of entry hosts that wait.
+	consensusLimit = 2048
+	callLimit      = 2048
+	fetchLimit     = 2048
+	// fetchRetryDelay is when an entry host whose fetch found no room may ask again.
+	fetchRetryDelay = clock.Second
 	// diskRingSize is the capacity of the queue of batches for the disk.
 	diskRingSize = 256
 	tickInterval = 50 * time.Millisecond
@@ -103,7 +112,9 @@
 	log      *logs.Logger
 	store    *disk.Store
 	core     *core.Core
-	events   *ring.Ring[event]
+	// inbox holds the messages and calls.
+	inbox  *order.Queue[event]
+	events *ring.Ring[event]
 	// diskEvents carries the events of the disk goroutine, at most two for each
 	// batch.
 	diskEvents *ring.Ring[event]
@@ -118,7 +129,9 @@
 	metrics     *admin.Metrics
 	syncTime    *admin.Histogram
 	publishTime *admin.Histogram
-	logLimiter  *logs.Limiter
+	// waits and works are how long messages and calls wait and take, by class.
+	waits, works [order.Classes]*admin.Histogram
+	logLimiter   *logs.Limiter
 
 	// The fields below are copies of the core's state for the metrics.
 	version      atomic.Uint64
@@ -126,6 +139,7 @@
 	voters       atomic.Int64
 	silentVoters atomic.Int64
 	servers      atomic.Int64
+	entryHosts   atomic.Int64
 
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
@@ -150,6 +164,7 @@
 	}
 	d := &Daemon{
 		settings: settings, clock: source, log: log, store: store,
+		inbox:  order.New[event]([order.Classes]int{consensusLimit, callLimit, fetchLimit}),
 		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](2 * diskRingSize), batches: ring.New[batch](diskRingSize),
 		calls: map[core.CallID]chan<- core.Answer{}, repliers: map[core.ReplyHandle]link.Replier{},
 		metrics: admin.NewMetrics(), logLimiter: logs.NewLimiter(linesPerSecond),
@@ -178,7 +193,7 @@
 
 func (d *Daemon) options(id raft.ID) core.Options {
 	o := core.Options{
-		ID: id, Seeds: d.settings.SeedAddresses(), RunID: rand.Uint64(),
+		ID: id, Seeds: d.settings.SeedAddresses(), Centre: d.settings.Centre, RunID: rand.Uint64(),
 		Timing:    raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
 		MaxLosses: d.settings.MaxLosses, EvictAfter: d.settings.RecoveryTime / 2,
 		Fleet: fleet.Options{SilentAfter: missedAnnouncements * d.settings.AnnounceInterval, ForgetAfter: forgetAfter, ReuseAfter: d.settings.AddressReuseDelay},
@@ -227,7 +242,21 @@
 }
 
 func (d *Daemon) onFrame(from link.Replier, body []byte) {
-	d.events.Offer(event{body: body, from: from})
+	e := event{body: body, from: from}
+	if !msgs.IsFetch(body) {
+		d.inbox.Offer(d.clock.Now(), order.Consensus, nil, e)
+		return
+	}
+	if !d.inbox.Offer(d.clock.Now(), order.Fetch, from, e) {
+		d.refuseFetch(e)
+	}
+}
+
+// refuseFetch tells an entry host when to ask again.
+func (d *Daemon) refuseFetch(e event) {
+	if m, err := msgs.Decode(e.body); err == nil && m.Fetch != nil {
+		e.from.Reply(msgs.Encode(&msgs.Envelope{FetchReply: &msgs.FetchReply{RequestID: m.Fetch.RequestID, Form: m.Fetch.Form, RetryAfter: fetchRetryDelay}}))
+	}
 }
 
 // UpdateSeeds adds the seed addresses from changed settings. Addresses that were
@@ -249,6 +278,8 @@
 			d.handle(e)
 		case e := <-d.events.Items():
 			d.handle(e)
+		case <-d.inbox.Ready():
+			d.handleNext()
 		}
 		d.execute(d.core.Take())
 		if d.resigned != nil && d.core.Resigned() {
@@ -258,10 +289,23 @@
 	}
 }
 
+// handleNext handles the most urgent of the messages and calls.
+func (d *Daemon) handleNext() {
+	e, class, waited, ok := d.inbox.Take(d.clock.Now())
+	if !ok {
+		return
+	}
+	start := time.Now()
+	d.handle(e)
+	d.waits[class].Record(waited.Duration())
+	d.works[class].Record(time.Since(start))
+}
+
 // updateMetrics copies the state of the core that the metrics show.
 func (d *Daemon) updateMetrics() {
 	d.version.Store(d.core.Version())
 	d.servers.Store(int64(d.core.Fleet().Len()))
+	d.entryHosts.Store(int64(d.core.EntryHosts()))
 	d.voters.Store(int64(len(d.core.Node().Conf().Voters)))
 	d.silentVoters.Store(int64(d.core.SilentVoters()))
 	d.current.Store(0)
--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -6,14 +6,15 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
+	"monsooncleat.example/monsooncleat/internal/dir/order"
 )
 
 // registerMetrics registers the gauges of the control host.
 func (d *Daemon) registerMetrics(factory *logs.Factory) {
 	gauges := map[string]func() int64{
 		"logLinesLost":     func() int64 { return int64(factory.Lost()) },
-		"eventRingDepth":   func() int64 { return int64(d.events.Depth()) },
-		"eventRingRefused": func() int64 { return int64(d.events.Refused()) },
+		"eventRingDepth":   func() int64 { return int64(d.inbox.Depth()) },
+		"eventRingRefused": func() int64 { return d.refused() },
 		"diskRingDepth":    func() int64 { return int64(d.batches.Depth()) },
 		"controlBytesIn":   func() int64 { return int64(d.server.BytesIn() + d.peers.BytesIn()) },
 		"controlBytesOut":  func() int64 { return int64(d.server.BytesOut() + d.peers.BytesOut()) },
@@ -23,10 +24,24 @@
 		"logVoters":        func() int64 { return d.voters.Load() },
 		"logVotersSilent":  func() int64 { return d.silentVoters.Load() },
 		"serversKnown":     func() int64 { return d.servers.Load() },
+		"entryHosts":       func() int64 { return d.entryHosts.Load() },
 	}
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
 	}
+	for class := range order.Classes {
+		d.waits[class] = d.metrics.Histogram(class.String() + "WaitMicros")
+		d.works[class] = d.metrics.Histogram(class.String() + "WorkMicros")
+	}
+}
+
+// refused returns the number of messages, calls and other events that found no room.
+func (d *Daemon) refused() int64 {
+	n := d.events.Refused()
+	for class := range order.Classes {
+		n += d.inbox.Refused(class)
+	}
+	return int64(n)
 }
 
 // Metrics returns the metrics of the control host.
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -64,6 +64,15 @@
 	return b
 }
 
+// fetchKey is the start of an encoded Envelope with a Fetch: a map of one entry, and
+// its key.
+const fetchKey = "\x81\xa5fetch"
+
+// IsFetch reports whether an encoded envelope holds a Fetch, without decoding it.
+func IsFetch(body []byte) bool {
+	return len(body) >= len(fetchKey) && string(body[:len(fetchKey)]) == fetchKey
+}
+
 // Decode decodes an envelope.
 func Decode(b []byte) (*Envelope, error) {
 	var e Envelope
@@ -157,6 +166,8 @@
 	// ContactAges are the times since the sender last heard, directly or through
 	// others, from each control host.
 	ContactAges watch.Ages `msgpack:"contactAges"`
+	// Centre is the data centre of the sender.
+	Centre string `msgpack:"centre,omitempty"`
 }
 
 // SyncReply returns the announcements after a position, and the replying host's
@@ -190,6 +201,82 @@
 	Brief bool `msgpack:"brief"`
 	// Loads are the entry host's own loads, by server token.
 	Loads choose.Loads `msgpack:"loads"`
+
+	// Form is the form of the reply that the entry host understands. The fields below
+	// are for BlockForm.
+	Form Form `msgpack:"form,omitempty"`
+	// Part is the part of the server list to return.
+	Part Part `msgpack:"part,omitempty"`
+	// Centre is the data centre of the entry host.
+	Centre string `msgpack:"centre,omitempty"`
+	// SilentVersion and HostsVersion are those of the latest reply from that run.
+	SilentVersion uint64 `msgpack:"silentVersion,omitempty"`
+	HostsVersion  uint64 `msgpack:"hostsVersion,omitempty"`
+	// AllLoads asks for the loads in all data centres, besides the own one.
+	AllLoads bool `msgpack:"allLoads,omitempty"`
+}
+
+// Form is the form of a FetchReply.
+type Form uint8
+
+const (
+	// ListForm replies hold the servers in FetchReply.Servers, and the loads without
+	// those of the requesting host. Hosts of earlier builds know no other form.
+	ListForm Form = iota
+	// BlockForm replies hold what is the same for many entry hosts in encoded form.
+	BlockForm
+)
+
+// Part is a part of the server list.
+type Part uint8
+
+const (
+	// AllParts are the changes since a position, or all servers without one.
+	AllParts Part = iota
+	// LocalPart is all servers of the entry host's data centre.
+	LocalPart
+	// RestPart is all servers of other data centres, and the changes since the
+	// position of the reply with LocalPart.
+	RestPart
+)
+
+// Block is a part of the server list, encoded by package record.
+type Block struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Data []byte
+	// Age is the time since Data was encoded.
+	Age clock.Millis
+}
+
+// CentreLoads are the loads on the servers of one data centre.
+type CentreLoads struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Centre string
+	// Loads is encoded by choose.Loads.Append.
+	Loads []byte
+}
+
+// EncodeDelta returns the encoded form of a delta, for FetchReply.
+func EncodeDelta(d *routes.Delta) msgpack.RawMessage {
+	b, err := msgpack.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// TableDelta decodes Delta. It returns nil if there is none.
+func (r *FetchReply) TableDelta() (*routes.Delta, error) {
+	if len(r.Delta) == 0 {
+		return nil, nil
+	}
+	var d routes.Delta
+	if err := msgpack.Unmarshal(r.Delta, &d); err != nil {
+		return nil, err
+	}
+	return &d, nil
 }
 
 // FetchReply returns what changed, and the state of the control host.
@@ -199,20 +286,43 @@
 	// applied all that the leader is known to have committed.
 	Current bool   `msgpack:"current"`
 	RunID   uint64 `msgpack:"run"`
-	// Position is as in SyncReply, or 0 in the reply to a brief Fetch.
+	// Position is the position of the latest change that the reply covers, or 0 in the
+	// reply to a brief Fetch.
 	Position uint64         `msgpack:"position"`
-	Servers  []ServerStatus `msgpack:"news"`
+	Servers  []ServerStatus `msgpack:"news,omitempty"`
 	// SilentServers are the IDs of the servers that no longer announce themselves,
 	// except those whose incarnation is known to have ended.
-	SilentServers []string `msgpack:"silent"`
-	// Delta leads from the entry host's routing table to the newest one.
-	Delta *routes.Delta `msgpack:"delta,omitempty"`
+	SilentServers []string `msgpack:"silent,omitempty"`
+	// Delta is an encoded routes.Delta that leads from the entry host's routing table
+	// to the newest one.
+	Delta msgpack.RawMessage `msgpack:"delta,omitempty"`
 	// Version is the version of the newest routing table.
 	Version uint64 `msgpack:"version"`
 	// Loads are the sums, by server token, of the loads that entry hosts reported
 	// to any control host, without those that the requesting entry host reported
 	// to the replying one.
-	Loads choose.Loads `msgpack:"loads"`
+	Loads choose.Loads `msgpack:"loads,omitempty"`
 	// ControlHosts are the addresses of the control hosts.
-	ControlHosts []string `msgpack:"controls"`
+	ControlHosts []string `msgpack:"controls,omitempty"`
+
+	// Form is the form of this reply. The fields below are for BlockForm.
+	Form Form `msgpack:"form,omitempty"`
+	// Part is the part of the server list that Blocks hold.
+	Part   Part    `msgpack:"part,omitempty"`
+	Blocks []Block `msgpack:"blocks,omitempty"`
+	// SilentVersion numbers the sets of silent servers of this run. If the request
+	// gave the same, SilentServers is left out.
+	SilentVersion uint64 `msgpack:"silentVersion,omitempty"`
+	// HostsVersion is a hash of the control hosts. If the request gave the same,
+	// ControlHosts is left out.
+	HostsVersion uint64 `msgpack:"hostsVersion,omitempty"`
+	// ControlCentres are the data centres of ControlHosts, "" where it is unknown.
+	ControlCentres []string `msgpack:"controlCentres,omitempty"`
+	// Totals are the sums of all loads, with those of the requesting host in its
+	// request ReportID, or without any if that is 0.
+	Totals   []CentreLoads `msgpack:"totals,omitempty"`
+	ReportID uint64        `msgpack:"reportID,omitempty"`
+	// RetryAfter is set if the control host is too busy to answer the request, and
+	// tells when to ask again. All other fields but RequestID are unset then.
+	RetryAfter clock.Millis `msgpack:"retryAfter,omitempty"`
 }
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -1,6 +1,7 @@
 // Package poll decides which control host an entry host polls for changes, and
-// which parts of the replies it accepts. It polls one control host, the primary,
-// and sends brief probes to the others only while the primary is unhealthy.
+// which parts of the replies it accepts. It is designed for hundreds of entry hosts on
+// few control hosts: each polls one of them, the primary, spread evenly, and asks few
+// others while the primary is unhealthy.
 //
 // The package does no I/O.
 package poll
@@ -9,6 +10,7 @@
 	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
@@ -17,19 +19,30 @@
 const (
 	// Interval is the minimum time between two requests to the primary.
 	Interval = 300 * clock.Millis(1)
-	// primaryTimeout is the time without a reply from the primary after which the
-	// other control hosts are probed too. It covers two poll intervals and a slow
-	// host.
+	// allLoadsInterval is the time between two requests for the loads in all data
+	// centres. Those of other data centres matter only when the own one is full.
+	allLoadsInterval = 1200 * clock.Millis(1)
+	// primaryTimeout is the time without a reply from the primary after which other
+	// control hosts are probed too. It covers two poll intervals and a slow host.
 	primaryTimeout = 700 * clock.Millis(1)
 	// connTimeout is how long a reply is awaited before the connection counts as
 	// dead.
 	connTimeout = 1500 * clock.Millis(1)
-	// probeInterval is the time between two rounds of probes of the other control
-	// hosts.
-	probeInterval = 500 * clock.Millis(1)
-	// startProbeInterval is the probe interval while the entry host has no routing
-	// table.
-	startProbeInterval = 60 * clock.Millis(1)
+	// probeInterval is the time between two rounds of probes of other control hosts,
+	// and probesPerRound their number in one. A few rounds reach all control hosts
+	// within isolationTimeout.
+	probeInterval  = 250 * clock.Millis(1)
+	probesPerRound = 2
+	// startInterval is the time between two probes while the entry host has no routing
+	// table, each of the next control host. After quickProbes of them, which cover the
+	// time by which the hosts of a system differ in their start, it doubles with each
+	// further one up to maxStartInterval.
+	startInterval    = 60 * clock.Millis(1)
+	maxStartInterval = 240 * clock.Millis(1)
+	quickProbes      = 16
+	// moveInterval is the mean time between two attempts to return to the preferred
+	// control host.
+	moveInterval = clock.Second
 	// quorumReplyTTL is how long a reply from a control host in contact with a
 	// quorum counts as recent.
 	quorumReplyTTL = 1500 * clock.Millis(1)
@@ -37,8 +50,23 @@
 	// with a quorum after which the entry host counts as isolated. Silent ignores
 	// replies older than this.
 	isolationTimeout = 2 * clock.Second
+	// maxReports is the number of reported loads that are kept until a reply tells
+	// which of them its totals include.
+	maxReports = 8
 )
 
+// Options are the settings of a Poller.
+type Options struct {
+	// Name is the name of the entry host, and Centre its data centre.
+	Name   string
+	Centre string
+	// Seeds are the addresses of some control hosts.
+	Seeds []string
+	// AwaitQuorum refuses a first routing table without a quorum until the entry host
+	// is isolated.
+	AwaitQuorum bool
+}
+
 // Request is a request to the control host at an address.
 type Request struct {
 	Address string
@@ -53,14 +81,20 @@
 	Servers []msgs.ServerStatus
 	// Delta leads to a newer routing table, or is nil.
 	Delta *routes.Delta
-	// Loads are set only by a reply from the primary.
-	Loads choose.Loads
+	// Loads are the loads of all other hosts on the servers of LoadCentres, or of all
+	// data centres if that is nil. They are set only by a reply from the primary.
+	Loads       choose.Loads
+	LoadCentres []string
+	// Next reports that a request for the rest is due.
+	Next bool
 }
 
 // controlHost is what is known of one control host.
 type controlHost struct {
 	// runID and position identify the latest change received from the host.
 	runID, position uint64
+	// part is the part of the server list to ask for next.
+	part msgs.Part
 	// waitingSince is when the first request after the latest reply or reconnect was
 	// sent, or 0 if there was none.
 	waitingSince clock.Millis
@@ -73,53 +107,59 @@
 	current   bool
 	// version is the version of the host's routing table, or 0.
 	version uint64
-	// silent are the servers that the host reported as silent.
-	silent map[string]bool
+	// silent are the servers that the host reported as silent, and silentVersion the
+	// number of that report.
+	silent        map[string]bool
+	silentVersion uint64
 }
 
 // Poller schedules the requests of one entry host and evaluates the replies. It
 // is not safe for concurrent use.
 type Poller struct {
-	name    string
+	options Options
 	started clock.Millis
-	// awaitQuorum refuses a first routing table without a quorum until the entry host
-	// is isolated.
-	awaitQuorum bool
-	// seeds are the addresses from the settings, and learned those from the latest
-	// reply that listed any.
-	seeds         []string
+	// learned are the control hosts in the latest reply that listed any, centres their
+	// data centres, and hostsVersion the number of that list.
 	learned       []string
+	centres       map[string]string
+	hostsVersion  uint64
 	hosts         map[string]*controlHost
 	primary       string
 	lastRequestID uint64
 	// pending holds the addresses of unanswered requests by request ID.
-	pending     map[uint64]string
-	nextPollAt  clock.Millis
-	nextProbeAt clock.Millis
+	pending map[uint64]string
+	// reports holds the latest loads that were reported, by request ID.
+	reports        map[uint64]choose.Loads
+	nextPollAt     clock.Millis
+	nextProbeAt    clock.Millis
+	nextMoveAt     clock.Millis
+	nextAllLoadsAt clock.Millis
+	// probed counts the requests to other hosts than the primary. It selects the next
+	// one.
+	probed int
 	// primaryRepliedAt and quorumRepliedAt are the times of the latest replies from
 	// the primary and from a control host in contact with a quorum.
 	primaryRepliedAt clock.Millis
 	quorumRepliedAt  clock.Millis
 }
 
-// New returns a Poller for the entry host called name. Seeds are the addresses of
-// some control hosts. AwaitQuorum makes it wait for a quorum, up to isolationTimeout,
-// before it accepts a first routing table.
-func New(name string, seeds []string, now clock.Millis, awaitQuorum bool) *Poller {
+// New returns a Poller.
+func New(options Options, now clock.Millis) *Poller {
+	options.Seeds = slices.Clone(options.Seeds)
 	return &Poller{
-		name: name, started: now, awaitQuorum: awaitQuorum, seeds: slices.Clone(seeds),
-		hosts: map[string]*controlHost{}, pending: map[uint64]string{},
+		options: options, started: now, centres: map[string]string{},
+		hosts: map[string]*controlHost{}, pending: map[uint64]string{}, reports: map[uint64]choose.Loads{},
 	}
 }
 
 // SetSeeds replaces the control host addresses from the settings.
-func (p *Poller) SetSeeds(seeds []string) { p.seeds = slices.Clone(seeds) }
+func (p *Poller) SetSeeds(seeds []string) { p.options.Seeds = slices.Clone(seeds) }
 
 // RefetchAll makes the next requests ask for all servers again, after the caller
 // lost accepted changes.
 func (p *Poller) RefetchAll() {
 	for _, h := range p.hosts {
-		h.runID, h.position = 0, 0
+		h.runID, h.position, h.part = 0, 0, msgs.AllParts
 	}
 }
 
@@ -144,27 +184,49 @@
 	var requests []Request
 	if p.primary != "" && now >= p.nextPollAt && !p.awaitsFullReply(now, p.primary) {
 		p.nextPollAt = now + Interval
-		requests = append(requests, p.newRequest(now, p.primary, version, loads))
-		p.hosts[p.primary].fullPending = true
-	}
-	healthy := p.primary != "" && !p.primaryUnhealthy(now)
-	if healthy || now < p.nextProbeAt {
-		return requests
-	}
-	p.nextProbeAt = now + probeInterval
-	if version == 0 {
-		p.nextProbeAt = now + startProbeInterval
+		if version == 0 && !p.hosts[p.primary].current {
+			p.nextPollAt = now + startInterval
+		}
+		requests = append(requests, p.fullRequest(now, p.primary, version, loads))
 	}
-	for _, address := range p.addresses() {
-		if address != p.primary {
-			probe := p.newRequest(now, address, version, nil)
-			probe.Fetch.Brief = true
-			requests = append(requests, probe)
+	switch unhealthy := p.primaryUnhealthy(now); {
+	case unhealthy && version == 0 && now >= p.nextProbeAt:
+		p.nextProbeAt = now + p.searchInterval()
+		requests = p.appendProbe(now, requests, p.nextOther(), version)
+	case unhealthy && version > 0 && now >= p.nextProbeAt:
+		p.nextProbeAt = now + p.jitter(probeInterval)
+		for range probesPerRound {
+			requests = p.appendProbe(now, requests, p.nextOther(), version)
+		}
+	case !unhealthy && now >= p.nextMoveAt:
+		p.nextMoveAt = now + p.jitter(moveInterval)
+		if preferred := p.preferred(); preferred != p.primary {
+			requests = p.appendProbe(now, requests, preferred, version)
 		}
 	}
 	return requests
 }
 
+// searchInterval returns the time until the next probe while the entry host has no
+// routing table.
+func (p *Poller) searchInterval() clock.Millis {
+	interval := startInterval
+	for n := p.probed; n > quickProbes && interval < maxStartInterval; n-- {
+		interval *= 2
+	}
+	return p.jitter(interval)
+}
+
+// appendProbe adds a brief request to a control host, unless address is "".
+func (p *Poller) appendProbe(now clock.Millis, requests []Request, address string, version uint64) []Request {
+	if address == "" {
+		return requests
+	}
+	probe := p.newRequest(now, address, version)
+	probe.Fetch.Brief = true
+	return append(requests, probe)
+}
+
 // awaitsFullReply reports whether the reply to a full request may still arrive.
 // Transferring a whole table over a slow link takes long, and another request
 // would transfer it twice.
@@ -173,17 +235,28 @@
 	return h != nil && h.fullPending && h.waitingSince > 0 && now-h.waitingSince < connTimeout
 }
 
-func (p *Poller) addresses() []string {
-	out := slices.Clone(p.learned)
-	for _, s := range p.seeds {
-		if !slices.Contains(out, s) {
-			out = append(out, s)
+// fullRequest returns a request for changes and loads.
+func (p *Poller) fullRequest(now clock.Millis, address string, version uint64, loads choose.Loads) Request {
+	r := p.newRequest(now, address, version)
+	h := p.hosts[address]
+	h.fullPending = true
+	r.Fetch.Loads, r.Fetch.Part = loads, h.part
+	if h.position == 0 && version == 0 {
+		r.Fetch.Part = msgs.LocalPart
+	}
+	if now >= p.nextAllLoadsAt {
+		r.Fetch.AllLoads, p.nextAllLoadsAt = true, now+allLoadsInterval
+	}
+	p.reports[r.Fetch.RequestID] = loads
+	for id := range p.reports {
+		if id+maxReports <= r.Fetch.RequestID {
+			delete(p.reports, id)
 		}
 	}
-	return out
+	return r
 }
 
-func (p *Poller) newRequest(now clock.Millis, address string, version uint64, loads choose.Loads) Request {
+func (p *Poller) newRequest(now clock.Millis, address string, version uint64) Request {
 	h := p.hosts[address]
 	if h == nil {
 		h = &controlHost{silent: map[string]bool{}}
@@ -199,57 +272,15 @@
 	p.lastRequestID++
 	p.pending[p.lastRequestID] = address
 	return Request{address, msgs.Fetch{
-		Name: p.name, RequestID: p.lastRequestID, RunID: h.runID, Since: h.position, Version: version, Loads: loads,
+		Name: p.options.Name, RequestID: p.lastRequestID, RunID: h.runID, Since: h.position, Version: version,
+		Form: msgs.BlockForm, Centre: p.options.Centre, SilentVersion: h.silentVersion, HostsVersion: p.hostsVersion,
 	}, reconnect}
 }
 
-// HandleReply handles a reply and returns what the entry host accepts of it.
-// Version is the version of the entry host's routing table.
-func (p *Poller) HandleReply(now clock.Millis, r *msgs.FetchReply, version uint64) Accepted {
-	address, ok := p.pending[r.RequestID]
-	if !ok {
-		return Accepted{}
-	}
-	p.dropPending(address, r.RequestID)
-	h := p.hosts[address]
-	if h.runID != r.RunID {
-		h.runID, h.position = r.RunID, 0
-	}
-	h.position = max(h.position, r.Position)
-	h.waitingSince, h.fullPending, h.repliedAt, h.current, h.version = 0, false, now, r.Current, r.Version
-	clear(h.silent)
-	for _, id := range r.SilentServers {
-		h.silent[id] = true
-	}
-	if len(r.ControlHosts) > 0 {
-		p.learned = r.ControlHosts
-	}
-	if p.primary == "" || address != p.primary && p.primaryUnhealthy(now) && (r.Current || version == 0 && r.Version > p.hosts[p.primary].version) {
-		// This was the reply to a probe. Poll the new primary at once for the rest.
-		p.primary, p.nextPollAt = address, now
-	}
-	if address == p.primary {
-		p.primaryRepliedAt = now
-	}
-	if r.Current {
-		p.quorumRepliedAt = now
-	}
-	a := Accepted{Servers: r.Servers}
-	// An entry host without a routing table takes the first one, which was in force
-	// once, and a newer one as soon as a quorum has confirmed it.
-	if r.Delta != nil && (r.Current || version == 0 && (!p.awaitQuorum || p.Isolated(now))) {
-		a.Delta = r.Delta
-	}
-	if address == p.primary && r.Loads != nil {
-		a.Loads = r.Loads
-	}
-	return a
-}
-
-// primaryUnhealthy reports whether the primary's reply is overdue, or the primary
-// is out of contact with a quorum.
+// primaryUnhealthy reports whether there is no primary, its reply is overdue, or it is
+// out of contact with a quorum.
 func (p *Poller) primaryUnhealthy(now clock.Millis) bool {
-	return now-p.primaryRepliedAt >= primaryTimeout || !p.hosts[p.primary].current
+	return p.primary == "" || now-p.primaryRepliedAt >= primaryTimeout || !p.hosts[p.primary].current
 }
 
 // dropPending drops the requests to a control host up to lastID, which were
@@ -262,20 +293,9 @@
 	}
 }
 
-// Silent reports whether a server no longer announces itself, according to the
-// control hosts that replied recently. If one of them is in contact with a
-// quorum, only such hosts count. Otherwise each sees only its own side of a
-// partition, so the server is silent only if all report it as silent. Known is
-// false if the replies are not sufficient to decide.
-func (p *Poller) Silent(now clock.Millis, id string) (silent, known bool) {
-	hasQuorum := p.HasQuorum(now)
-	silent = true
-	for _, h := range p.hosts {
-		if h.repliedAt == 0 || now-h.repliedAt > isolationTimeout || hasQuorum && !h.current {
-			continue
-		}
-		known = true
-		silent = silent && h.silent[id]
-	}
-	return silent && known, known && (hasQuorum || p.Isolated(now))
+// jitter returns a time between 3/4 and 5/4 of span that differs between hosts and
+// requests.
+func (p *Poller) jitter(span clock.Millis) clock.Millis {
+	draw := hash.Mix(hash.String(p.options.Name), p.lastRequestID)
+	return span*3/4 + clock.Millis(draw%uint64(span/2+1))
 }
--- a/internal/dir/poll/poll_test.go
+++ b/internal/dir/poll/poll_test.go
@@ -16,6 +16,20 @@
 	hostB = "10.0.0.2:7000"
 )
 
+// newPoller returns a Poller that starts at 1 ms.
+func newPoller(awaitQuorum bool, seeds ...string) *poll.Poller {
+	return poll.New(poll.Options{Name: "entry", Seeds: seeds, AwaitQuorum: awaitQuorum}, 1)
+}
+
+// handle passes a reply to a Poller.
+func handle(p *poll.Poller, now clock.Millis, r *msgs.FetchReply, version uint64) poll.Accepted {
+	a, err := p.HandleReply(now, r, version)
+	if err != nil {
+		panic(err)
+	}
+	return a
+}
+
 // fakeControlHost replies to the requests of a Poller.
 type fakeControlHost struct {
 	runID   uint64
@@ -26,8 +40,9 @@
 }
 
 func (h *fakeControlHost) reply(request *poll.Request) *msgs.FetchReply {
-	r := &msgs.FetchReply{RequestID: request.Fetch.RequestID, Current: h.current, RunID: h.runID, Position: 1, Delta: h.delta}
+	r := &msgs.FetchReply{RequestID: request.Fetch.RequestID, Current: h.current, RunID: h.runID, Position: 1}
 	if h.delta != nil {
+		r.Delta = msgs.EncodeDelta(h.delta)
 		r.Version = h.delta.Version
 	}
 	for id, silent := range h.silent {
@@ -51,7 +66,7 @@
 			if h == nil || h.down {
 				continue
 			}
-			if acc := p.HandleReply(now, h.reply(&request), 0); acc.Delta != nil {
+			if acc := handle(p, now, h.reply(&request), 0); acc.Delta != nil {
 				if _, seen := acceptedAt[acc.Delta.Version]; !seen {
 					acceptedAt[acc.Delta.Version] = now
 				}
@@ -67,7 +82,7 @@
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, silent: map[string]bool{"s1": false, "s2": true, "s3": true}}
 	b := &fakeControlHost{runID: 2, silent: map[string]bool{"s1": true, "s2": false, "s3": true}}
-	p := poll.New("entry", []string{hostA, hostB}, 1, false)
+	p := newPoller(false, hostA, hostB)
 	simulate(p, 1, 4000, map[string]*fakeControlHost{hostA: a, hostB: b})
 	for id, want := range map[string]bool{"s1": false, "s2": false, "s3": true} {
 		silent, known := p.Silent(4000, id)
@@ -80,7 +95,7 @@
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, current: true, silent: map[string]bool{"s1": true}}
 	b := &fakeControlHost{runID: 2, silent: map[string]bool{"s1": false}}
-	p := poll.New("entry", []string{hostA, hostB}, 1, false)
+	p := newPoller(false, hostA, hostB)
 	simulate(p, 1, 4000, map[string]*fakeControlHost{hostA: a, hostB: b})
 	silent, known := p.Silent(4000, "s1")
 	c.Check(known && silent, qt.IsTrue)
@@ -89,7 +104,7 @@
 func TestSilenceUnknownWhenRepliesAreOld(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, current: true, silent: map[string]bool{"s1": false}}
-	p := poll.New("entry", []string{hostA}, 1, false)
+	p := newPoller(false, hostA)
 	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: a})
 	a.down = true
 	simulate(p, 2000, 8000, map[string]*fakeControlHost{hostA: a})
@@ -102,7 +117,7 @@
 	a := &fakeControlHost{runID: 1, current: true}
 	b := &fakeControlHost{runID: 2, current: true}
 	hosts := map[string]*fakeControlHost{hostA: a, hostB: b}
-	p := poll.New("entry", []string{hostA, hostB}, 1, false)
+	p := newPoller(false, hostA, hostB)
 	simulate(p, 1, 2000, hosts)
 	first := p.Primary()
 	hosts[first].current = false
@@ -114,7 +129,7 @@
 func TestSwitchesPrimaryThatDoesNotReply(t *testing.T) {
 	c := qt.New(t)
 	hosts := map[string]*fakeControlHost{hostA: {runID: 1, current: true}, hostB: {runID: 2, current: true}}
-	p := poll.New("entry", []string{hostA, hostB}, 1, false)
+	p := newPoller(false, hostA, hostB)
 	simulate(p, 1, 2000, hosts)
 	first := p.Primary()
 	hosts[first].down = true
@@ -127,7 +142,7 @@
 func TestAcceptsFirstTableWithoutQuorum(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA}, 1, false)
+	p := newPoller(false, hostA)
 	acceptedAt := simulate(p, 1, 6000, map[string]*fakeControlHost{hostA: a})
 	c.Check(acceptedAt[3], qt.Equals, clock.Millis(101), qt.Commentf("one probe and one full request"))
 }
@@ -137,7 +152,7 @@
 func TestAwaitsQuorumForFirstTableIfTold(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA}, 1, true)
+	p := newPoller(true, hostA)
 	acceptedAt := simulate(p, 1, 6000, map[string]*fakeControlHost{hostA: a})
 	c.Check(acceptedAt[3] >= 2000, qt.IsTrue, qt.Commentf("accepted at %d", acceptedAt[3]))
 }
@@ -147,19 +162,19 @@
 func TestNeverAcceptsLaterTableWithoutQuorum(t *testing.T) {
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA}, 1, false)
+	p := newPoller(false, hostA)
 	simulate(p, 1, 200, map[string]*fakeControlHost{hostA: a})
 	a.delta = &routes.Delta{Version: 4}
 	for now := clock.Millis(200); now < 9000; now += 100 {
 		for _, request := range p.Tick(now, 3, nil) {
-			c.Check(p.HandleReply(now, a.reply(&request), 3).Delta, qt.IsNil, qt.Commentf("at %d", now))
+			c.Check(handle(p, now, a.reply(&request), 3).Delta, qt.IsNil, qt.Commentf("at %d", now))
 		}
 	}
 	a.current = true
 	accepted := false
 	for now := clock.Millis(9000); now < 10_000; now += 100 {
 		for _, request := range p.Tick(now, 3, nil) {
-			accepted = accepted || p.HandleReply(now, a.reply(&request), 3).Delta != nil
+			accepted = accepted || handle(p, now, a.reply(&request), 3).Delta != nil
 		}
 	}
 	c.Check(accepted, qt.IsTrue)
@@ -171,7 +186,7 @@
 	c := qt.New(t)
 	a := &fakeControlHost{runID: 1}
 	b := &fakeControlHost{runID: 2, down: true, delta: &routes.Delta{Version: 3}}
-	p := poll.New("entry", []string{hostA, hostB}, 1, false)
+	p := newPoller(false, hostA, hostB)
 	hosts := map[string]*fakeControlHost{hostA: a, hostB: b}
 	simulate(p, 1, 200, hosts)
 	b.down = false
@@ -184,13 +199,13 @@
 // one request asks for a new connection.
 func TestSendsOneFullRequestWhileReplyIsInFlight(t *testing.T) {
 	c := qt.New(t)
-	p := poll.New("entry", []string{hostA}, 1, false)
+	p := newPoller(false, hostA)
 	h := &fakeControlHost{runID: 1, current: true}
 	fullRequests := 0
 	for now := clock.Millis(1); now < 1100; now += 100 {
 		for _, request := range p.Tick(now, 0, nil) {
 			if request.Fetch.Brief {
-				p.HandleReply(now, h.reply(&request), 0)
+				handle(p, now, h.reply(&request), 0)
 				continue
 			}
 			fullRequests++
@@ -213,7 +228,7 @@
 // entry host without a routing table must probe again soon.
 func TestFindsControlHostThatStartsLater(t *testing.T) {
 	c := qt.New(t)
-	p := poll.New("entry", []string{hostA, hostB}, 1, false)
+	p := newPoller(false, hostA, hostB)
 	a := &fakeControlHost{runID: 1, current: true, down: true, delta: &routes.Delta{Version: 3}}
 	simulate(p, 1, 300, map[string]*fakeControlHost{hostA: a})
 	a.down = false
--- /dev/null
+++ b/internal/dir/record/record_test.go
@@ -0,0 +1,97 @@
+package record_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/record"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+)
+
+// servers returns n servers of one service in 6 data centres.
+func servers(n int) []msgs.ServerStatus {
+	list := make([]msgs.ServerStatus, n)
+	for i := range list {
+		number := uint64(0x1a2b3c0000) + uint64(i)*0x10001
+		list[i] = msgs.ServerStatus{Age: clock.Millis(i % 1200), Record: fleet.Record{
+			ID: fmt.Sprintf("i-%010x", number), Number: number, Seq: uint64(i % 300), Service: "weigh-a7",
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(i >> 8), byte(i)}), 8080),
+			Centre:  fmt.Sprint("hall-", i%6), Slots: 2, State: fleet.Ready,
+		}}
+	}
+	return list
+}
+
+func TestBlockReturnsItsServers(t *testing.T) {
+	list := servers(20)
+	list[1].Record.ID, list[1].Record.Number = "server seven", 7
+	list[2].Record.Started, list[2].Silent = 1_700_000_000_123, true
+	list[3].Ended, list[3].Record.State = true, fleet.Draining
+	list[4].Record.Address = netip.MustParseAddrPort("[fd00::1]:443")
+	list[5].Record = fleet.Record{ID: "i-00ff", Number: 255, State: fleet.Left}
+	list[6].Record.ID, list[6].Record.Number = "i-0000000000000000000001", 1
+	got, err := record.Decode(record.Append(nil, list), 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, fmt.Sprintf("%+v", got), qt.Equals, fmt.Sprintf("%+v", list))
+	older, err := record.Decode(record.Append(nil, list), 40)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, older[7].Age, qt.Equals, list[7].Age+40)
+}
+
+// TestRecordTakesFewBytes has the servers of one data centre, and of all, on a link that
+// carries 250 bytes in a millisecond.
+func TestRecordTakesFewBytes(t *testing.T) {
+	for _, test := range []struct{ servers, most int }{{100, 2500}, {600, 14_000}} {
+		got := len(record.Append(nil, servers(test.servers)))
+		qt.Check(t, got <= test.most, qt.IsTrue, qt.Commentf("%d bytes for %d servers", got, test.servers))
+	}
+}
+
+func TestDamagedBlockIsAnError(t *testing.T) {
+	block := record.Append(nil, servers(3))
+	_, err := record.Decode(nil, 0)
+	qt.Check(t, err, qt.ErrorIs, record.ErrVersion)
+	_, err = record.Decode(append([]byte{99}, block[1:]...), 0)
+	qt.Check(t, err, qt.ErrorIs, record.ErrVersion)
+	for n := 1; n < len(block); n++ {
+		_, err := record.Decode(block[:n], 0)
+		qt.Check(t, err, qt.ErrorIs, record.ErrMalformed, qt.Commentf("%d bytes", n))
+	}
+	_, err = record.Decode(append(block, 0), 0)
+	qt.Check(t, err, qt.ErrorIs, record.ErrMalformed)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(record.Append(nil, servers(3)))
+	f.Add([]byte{1, 255, 255, 255, 255, 15})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		list, err := record.Decode(b, 0)
+		if err != nil {
+			return
+		}
+		again, err := record.Decode(record.Append(nil, list), 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, fmt.Sprintf("%+v", again), qt.Equals, fmt.Sprintf("%+v", list))
+	})
+}
+
+func BenchmarkDecode600(b *testing.B) {
+	block := record.Append(nil, servers(600))
+	for b.Loop() {
+		if _, err := record.Decode(block, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkAppend600(b *testing.B) {
+	list := servers(600)
+	for b.Loop() {
+		_ = record.Append(nil, list)
+	}
+}
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -138,7 +138,7 @@
 	for _, s := range l.fleet.ChangedSince(l.since(runID, position)) {
 		changed = append(changed, StatusOf(now, s))
 	}
-	return changed, l.fleet.Position()
+	return changed, l.fleet.LastChange()
 }
 
 // Silent returns the IDs of the servers that no longer announce themselves, except
--- a/internal/dir/tables/tables.go
+++ b/internal/dir/tables/tables.go
@@ -19,6 +19,9 @@
 	newest  msgs.Publication
 	encoded []byte
 	recent  []*routes.Table
+	// deltas holds the encoded deltas to the newest table by the version that they
+	// are applied to, with 0 for the whole table.
+	deltas map[uint64][]byte
 }
 
 // Version returns the newest version, or 0.
@@ -40,7 +43,7 @@
 	if p.Table.Version <= t.Version() {
 		return false, nil
 	}
-	t.newest, t.encoded = p, encoded
+	t.newest, t.encoded, t.deltas = p, encoded, map[uint64][]byte{}
 	t.recent = append(t.recent, &p.Table)
 	if len(t.recent) > maxRecent {
 		t.recent = append([]*routes.Table(nil), t.recent[1:]...)
@@ -51,18 +54,22 @@
 // Routes returns the number of routes in the newest version.
 func (t *Tables) Routes() int { return len(t.newest.Table.Routes) }
 
-// DeltaSince returns the delta from version to the newest version, or nil if
+// DeltaSince returns the encoded delta from version to the newest version, or nil if
 // version is not older. For a version that is no longer kept, it returns the whole
-// table.
-func (t *Tables) DeltaSince(version uint64) *routes.Delta {
+// table. Each delta is computed once.
+func (t *Tables) DeltaSince(version uint64) []byte {
 	if t.Version() <= version {
 		return nil
 	}
 	var from *routes.Table
+	base := uint64(0)
 	for _, r := range t.recent {
 		if r.Version == version {
-			from = r
+			from, base = r, version
 		}
 	}
-	return routes.Diff(from, &t.newest.Table)
+	if t.deltas[base] == nil {
+		t.deltas[base] = msgs.EncodeDelta(routes.Diff(from, &t.newest.Table))
+	}
+	return t.deltas[base]
 }
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -95,9 +95,6 @@
 	forward  *forwarder
 	// seeds carries the seed addresses of reloaded settings to the fetch goroutine.
 	seeds chan []string
-	// receivedAt maps the IDs of servers to the time when their latest record was
-	// received. Only the fetch goroutine uses it.
-	receivedAt map[string]clock.Millis
 
 	handshakes *admin.Histogram
 	responses  *admin.Histogram
@@ -106,6 +103,8 @@
 	inputWait         *admin.Histogram
 	openingWait       *admin.Histogram
 	openingsDiscarded atomic.Int64
+	// malformedReplies counts replies of control hosts that could not be decoded.
+	malformedReplies atomic.Int64
 	// reasons counts decisions by reason, opened counts new flows by service.
 	reasons *expvar.Map
 	opened  *expvar.Map
@@ -126,14 +125,16 @@
 	d := &Daemon{
 		settings: settings, clock: source, log: factory.Logger("entry"), codec: codec,
 		updates: ring.New[update](updateQueueSize), replies: ring.New[[]byte](replyQueueSize),
-		metrics: admin.NewMetrics(), seeds: make(chan []string, 1), receivedAt: map[string]clock.Millis{},
+		metrics: admin.NewMetrics(), seeds: make(chan []string, 1),
 	}
 	d.core = core.New(core.Options{
 		Centre: settings.Centre, Choice: choose.DefaultSettings, DefaultIdleTimeout: defaultIdleTimeout, MaxFlows: maxFlows,
 		Off:   settings.Off,
 		Fleet: fleet.Options{SilentAfter: noTimeout, ForgetAfter: forgetAfter, Follower: true},
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
-	d.poller = poll.New(settings.Name, settings.SeedAddresses(), source.Now(), settings.Off.Has(tune.FirstTable))
+	d.poller = poll.New(poll.Options{
+		Name: settings.Name, Centre: settings.Centre, Seeds: settings.SeedAddresses(), AwaitQuorum: settings.Off.Has(tune.FirstTable),
+	}, source.Now())
 	d.peers = link.NewPeers(directory.Key, d.onReply)
 	d.forward = newForwarder(d)
 	d.registerMetrics(factory)
@@ -235,20 +236,24 @@
 func (d *Daemon) handleReply(body []byte) {
 	m, err := msgs.Decode(body)
 	if err != nil || m.FetchReply == nil {
+		d.malformedReplies.Add(1)
 		d.log.Warn("Received an invalid reply from a control host.", "err", err)
 		return
 	}
 	now, previous := d.clock.Now(), d.poller.Primary()
-	a := d.poller.HandleReply(now, m.FetchReply, d.version.Load())
+	a, err := d.poller.HandleReply(now, m.FetchReply, d.version.Load())
+	if err != nil {
+		d.malformedReplies.Add(1)
+		d.log.Warn("Received a malformed reply. All servers are requested again.", "err", err)
+		return
+	}
 	if p := d.poller.Primary(); p != previous {
 		d.log.Info("Control host chosen.", "address", p, "before", previous, "current", m.FetchReply.Current)
+	}
+	if a.Next {
 		d.sendFetches()
 	}
-	silence := d.updateSilence(now, a.Servers)
-	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, Silence: func(id string) (bool, bool) {
-		silent, known := silence[id]
-		return silent, known
-	}}}
+	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now)}}
 	if d.poller.HasQuorum(now) {
 		u.confirmedAt = now
 	}
@@ -262,23 +267,3 @@
 		d.poller.RefetchAll()
 	}
 }
-
-// updateSilence records when server records were received and returns, by ID,
-// whether each server is silent, if that is known. It forgets silent servers whose
-// record was received more than forgetAfter ago. The result is a new map for the
-// forwarder, because only the fetch goroutine may use the poller.
-func (d *Daemon) updateSilence(now clock.Millis, received []msgs.ServerStatus) map[string]bool {
-	for i := range received {
-		d.receivedAt[received[i].Record.ID] = now
-	}
-	out := make(map[string]bool, len(d.receivedAt))
-	for id, at := range d.receivedAt {
-		if silent, known := d.poller.Silent(now, id); known {
-			out[id] = silent
-			if silent && now-at > forgetAfter {
-				delete(d.receivedAt, id)
-			}
-		}
-	}
-	return out
-}
--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -19,9 +19,9 @@
 	directory "monsooncleat.example/monsooncleat/internal/dir/daemon"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 	"monsooncleat.example/monsooncleat/internal/token/core"
 	"monsooncleat.example/monsooncleat/internal/token/daemon"
-	"monsooncleat.example/monsooncleat/internal/token/tokens"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
 )
 
@@ -66,9 +66,9 @@
 		Servers: []msgs.ServerStatus{{Record: fleet.Record{
 			ID: "i-1", Number: 1, Seq: 1, Service: "x", Address: server, Centre: "a", Slots: 2, State: fleet.Ready,
 		}}},
-		Delta: routes.Diff(nil, &routes.Table{Version: 1, Services: []string{"x"}, Routes: []routes.Route{{
+		Delta: msgs.EncodeDelta(routes.Diff(nil, &routes.Table{Version: 1, Services: []string{"x"}, Routes: []routes.Route{{
 			Name: "r", Address: route, Timeout: 1000, Targets: []routes.Target{{Service: "x", Weight: 1}},
-		}}}),
+		}}})),
 	}
 	s := link.NewServer(address.String(), directory.Key, func(from link.Replier, body []byte) {
 		m, err := msgs.Decode(body)
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -38,6 +38,7 @@
 	d.handshakes, d.responses = d.metrics.Histogram("handshakeMicros"), d.metrics.Histogram("responseMicros")
 	d.inputWait, d.openingWait = d.metrics.Histogram("inputWaitMicros"), d.metrics.Histogram("openingWaitMicros")
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
+	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
 	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
 
