token/daemon: tell what the kernel dropped when forwarding times out

TestForwardsWhileItTicks failed once beside load with "not forwarded within 10 s", which does not tell datagrams that the sender never sent, or that the kernel dropped, from those that the relay received and did not forward. The message now has all three. The check is unchanged.

--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,8 +113,10 @@
 	conn, err := net.Dial("udp4", settings.Packets.String())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
+	var sent atomic.Int64
 	go func() {
 		for i := uint32(1); ctx.Err() == nil; i++ {
+			sent.Add(1)
 			b := binary.BigEndian.AppendUint32(nil, i%50_000)
 			b = binary.BigEndian.AppendUint32(b, i)
 			b = binary.BigEndian.AppendUint32(b, uint32(tokens.Candidate("i-1", 0, 0)))
@@ -122,7 +128,10 @@
 	buf := make([]byte, 64)
 	for i := range 8000 {
 		n, err := server.Read(buf)
-		c.Assert(err, qt.IsNil, qt.Commentf("after %d datagrams; %s", i, d.Metrics().Values()))
+		if err != nil {
+			t.Fatalf("after %d of %d datagrams: %s; dropped by the kernel: %s for the relay, %s for the server; %v",
+				i, sent.Load(), err, kernelDrops(settings.Packets.Port()), kernelDrops(serverAddr.Port()), d.Metrics().Values())
+		}
 		c.Assert(n, qt.Equals, plainSize+4)
 		c.Assert(tokens.Token(binary.BigEndian.Uint32(buf)), qt.Equals, tokens.Candidate("i-1", 0, 0))
 	}
@@ -130,6 +139,22 @@
 	c.Check(<-stopped, qt.IsNil)
 }
 
+// kernelDrops returns how many datagrams to a local port the kernel dropped because the
+// receive buffer was full, or "unknown".
+func kernelDrops(port uint16) string {
+	b, err := os.ReadFile("/proc/net/udp")
+	if err != nil {
+		return "unknown"
+	}
+	for line := range strings.Lines(string(b)) {
+		fields := strings.Fields(line)
+		if len(fields) > 2 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
+			return fields[len(fields)-1]
+		}
+	}
+	return "unknown"
+}
+
 func becomesReady(address netip.AddrPort) bool {
 	for range 100 {
 		resp, err := http.Get("http://" + address.String() + "/")
