dir/advert: tell entry hosts after a restart which control hosts are up

After a restart of all, entry hosts waited for one of their three seeds.

A control host now remembers where entry hosts that polled it, or another control host, receive adverts, keeps that list on disk, and after a start sends each a datagram every 80 ms for 2 s, or until any control host hears from it. An entry host without a healthy primary probes the sender at once.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -14,6 +14,7 @@
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/advert"
 	"monsooncleat.example/monsooncleat/internal/dir/loads"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/dir/share"
@@ -93,6 +94,8 @@
 
 	list   *share.List
 	blocks *share.Blocks
+	// entryHosts are the entry hosts to advertise this host to after a start.
+	entryHosts *advert.Hosts
 	// centres holds the data centres of the control hosts by address.
 	centres    map[string]string
 	replicator *share.Replicator
@@ -109,7 +112,7 @@
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
 	c.lastRequestID = firstRequestID(options.RunID)
 	c.list = share.NewList(options.Fleet, options.RunID, now, group{c}, send)
-	c.blocks = share.NewBlocks(c.list)
+	c.blocks, c.entryHosts = share.NewBlocks(c.list), advert.New(now)
 	c.centres = map[string]string{addressOf(options.ID): options.Centre}
 	c.replicator = share.NewReplicator(group{c}, send, firstRequestID(options.RunID))
 	c.addAddresses(options.Seeds)
@@ -227,6 +230,7 @@
 	c.retryRequests()
 	c.replicator.Tick(now)
 	c.maintainServers()
+	c.advertise()
 }
 
 // HandleMessage handles one message from another host.
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -94,10 +94,16 @@
 	}
 	r := c.list.ReplyToSync(c.now, m)
 	r.Loads = c.loads.LocalSum(c.now)
+	known := m.EntryHostsVersion
+	if m.RunID != c.options.RunID {
+		known = 0
+	}
+	r.EntryHosts, r.EntryHostsVersion = c.entryHosts.Own(known)
 	c.sendNow(addressOf(m.From), &msgs.Envelope{SyncReply: r})
 }
 
 func (c *Core) onSyncReply(m *msgs.SyncReply) {
 	c.loads.SetControlSum(c.now, string(m.From), m.Loads)
+	c.entryHosts.Learned(c.now, m.EntryHosts)
 	c.list.HandleSyncReply(c.now, m)
 }
--- a/internal/dir/core/types.go
+++ b/internal/dir/core/types.go
@@ -63,6 +63,12 @@
 	// it does no harm.
 	Servers []byte
 
+	// EntryHosts are the encoded addresses of entry hosts, saved likewise.
+	EntryHosts []byte
+	// Advert is a message to send in a datagram to each address in AdvertTo.
+	Advert   []byte
+	AdvertTo []string
+
 	// SendNow holds the messages to send without waiting for the disk. Replies and
 	// Answers do not wait for it either.
 	SendNow  []OutMessage
@@ -81,7 +87,7 @@
 // NeedsDisk reports whether there is anything to write, or to send after a
 // write.
 func (o *Output) NeedsDisk() bool {
-	return o.State != nil || o.Install != nil || len(o.Entries) > 0 || o.Snapshot != nil || len(o.SendAfterSync) > 0 || o.Servers != nil
+	return o.State != nil || o.Install != nil || len(o.Entries) > 0 || o.Snapshot != nil || len(o.SendAfterSync) > 0 || o.Servers != nil || o.EntryHosts != nil
 }
 
 // String returns the code in lower case.
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -144,7 +145,9 @@
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
 	// connections for the replies to received messages.
-	calls           map[core.CallID]chan<- core.Answer
+	calls map[core.CallID]chan<- core.Answer
+	// advertSocket sends adverts. It is opened for the first ones.
+	advertSocket    *net.UDPConn
 	lastCallID      core.CallID
 	repliers        map[core.ReplyHandle]link.Replier
 	lastReplyHandle core.ReplyHandle
@@ -176,6 +179,7 @@
 	}
 	d.core = core.New(d.options(id), stored, source.Now(), rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
 	d.loadServers()
+	d.loadEntryHosts()
 	d.peers = link.NewPeers(Key, d.onFrame)
 	d.server = link.NewServer(settings.Bind.String(), Key, d.onFrame, factory.Logger("link"))
 	d.api = &http.Server{Handler: handler(d), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -223,6 +227,9 @@
 	}
 	err := tree.Stop()
 	d.peers.Close()
+	if d.advertSocket != nil {
+		_ = d.advertSocket.Close()
+	}
 	d.log.Info("Control host is down.")
 	return err
 }
@@ -371,6 +378,7 @@
 		}
 		delete(d.repliers, r.To)
 	}
+	d.sendAdverts(&out)
 	for _, a := range out.Answers {
 		if to := d.calls[a.CallID]; to != nil {
 			to <- a
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -37,7 +37,10 @@
 				continue
 			}
 			if b.Servers != nil {
-				d.saveServers(b.Servers)
+				d.saveHint(serversFile, b.Servers)
+			}
+			if b.EntryHosts != nil {
+				d.saveHint(entryHostsFile, b.EntryHosts)
 			}
 			for _, s := range b.SendAfterSync {
 				d.peers.Send(s.Address, s.Body)
@@ -76,15 +79,31 @@
 	return synced, out.State != nil || synced != nil || out.Snapshot != nil, nil
 }
 
-// serversFile is the file in the data folder that holds the server list for the
-// next start.
-const serversFile = "servers"
+// Files in the data folder that make the next start faster. Losing them does no harm.
+const (
+	// serversFile holds the server list, entryHostsFile the addresses of entry hosts.
+	serversFile    = "servers"
+	entryHostsFile = "entryHosts"
+)
+
+// saveHint writes one of these files. An error is logged and otherwise ignored.
+func (d *Daemon) saveHint(name string, data []byte) {
+	if err := disk.Replace(filepath.Join(d.settings.DataFolder, name), data); err != nil {
+		d.log.Warn("Cannot save a file for the next start.", "file", name, "err", err)
+	}
+}
 
-// saveServers writes the server list. The list only makes the next start faster,
-// so an error is logged and otherwise ignored.
-func (d *Daemon) saveServers(servers []byte) {
-	if err := disk.Replace(filepath.Join(d.settings.DataFolder, serversFile), servers); err != nil {
-		d.log.Warn("Cannot save the server list.", "err", err)
+// loadEntryHosts loads the addresses of entry hosts that an earlier run saved.
+func (d *Daemon) loadEntryHosts() {
+	b, err := os.ReadFile(filepath.Join(d.settings.DataFolder, entryHostsFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	if err == nil {
+		err = d.core.LoadEntryHosts(b)
+	}
+	if err != nil {
+		d.log.Warn("Cannot load the saved addresses of entry hosts.", "err", err)
 	}
 }
 
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -29,6 +29,7 @@
 	SyncReply        *SyncReply        `msgpack:"syncReply,omitempty"`
 	Fetch            *Fetch            `msgpack:"fetch,omitempty"`
 	FetchReply       *FetchReply       `msgpack:"fetchReply,omitempty"`
+	Advert           *Advert           `msgpack:"advert,omitempty"`
 }
 
 // Sender returns the control host that sent the message, or "" if the message does
@@ -168,6 +169,8 @@
 	ContactAges watch.Ages `msgpack:"contactAges"`
 	// Centre is the data centre of the sender.
 	Centre string `msgpack:"centre,omitempty"`
+	// EntryHostsVersion is that of the latest reply from the receiver's run.
+	EntryHostsVersion uint64 `msgpack:"entryHostsVersion,omitempty"`
 }
 
 // SyncReply returns the announcements after a position, and the replying host's
@@ -182,6 +185,16 @@
 	// Loads are the sums, by server token, of the loads that entry hosts reported
 	// to the replying host.
 	Loads choose.Loads `msgpack:"loads"`
+	// EntryHosts are the addresses for adverts of the entry hosts that polled the
+	// replying host, left out if the request gave their EntryHostsVersion.
+	EntryHosts        []string `msgpack:"entryHosts,omitempty"`
+	EntryHostsVersion uint64   `msgpack:"entryHostsVersion,omitempty"`
+}
+
+// Advert tells an entry host, in a datagram, that a control host is up.
+type Advert struct {
+	// Address is the address of the control host for messages.
+	Address string `msgpack:"address"`
 }
 
 // Fetch asks a control host for all changes after a position and a version of
@@ -212,6 +225,9 @@
 	// SilentVersion and HostsVersion are those of the latest reply from that run.
 	SilentVersion uint64 `msgpack:"silentVersion,omitempty"`
 	HostsVersion  uint64 `msgpack:"hostsVersion,omitempty"`
+	// Adverts is the address where the entry host receives datagrams with an Advert.
+	// It is set in the first requests to a run only.
+	Adverts string `msgpack:"adverts,omitempty"`
 	// AllLoads asks for the loads in all data centres, besides the own one.
 	AllLoads bool `msgpack:"allLoads,omitempty"`
 }
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -53,6 +53,8 @@
 	// maxReports is the number of reported loads that are kept until a reply tells
 	// which of them its totals include.
 	maxReports = 8
+	// maxAdvertised bounds the control hosts that are known from adverts only.
+	maxAdvertised = 16
 )
 
 // Options are the settings of a Poller.
@@ -62,6 +64,9 @@
 	Centre string
 	// Seeds are the addresses of some control hosts.
 	Seeds []string
+	// Adverts is the address where the entry host receives adverts of control hosts, or
+	// "".
+	Adverts string
 	// AwaitQuorum refuses a first routing table without a quorum until the entry host
 	// is isolated.
 	AwaitQuorum bool
@@ -98,6 +103,8 @@
 	// waitingSince is when the first request after the latest reply or reconnect was
 	// sent, or 0 if there was none.
 	waitingSince clock.Millis
+	// askedAt is the time of the latest request.
+	askedAt clock.Millis
 	// fullPending is set if a full request, one without Brief, was sent after the
 	// latest reply or reconnect.
 	fullPending bool
@@ -128,6 +135,10 @@
 	lastRequestID uint64
 	// pending holds the addresses of unanswered requests by request ID.
 	pending map[uint64]string
+	// advertised are control hosts that are known from adverts only, and wanted is the
+	// one to probe next, or "".
+	advertised []string
+	wanted     string
 	// reports holds the latest loads that were reported, by request ID.
 	reports        map[uint64]choose.Loads
 	nextPollAt     clock.Millis
@@ -179,6 +190,21 @@
 	return now-max(p.quorumRepliedAt, p.started) > isolationTimeout
 }
 
+// HandleAdvert records that a control host is up. An entry host without a healthy
+// primary probes it at the next Tick.
+func (p *Poller) HandleAdvert(now clock.Millis, address string) {
+	if !p.primaryUnhealthy(now) || address == p.primary {
+		return
+	}
+	if h := p.hosts[address]; h != nil && now-h.askedAt < startInterval/2 {
+		return
+	}
+	p.wanted = address
+	if !slices.Contains(p.addresses(), address) && len(p.advertised) < maxAdvertised {
+		p.advertised = append(p.advertised, address)
+	}
+}
+
 // Tick returns the requests that are due.
 func (p *Poller) Tick(now clock.Millis, version uint64, loads choose.Loads) []Request {
 	var requests []Request
@@ -190,6 +216,9 @@
 		requests = append(requests, p.fullRequest(now, p.primary, version, loads))
 	}
 	switch unhealthy := p.primaryUnhealthy(now); {
+	case unhealthy && p.wanted != "":
+		requests = p.appendProbe(now, requests, p.wanted, version)
+		p.wanted = ""
 	case unhealthy && version == 0 && now >= p.nextProbeAt:
 		p.nextProbeAt = now + p.searchInterval()
 		requests = p.appendProbe(now, requests, p.nextOther(), version)
@@ -241,6 +270,9 @@
 	h := p.hosts[address]
 	h.fullPending = true
 	r.Fetch.Loads, r.Fetch.Part = loads, h.part
+	if h.position == 0 {
+		r.Fetch.Adverts = p.options.Adverts
+	}
 	if h.position == 0 && version == 0 {
 		r.Fetch.Part = msgs.LocalPart
 	}
@@ -269,6 +301,7 @@
 	if reconnect || h.waitingSince == 0 {
 		h.waitingSince, h.fullPending = now, false
 	}
+	h.askedAt = now
 	p.lastRequestID++
 	p.pending[p.lastRequestID] = address
 	return Request{address, msgs.Fetch{
--- a/internal/dir/poll/rank.go
+++ b/internal/dir/poll/rank.go
@@ -12,7 +12,7 @@
 // entry hosts spread over the control hosts, and those of a lost one over the rest.
 func (p *Poller) addresses() []string {
 	out := slices.Clone(p.learned)
-	for _, s := range p.options.Seeds {
+	for _, s := range slices.Concat(p.options.Seeds, p.advertised) {
 		if !slices.Contains(out, s) {
 			out = append(out, s)
 		}
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -99,7 +99,7 @@
 	if len(r.ControlHosts) == 0 {
 		return
 	}
-	p.learned, p.hostsVersion = r.ControlHosts, r.HostsVersion
+	p.learned, p.hostsVersion, p.advertised = r.ControlHosts, r.HostsVersion, nil
 	for i, address := range r.ControlHosts {
 		if i < len(r.ControlCentres) && r.ControlCentres[i] != "" {
 			p.centres[address] = r.ControlCentres[i]
--- a/internal/dir/poll/spread_test.go
+++ b/internal/dir/poll/spread_test.go
@@ -191,3 +191,22 @@
 	qt.Assert(t, len(at) > 2, qt.IsTrue)
 	qt.Check(t, at[2]-at[1] >= 450, qt.IsTrue, qt.Commentf("%v", at))
 }
+
+// TestAdvertLeadsToAControlHostThatIsNoSeed starts an entry host while all of its seeds
+// are down.
+func TestAdvertLeadsToAControlHostThatIsNoSeed(t *testing.T) {
+	p := newPoller(false, hostA)
+	h := &fakeControlHost{runID: 1, delta: &routes.Delta{Version: 3}}
+	hosts := map[string]*fakeControlHost{hostB: h}
+	acceptedAt := simulate(p, 1, 201, hosts)
+	qt.Check(t, acceptedAt, qt.HasLen, 0)
+	p.HandleAdvert(230, hostB)
+	acceptedAt = simulate(p, 240, 600, hosts)
+	qt.Check(t, acceptedAt[3] > 0 && acceptedAt[3] <= 340, qt.IsTrue, qt.Commentf("accepted at %d", acceptedAt[3]))
+	h.current = true
+	simulate(p, 600, 1000, hosts)
+	p.HandleAdvert(1000, hostA)
+	for _, request := range p.Tick(1001, 3, nil) {
+		qt.Check(t, request.Address, qt.Equals, hostB, qt.Commentf("its primary is healthy"))
+	}
+}
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -64,6 +64,8 @@
 type cursor struct {
 	runID    uint64
 	position uint64
+	// entryHosts is the EntryHostsVersion of the latest reply.
+	entryHosts uint64
 }
 
 // NewList returns an empty List. RunID is a random number that identifies this run of
@@ -98,7 +100,7 @@
 			continue
 		}
 		at := l.cursorOf(id)
-		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position}
+		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position, EntryHostsVersion: at.entryHosts}
 		fill(m)
 		l.send(id, &msgs.Envelope{Sync: m})
 	}
@@ -161,7 +163,7 @@
 // HandleSyncReply applies the announcements that another control host received.
 func (l *List) HandleSyncReply(now clock.Millis, m *msgs.SyncReply) {
 	at := l.cursorOf(m.From)
-	at.runID, at.position = m.RunID, m.Position
+	at.runID, at.position, at.entryHosts = m.RunID, m.Position, m.EntryHostsVersion
 	for i := range m.Servers {
 		s := &m.Servers[i]
 		if s.Age < 0 || s.Silent {
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -33,6 +33,7 @@
 const (
 	updateQueueSize = 64
 	replyQueueSize  = 256
+	advertQueueSize = 16
 	// fetchCheckInterval is the time between checks for fetches that are due, and
 	// startCheckInterval the same while the host has no routing table.
 	fetchCheckInterval = 100 * time.Millisecond
@@ -93,6 +94,8 @@
 	poller   *poll.Poller
 	metrics  *admin.Metrics
 	forward  *forwarder
+	// adverts carries the addresses of control hosts that have advertised themselves.
+	adverts *ring.Ring[string]
 	// seeds carries the seed addresses of reloaded settings to the fetch goroutine.
 	seeds chan []string
 
@@ -125,7 +128,7 @@
 	d := &Daemon{
 		settings: settings, clock: source, log: factory.Logger("entry"), codec: codec,
 		updates: ring.New[update](updateQueueSize), replies: ring.New[[]byte](replyQueueSize),
-		metrics: admin.NewMetrics(), seeds: make(chan []string, 1),
+		adverts: ring.New[string](advertQueueSize), metrics: admin.NewMetrics(), seeds: make(chan []string, 1),
 	}
 	d.core = core.New(core.Options{
 		Centre: settings.Centre, Choice: choose.DefaultSettings, DefaultIdleTimeout: defaultIdleTimeout, MaxFlows: maxFlows,
@@ -133,7 +136,8 @@
 		Fleet: fleet.Options{SilentAfter: noTimeout, ForgetAfter: forgetAfter, Follower: true},
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
 	d.poller = poll.New(poll.Options{
-		Name: settings.Name, Centre: settings.Centre, Seeds: settings.SeedAddresses(), AwaitQuorum: settings.Off.Has(tune.FirstTable),
+		Name: settings.Name, Centre: settings.Centre, Seeds: settings.SeedAddresses(), Adverts: advertAddress(settings),
+		AwaitQuorum: settings.Off.Has(tune.FirstTable),
 	}, source.Now())
 	d.peers = link.NewPeers(directory.Key, d.onReply)
 	d.forward = newForwarder(d)
@@ -148,6 +152,9 @@
 	tree.Start("forward", d.forward.run)
 	tree.Start("fetch", d.fetch)
 	tree.Start("ready", d.serveReadiness)
+	if d.settings.Peer.IsValid() {
+		tree.Start("adverts", d.receiveAdverts)
+	}
 	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump, d.ready.Load).Run)
 	d.log.Info("Entry host is up.", "name", d.settings.Name, "packets", d.settings.Packets, "centre", d.settings.Centre,
 		"off", d.settings.Off.String())
@@ -211,6 +218,9 @@
 				ticker.Reset(fetchCheckInterval)
 			}
 			d.sendFetches()
+		case address := <-d.adverts.Items():
+			d.poller.HandleAdvert(d.clock.Now(), address)
+			d.sendFetches()
 		case body := <-d.replies.Items():
 			d.handleReply(body)
 		}
