entry/core, ask/ledger: send no request that another owner has sent

A copy that the client had sent at 14.850 waited on a host that stalled and reached e1 at 15.323, which owned the bucket since 14.607. The elapsed time in the packet was from its sending, so e1 took the request as first sent after it became the owner, looked nowhere, and sent it through e8, the successor of both. e8 held the record of e2's attempt and forwarded all the same.

Ruled out: a larger margin for the transit. A stall has no bound.

Change: an owner names its earlier attempts in what it sends. A successor that recorded an attempt of the same try which the sender does not name replies Unknown in place of the server. An attempt of an earlier try is no hindrance, since the client was told that it had not run.

--- /dev/null
+++ b/internal/ask/ledger/attempts.go
@@ -0,0 +1,18 @@
+package ledger
+
+import "slices"
+
+// Numbers returns the numbers of all attempts.
+func (e *Entry) Numbers() []uint64 {
+	var out []uint64
+	for i := range e.Attempts {
+		out = append(out, e.Attempts[i].Number)
+	}
+	return out
+}
+
+// SentByAnother reports whether there is an attempt of the given try, or of a later
+// one, that is not in known. The host that knows of those in known did not send it.
+func (e *Entry) SentByAnother(try uint32, known []uint64) bool {
+	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Try >= try && !slices.Contains(known, a.Number) })
+}
--- a/internal/ask/ledger/ledger.go
+++ b/internal/ask/ledger/ledger.go
@@ -64,6 +64,8 @@
 	// Number identifies the attempt in the server's answer.
 	Number uint64
 	Server string
+	// Try is the try of the client that the attempt belongs to.
+	Try    uint32
 	SentAt clock.Millis
 	// Open is set while the attempt occupies a slot of the server.
 	Open bool
--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -262,13 +262,14 @@
 		c.complete(s, e, envel.Answer{Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)})
 		return
 	}
-	attempt := ledger.Attempt{Number: c.rand.Uint64(), Server: server, SentAt: c.now, Open: true}
+	attempt := ledger.Attempt{Number: c.rand.Uint64(), Server: server, Try: e.Request.Try, SentAt: c.now, Open: true}
+	prior := e.Numbers()
 	e.Attempts = append(e.Attempts, attempt)
 	e.Stage = ledger.Sent
 	c.pendingAttempts[attempt.Number] = e
 	remaining := e.Deadline - c.now
 	msg := envel.Request{
-		ID: e.Key.ID, Try: e.Request.Try, Attempt: attempt.Number, Client: e.Key.Client.String(),
+		ID: e.Key.ID, Try: e.Request.Try, Attempt: attempt.Number, Prior: prior, Client: e.Key.Client.String(),
 		Idempotent: e.Request.Idempotent, Timeout: remaining, Body: e.Request.Body,
 	}
 	packet := inner.BuildUDP(c.opts.Answers, e.ReturnPaths[0].Service, envel.EncodeRequest(&msg))
@@ -296,8 +297,9 @@
 // recordAndForward records a request for its owner and forwards it to the
 // server. It replies with an outcome instead if the service is unknown or the
 // client's address invalid, if this host is neither owner nor successor, if its
-// ledger is full, or if it has refused the try or accepted the request as owner: the
-// sender may not know yet that it no longer owns the bucket.
+// ledger is full, or if it has refused the try, accepted the request as owner or
+// recorded it for another owner: the sender may not know yet that it no longer owns the
+// bucket, or that it was sent before it became the owner.
 func (c *Core) recordAndForward(p *inner.Packet, in *arrival) {
 	req, err := envel.DecodeRequest(p.Payload)
 	if err != nil {
@@ -321,7 +323,7 @@
 		return
 	}
 	e := c.ledger.Find(key)
-	if e != nil && e.Stage != ledger.Replica {
+	if e != nil && (e.Stage != ledger.Replica || e.SentByAnother(req.Try, append(req.Prior, req.Attempt))) {
 		c.replyForServer(p, req, envel.Unknown)
 		return
 	}
@@ -330,7 +332,7 @@
 		c.ledger.Add(e, c.now+req.Timeout+s.spec.DedupWindow())
 	}
 	if e.Attempt(req.Attempt) == nil {
-		e.Attempts = append(e.Attempts, ledger.Attempt{Number: req.Attempt, Server: c.serverByAddress(s, in.origin)})
+		e.Attempts = append(e.Attempts, ledger.Attempt{Number: req.Attempt, Try: req.Try, Server: c.serverByAddress(s, in.origin)})
 	}
 	c.counters.Add(count.RequestsNoted, 1)
 	c.send(in.origin, p.Raw, nil)
--- a/internal/proof/matrix/stall_test.go
+++ b/internal/proof/matrix/stall_test.go
@@ -69,6 +69,15 @@
 // owner which the others took for dead, after its successor has refused it.
 func TestOwnerThatStallsRunsNoRefusedRequest(t *testing.T) { restartStallingHosts(t, 27) }
 
+// TestNewOwnerSendsNoRequestThatAnotherOwnerSent guards against a second run of a
+// request that waited on a stalled host, so that it seems to be sent after the new owner
+// took over.
+func TestNewOwnerSendsNoRequestThatAnotherOwnerSent(t *testing.T) {
+	for _, seed := range []uint64{1018, 1041, 1066} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { restartStallingHosts(t, seed) })
+	}
+}
+
 // TestRestartsOfStallingHosts plays the seeds that the flags name.
 func TestRestartsOfStallingHosts(t *testing.T) {
 	for seed := *stallFirst; seed < *stallFirst+*stallSeeds; seed++ {
--- a/internal/wire/envel/envel.go
+++ b/internal/wire/envel/envel.go
@@ -58,6 +58,8 @@
 	// Attempt identifies one delivery to a server. The home sets it; clients
 	// leave it zero.
 	Attempt uint64 `msgpack:"attempt,omitempty"`
+	// Prior are the earlier attempts that the home knows of, set by the home.
+	Prior []uint64 `msgpack:"prior,omitempty"`
 	// Client is the client's IP address, set by the home.
 	Client string `msgpack:"caller,omitempty"`
 	// Idempotent means that the request may safely run more than once.
