--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -139,6 +139,8 @@
 	// one to probe next, or "".
 	advertised []string
 	wanted     string
+	// nextWantedAt is when the next advert counts.
+	nextWantedAt clock.Millis
 	// reports holds the latest loads that were reported, by request ID.
 	reports        map[uint64]choose.Loads
 	nextPollAt     clock.Millis
@@ -191,15 +193,15 @@
 }
 
 // HandleAdvert records that a control host is up. An entry host without a healthy
-// primary probes it at the next Tick.
+// primary asks it at the next Tick, and ignores other adverts for a while.
 func (p *Poller) HandleAdvert(now clock.Millis, address string) {
-	if !p.primaryUnhealthy(now) || address == p.primary {
+	if !p.primaryUnhealthy(now) || address == p.primary || now < p.nextWantedAt {
 		return
 	}
 	if h := p.hosts[address]; h != nil && now-h.askedAt < startInterval/2 {
 		return
 	}
-	p.wanted = address
+	p.wanted, p.nextWantedAt = address, now+startInterval
 	if !slices.Contains(p.addresses(), address) && len(p.advertised) < maxAdvertised {
 		p.advertised = append(p.advertised, address)
 	}
@@ -217,7 +219,11 @@
 	}
 	switch unhealthy := p.primaryUnhealthy(now); {
 	case unhealthy && p.wanted != "":
-		requests = p.appendProbe(now, requests, p.wanted, version)
+		if version == 0 {
+			requests = append(requests, p.fullRequest(now, p.wanted, version, loads))
+		} else {
+			requests = p.appendProbe(now, requests, p.wanted, version)
+		}
 		p.wanted = ""
 	case unhealthy && version == 0 && now >= p.nextProbeAt:
 		p.nextProbeAt = now + p.searchInterval()
