dir/share: exchange announcements between control hosts in compact form

Each control host sends the announcements that it receives to all others, in msgpack with about 160 bytes a server: at 5,800 servers 2.9 MB a second each, which docs/CAPACITY.md names as what breaks first. A request now says that blocks are understood, and a block has 21 bytes a server. Hosts of the build before send and get lists. TestAnnouncementsAreExchangedInEitherForm.

--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -105,5 +105,7 @@
 func (c *Core) onSyncReply(m *msgs.SyncReply) {
 	c.loads.SetControlSum(c.now, string(m.From), m.Loads)
 	c.entryHosts.Learned(c.now, m.EntryHosts)
-	c.list.HandleSyncReply(c.now, m)
+	if err := c.list.HandleSyncReply(c.now, m); err != nil {
+		c.logLine("Cannot decode the announcements from another control host. They are requested again.", "from", m.From, "err", err)
+	}
 }
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -171,6 +171,8 @@
 	Centre string `msgpack:"centre,omitempty"`
 	// EntryHostsVersion is that of the latest reply from the receiver's run.
 	EntryHostsVersion uint64 `msgpack:"entryHostsVersion,omitempty"`
+	// Form is the form of the servers that the sender understands.
+	Form Form `msgpack:"form,omitempty"`
 }
 
 // SyncReply returns the announcements after a position, and the replying host's
@@ -180,8 +182,10 @@
 	RunID uint64  `msgpack:"run"`
 	// Position counts the server changes, and the announcements received directly
 	// from servers, that the replying host has recorded in this run.
-	Position uint64         `msgpack:"position"`
-	Servers  []ServerStatus `msgpack:"news"`
+	Position uint64 `msgpack:"position"`
+	// Servers holds the announcements in ListForm, Blocks those in BlockForm.
+	Servers []ServerStatus `msgpack:"news,omitempty"`
+	Blocks  []Block        `msgpack:"blocks,omitempty"`
 	// Loads are the sums, by server token, of the loads that entry hosts reported
 	// to the replying host.
 	Loads choose.Loads `msgpack:"loads"`
@@ -232,14 +236,15 @@
 	AllLoads bool `msgpack:"allLoads,omitempty"`
 }
 
-// Form is the form of a FetchReply.
+// Form is the form of a FetchReply or SyncReply.
 type Form uint8
 
 const (
-	// ListForm replies hold the servers in FetchReply.Servers, and the loads without
-	// those of the requesting host. Hosts of earlier builds know no other form.
+	// ListForm replies hold the servers as a list, and the loads for an entry host
+	// without its own. Hosts of earlier builds know no other form.
 	ListForm Form = iota
-	// BlockForm replies hold what is the same for many entry hosts in encoded form.
+	// BlockForm replies hold the servers, and what is the same for many entry hosts, in
+	// encoded form.
 	BlockForm
 )
 
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -28,7 +28,7 @@
 	}
 	a := Accepted{}
 	var err error
-	if a.Servers, err = decodeServers(r); err != nil {
+	if a.Servers, err = record.All(r.Servers, r.Blocks); err != nil {
 		h.runID, h.position, h.part = 0, 0, msgs.AllParts
 		return Accepted{}, eris.Wrapf(err, "reply of control host %s", address)
 	}
@@ -57,19 +57,6 @@
 	return a, nil
 }
 
-// decodeServers returns the servers of a reply in either form.
-func decodeServers(r *msgs.FetchReply) ([]msgs.ServerStatus, error) {
-	servers := r.Servers
-	for _, b := range r.Blocks {
-		list, err := record.Decode(b.Data, b.Age)
-		if err != nil {
-			return nil, err
-		}
-		servers = append(servers, list...)
-	}
-	return servers, nil
-}
-
 // updateHost records the state of a control host from its reply.
 func (p *Poller) updateHost(now clock.Millis, h *controlHost, r *msgs.FetchReply) {
 	sameRun := h.runID == r.RunID
--- a/internal/dir/record/record.go
+++ b/internal/dir/record/record.go
@@ -180,6 +180,18 @@
 	return servers, nil
 }
 
+// All returns the servers of a list and of blocks.
+func All(list []msgs.ServerStatus, blocks []msgs.Block) ([]msgs.ServerStatus, error) {
+	for _, b := range blocks {
+		servers, err := Decode(b.Data, b.Age)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, servers...)
+	}
+	return list, nil
+}
+
 // decoder reads from rest. After a value that is malformed, failed is set and all
 // values are zero.
 type decoder struct {
--- a/internal/dir/share/blocks_test.go
+++ b/internal/dir/share/blocks_test.go
@@ -115,3 +115,24 @@
 	qt.Check(t, b.CentreOf(uint32(tokens.Candidate("i-2", 0, 1))), qt.Equals, "hall-1")
 	qt.Check(t, b.CentreOf(1), qt.Equals, "")
 }
+
+// TestAnnouncementsAreExchangedInEitherForm has a control host of the build before, which
+// knows lists only, and one of this build ask for announcements.
+func TestAnnouncementsAreExchangedInEitherForm(t *testing.T) {
+	l := newList(30)
+	for _, form := range []msgs.Form{msgs.ListForm, msgs.BlockForm} {
+		reply := l.ReplyToSync(20, &msgs.Sync{From: "b", Form: form})
+		qt.Check(t, len(reply.Servers) > 0, qt.Equals, form == msgs.ListForm)
+		receiver := newList(0)
+		qt.Assert(t, receiver.HandleSyncReply(20, reply), qt.IsNil)
+		qt.Check(t, receiver.Fleet().Len(), qt.Equals, 30)
+		qt.Check(t, receiver.Fleet().Find("i-7").LastAnnounced(), qt.Equals, clock.Millis(1))
+	}
+	damaged := l.ReplyToSync(20, &msgs.Sync{From: "b", Form: msgs.BlockForm})
+	damaged.Blocks[0].Data = damaged.Blocks[0].Data[:40]
+	receiver := newList(0)
+	qt.Check(t, receiver.HandleSyncReply(20, damaged), qt.IsNotNil)
+	qt.Check(t, receiver.Fleet().Len(), qt.Equals, 0)
+	qt.Check(t, receiver.HandleSyncReply(20, l.ReplyToSync(20, &msgs.Sync{From: "b"})), qt.IsNil)
+	qt.Check(t, receiver.Fleet().Len(), qt.Equals, 30)
+}
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -11,6 +11,7 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/record"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
@@ -100,7 +101,7 @@
 			continue
 		}
 		at := l.cursorOf(id)
-		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position, EntryHostsVersion: at.entryHosts}
+		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position, EntryHostsVersion: at.entryHosts, Form: msgs.BlockForm}
 		fill(m)
 		l.send(id, &msgs.Envelope{Sync: m})
 	}
@@ -122,6 +123,9 @@
 	for _, s := range l.fleet.TouchedSince(l.since(m.RunID, m.Since)) {
 		r.Servers = append(r.Servers, StatusOf(now, s))
 	}
+	if m.Form == msgs.BlockForm && len(r.Servers) > 0 {
+		r.Blocks, r.Servers = []msgs.Block{{Data: record.Append(nil, r.Servers)}}, nil
+	}
 	return r
 }
 
@@ -160,17 +164,23 @@
 	return msgs.ServerStatus{Record: s.Record, Age: now - s.LastAnnounced(), Silent: s.Silent(), Ended: s.Ended()}
 }
 
-// HandleSyncReply applies the announcements that another control host received.
-func (l *List) HandleSyncReply(now clock.Millis, m *msgs.SyncReply) {
+// HandleSyncReply applies the announcements that another control host received. After an
+// error, which means that they are malformed, they are requested again.
+func (l *List) HandleSyncReply(now clock.Millis, m *msgs.SyncReply) error {
+	servers, err := record.All(m.Servers, m.Blocks)
+	if err != nil {
+		return err
+	}
 	at := l.cursorOf(m.From)
 	at.runID, at.position, at.entryHosts = m.RunID, m.Position, m.EntryHostsVersion
-	for i := range m.Servers {
-		s := &m.Servers[i]
+	for i := range servers {
+		s := &servers[i]
 		if s.Age < 0 || s.Silent {
 			continue
 		}
 		l.fleet.Apply(now, now-s.Age, s.Record, false)
 	}
+	return nil
 }
 
 // HandleReplication applies a record that another control host replicates.
