entry/core: log why a request was answered as unknown

The local run beside load has one or two such requests in half of its runs, and the counters of the host that answered are gone with its restart. Each is now a line "Request decided." with the request's ID and the reason, at most 25 a second.

--- a/internal/entry/core/answers.go
+++ b/internal/entry/core/answers.go
@@ -72,6 +72,11 @@
 	a := envel.Answer{Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)}
 	if e.MayHaveRun() || c.fenced() && !e.Request.Idempotent {
 		a = envel.Answer{Outcome: envel.Unknown}
+		reason := NoOutcome
+		if !e.MayHaveRun() {
+			reason = NoMajority
+		}
+		c.noteUnknown(e.Key.ID, reason)
 	}
 	c.complete(s, e, a)
 }
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -117,6 +117,8 @@
 	// Resets are the flows that were reset, for logs. Some are left out if there are
 	// many.
 	Resets []Reset
+	// Unknowns are the requests that were answered as unknown, for logs, likewise.
+	Unknowns []UnknownOutcome
 	// Release is the active release if it changed, else nil. The caller stores
 	// it, so that it survives a restart.
 	Release *chain.Update
@@ -359,7 +361,7 @@
 func (c *Core) ClearOutput() {
 	c.out.Datagrams = c.out.Datagrams[:0]
 	c.out.Frames = c.out.Frames[:0]
-	c.out.Resets = c.out.Resets[:0]
+	c.out.Resets, c.out.Unknowns = c.out.Resets[:0], c.out.Unknowns[:0]
 	c.out.Release = nil
 	c.sendBuffer = c.sendBuffer[:0]
 }
--- a/internal/entry/core/resets.go
+++ b/internal/entry/core/losses.go
@@ -42,7 +42,7 @@
 	Reason ResetReason
 }
 
-// maxResets is the maximum number of resets in one Output.
+// maxResets is the maximum number of resets, and of unknown outcomes, in one Output.
 const maxResets = 32
 
 func (c *Core) noteReset(key *inner.Key, server table.NameID, reason ResetReason) {
@@ -64,3 +64,38 @@
 	}
 	c.send(in.origin, inner.BuildReset(p), nil)
 }
+
+// UnknownReason tells why a request was answered as unknown.
+type UnknownReason uint8
+
+// Reasons.
+const (
+	// NoMajority means that this host lacks a majority, so that another one may have
+	// sent the request.
+	NoMajority UnknownReason = iota + 1
+	// HistoryUnknown means that this host took over the request's bucket after the
+	// request was first sent, and no host could tell whether it was sent to a server.
+	HistoryUnknown
+	// NoOutcome means that the request was sent to a server whose answer is missing.
+	NoOutcome
+	// SentByAnother means that this host recorded it for another owner, or accepted it
+	// as owner, when its sender wanted it forwarded.
+	SentByAnother
+)
+
+// String returns the reason in camel case.
+func (r UnknownReason) String() string {
+	return [...]string{"none", "noMajority", "historyUnknown", "noOutcome", "sentByAnother"}[r]
+}
+
+// UnknownOutcome is a request that was answered as unknown.
+type UnknownOutcome struct {
+	ID     string
+	Reason UnknownReason
+}
+
+func (c *Core) noteUnknown(id string, reason UnknownReason) {
+	if len(c.out.Unknowns) < maxResets {
+		c.out.Unknowns = append(c.out.Unknowns, UnknownOutcome{id, reason})
+	}
+}
--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -173,9 +173,12 @@
 	fenced := c.fenced()
 	if !req.Idempotent && (fenced || !historyKnown) {
 		c.counters.Add(count.RequestsUncertain, 1)
+		reason := HistoryUnknown
 		if fenced {
 			c.counters.Add(count.RequestsFenced, 1)
+			reason = NoMajority
 		}
+		c.noteUnknown(req.ID, reason)
 		c.sendAnswer(returnTo, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.Unknown})
 		return
 	}
@@ -324,6 +327,7 @@
 	}
 	e := c.ledger.Find(key)
 	if e != nil && (e.Stage != ledger.Replica || e.SentByAnother(req.Try, append(req.Prior, req.Attempt))) {
+		c.noteUnknown(req.ID, SentByAnother)
 		c.replyForServer(p, req, envel.Unknown)
 		return
 	}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -37,8 +37,9 @@
 	releaseFileName = "release"
 	dataFolderMode  = 0o700
 	departDelay     = 100 * time.Millisecond
-	// resetLinesPerSecond is the rate limit for log lines about resets.
-	resetLinesPerSecond = 25
+	// lossLinesPerSecond is the rate limit for log lines about resets, and for those
+	// about unknown outcomes.
+	lossLinesPerSecond = 25
 )
 
 // event is an event for the goroutine that owns the core, other than a
@@ -73,7 +74,9 @@
 	sendErrors atomic.Uint64
 	// resetLimiter limits the rate of log lines about resets.
 	resetLimiter *logs.Limiter
-	stats        stats
+	// unknownLimiter does the same for lines about unknown outcomes.
+	unknownLimiter *logs.Limiter
+	stats          stats
 }
 
 // New returns a Daemon with the release stored before a restart, if any.
@@ -82,7 +85,8 @@
 		settings: settings, clock: source, log: factory.Logger("entry"),
 		packets: ring.New[*link.Datagram](packetRingSize), answers: ring.New[*link.Datagram](packetRingSize),
 		events: ring.New[event](eventRingSize), releases: ring.New[*chain.Update](releaseRingSize),
-		metrics: admin.NewMetrics(), drained: make(chan struct{}), resetLimiter: logs.NewLimiter(resetLinesPerSecond),
+		metrics: admin.NewMetrics(), drained: make(chan struct{}), resetLimiter: logs.NewLimiter(lossLinesPerSecond),
+		unknownLimiter: logs.NewLimiter(lossLinesPerSecond),
 	}
 	boot := uint64(clock.UnixMillis())
 	r := rand.New(rand.NewPCG(boot, uint64(os.Getpid())))
@@ -261,6 +265,7 @@
 		d.peers.Send(frame.To, frame.Body)
 	}
 	d.logResets(out.Resets)
+	d.logUnknowns(out.Unknowns)
 	if out.Release != nil {
 		d.storeRelease(out.Release)
 	}
@@ -278,6 +283,16 @@
 	}
 }
 
+// logUnknowns logs the requests that the core has answered as unknown, within the rate
+// limit.
+func (d *Daemon) logUnknowns(unknowns []core.UnknownOutcome) {
+	for _, u := range unknowns {
+		if omitted, ok := d.unknownLimiter.Allow(d.clock.Now()); ok {
+			d.log.Info("Request decided.", "request", u.ID, "outcome", "unknown", "why", u.Reason.String(), "omitted", omitted)
+		}
+	}
+}
+
 // storeRelease logs a newly activated release and queues it for writing.
 func (d *Daemon) storeRelease(update *chain.Update) {
 	last := update.Releases[len(update.Releases)-1]
