--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -139,8 +139,6 @@
 	// one to probe next, or "".
 	advertised []string
 	wanted     string
-	// nextWantedAt is when the next advert counts.
-	nextWantedAt clock.Millis
 	// reports holds the latest loads that were reported, by request ID.
 	reports        map[uint64]choose.Loads
 	nextPollAt     clock.Millis
@@ -193,15 +191,15 @@
 }
 
 // HandleAdvert records that a control host is up. An entry host without a healthy
-// primary asks it at the next Tick, and ignores other adverts for a while.
+// primary probes it at the next Tick.
 func (p *Poller) HandleAdvert(now clock.Millis, address string) {
-	if !p.primaryUnhealthy(now) || address == p.primary || now < p.nextWantedAt {
+	if !p.primaryUnhealthy(now) || address == p.primary {
 		return
 	}
 	if h := p.hosts[address]; h != nil && now-h.askedAt < startInterval/2 {
 		return
 	}
-	p.wanted, p.nextWantedAt = address, now+startInterval
+	p.wanted = address
 	if !slices.Contains(p.addresses(), address) && len(p.advertised) < maxAdvertised {
 		p.advertised = append(p.advertised, address)
 	}
@@ -219,11 +217,7 @@
 	}
 	switch unhealthy := p.primaryUnhealthy(now); {
 	case unhealthy && p.wanted != "":
-		if version == 0 {
-			requests = append(requests, p.fullRequest(now, p.wanted, version, loads))
-		} else {
-			requests = p.appendProbe(now, requests, p.wanted, version)
-		}
+		requests = p.appendProbe(now, requests, p.wanted, version)
 		p.wanted = ""
 	case unhealthy && version == 0 && now >= p.nextProbeAt:
 		p.nextProbeAt = now + p.searchInterval()
