--- a/internal/dir/poll/spread_test.go
+++ b/internal/dir/poll/spread_test.go
@@ -210,3 +210,24 @@
 		qt.Check(t, request.Address, qt.Equals, hostB, qt.Commentf("its primary is healthy"))
 	}
 }
+
+// TestSecondCopyOfAReplyIsIgnored guards against an answer that is taken for that of
+// another request: a late copy, and one from a control host that was not asked.
+func TestSecondCopyOfAReplyIsIgnored(t *testing.T) {
+	p := newPoller(false, hostA)
+	h := &fakeControlHost{runID: 1, current: true}
+	var replies []*msgs.FetchReply
+	for now := clock.Millis(1); now < 2000; now += 100 {
+		for _, request := range p.Tick(now, 1, nil) {
+			r := h.reply(&request)
+			r.Servers = []msgs.ServerStatus{{Record: fleet.Record{ID: "i-1", State: fleet.Ready}}}
+			replies = append(replies, r)
+			handle(p, now, r, 1)
+		}
+	}
+	qt.Assert(t, len(replies) > 3, qt.IsTrue)
+	for _, r := range replies {
+		qt.Check(t, handle(p, 2000, r, 1), qt.DeepEquals, poll.Accepted{})
+	}
+	qt.Check(t, handle(p, 2000, &msgs.FetchReply{RequestID: 1 << 40, Current: true}, 1), qt.DeepEquals, poll.Accepted{})
+}
