--- a/internal/entry/core/answers.go
+++ b/internal/entry/core/answers.go
@@ -6,6 +6,7 @@
 	"monsooncleat.example/monsooncleat/internal/ask/ledger"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -72,11 +73,11 @@
 	a := envel.Answer{Outcome: envel.NotRun, RetryAfter: c.retryAfter(s)}
 	if e.MayHaveRun() || c.fenced() && !e.Request.Idempotent {
 		a = envel.Answer{Outcome: envel.Unknown}
-		reason := NoOutcome
+		reason := loss.NoOutcome
 		if !e.MayHaveRun() {
-			reason = NoMajority
+			reason = loss.NoMajority
 		}
-		c.noteUnknown(e.Key.ID, reason)
+		c.out.Losses.AddUnknown(e.Key.ID, reason)
 	}
 	c.complete(s, e, a)
 }
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -31,6 +31,7 @@
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
 	"monsooncleat.example/monsooncleat/internal/entry/batch"
 	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/entry/place"
 	"monsooncleat.example/monsooncleat/internal/entry/poll"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
@@ -114,11 +115,9 @@
 type Output struct {
 	Datagrams []Datagram
 	Frames    []Frame
-	// Resets are the flows that were reset, for logs. Some are left out if there are
-	// many.
-	Resets []Reset
-	// Unknowns are the requests that were answered as unknown, for logs, likewise.
-	Unknowns []UnknownOutcome
+	// Losses are the flows that were reset and the requests that were answered as
+	// unknown, for logs.
+	Losses loss.List
 	// Release is the active release if it changed, else nil. The caller stores
 	// it, so that it survives a restart.
 	Release *chain.Update
@@ -361,7 +360,7 @@
 func (c *Core) ClearOutput() {
 	c.out.Datagrams = c.out.Datagrams[:0]
 	c.out.Frames = c.out.Frames[:0]
-	c.out.Resets, c.out.Unknowns = c.out.Resets[:0], c.out.Unknowns[:0]
+	c.out.Losses.Clear()
 	c.out.Release = nil
 	c.sendBuffer = c.sendBuffer[:0]
 }
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -7,6 +7,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
 	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -108,20 +109,20 @@
 	}
 	if s == nil {
 		c.counters.Add(count.NoService, 1)
-		c.refuse(p, in, 0, NoService)
+		c.refuse(p, in, 0, loss.NoService)
 		return
 	}
 	opens := p.Key.Proto() == inner.UDP || p.Opens()
 	if !opens && !c.canAdopt(s, p) {
 		c.counters.Add(count.FlowsUnknown, 1)
-		c.refuse(p, in, 0, UnknownFlow)
+		c.refuse(p, in, 0, loss.UnknownFlow)
 		return
 	}
 	server := c.chooseServer(s, hash, opens)
 	if server == 0 || c.flows.Len() >= c.opts.MaxFlows {
 		s.load.Refuse()
 		c.counters.Add(count.FlowsRefused, 1)
-		c.refuse(p, in, 0, NoServer)
+		c.refuse(p, in, 0, loss.NoServer)
 		return
 	}
 	r := c.addFlow(s, p, hash, server)
@@ -324,7 +325,7 @@
 		c.counters.Add(count.FlowsServerGone, 1)
 		server := r.Server
 		c.removeFlow(r)
-		c.refuse(p, in, server, ServerEnded)
+		c.refuse(p, in, server, loss.ServerEnded)
 		return
 	}
 	info := srv.Info()
@@ -332,11 +333,11 @@
 		c.counters.Add(count.CrossedPrevented, 1)
 		server := r.Server
 		c.removeFlow(r)
-		c.refuse(p, in, server, ServerEnded)
+		c.refuse(p, in, server, loss.ServerEnded)
 		return
 	}
 	if r.Retransmits >= maxRetransmits && !c.opts.Disabled.IdleProbes {
-		c.resetBothEnds(r, NoProgress)
+		c.resetBothEnds(r, loss.NoProgress)
 		return
 	}
 	c.counters.Add(count.PacketsForwarded, 1)
--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -8,6 +8,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
@@ -173,12 +174,12 @@
 	fenced := c.fenced()
 	if !req.Idempotent && (fenced || !historyKnown) {
 		c.counters.Add(count.RequestsUncertain, 1)
-		reason := HistoryUnknown
+		reason := loss.HistoryUnknown
 		if fenced {
 			c.counters.Add(count.RequestsFenced, 1)
-			reason = NoMajority
+			reason = loss.NoMajority
 		}
-		c.noteUnknown(req.ID, reason)
+		c.out.Losses.AddUnknown(req.ID, reason)
 		c.sendAnswer(returnTo, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.Unknown})
 		return
 	}
@@ -327,7 +328,7 @@
 	}
 	e := c.ledger.Find(key)
 	if e != nil && (e.Stage != ledger.Replica || e.SentByAnother(req.Try, append(req.Prior, req.Attempt))) {
-		c.noteUnknown(req.ID, SentByAnother)
+		c.out.Losses.AddUnknown(req.ID, loss.SentByAnother)
 		c.replyForServer(p, req, envel.Unknown)
 		return
 	}
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -4,6 +4,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/entry/batch"
 	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/member"
 	"monsooncleat.example/monsooncleat/internal/wire/codec"
@@ -204,7 +205,7 @@
 		return
 	}
 	if r.Probes >= maxProbes {
-		c.resetBothEnds(r, ClientSilent)
+		c.resetBothEnds(r, loss.ClientSilent)
 		return
 	}
 	r.Probes++
@@ -215,7 +216,7 @@
 
 // resetBothEnds sends a TCP reset to the client and to the server, and removes
 // the flow. It is used when packets no longer reach one of them.
-func (c *Core) resetBothEnds(r *table.Record, reason ResetReason) {
+func (c *Core) resetBothEnds(r *table.Record, reason loss.ResetReason) {
 	c.counters.Add(count.FlowsSilent, 1)
 	c.noteReset(&r.Key, r.Server, reason)
 	client, serviceAddr := r.Key.Src(), r.Key.Dst()
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"monsooncleat.example/monsooncleat/internal/bundle/chain"
 	"monsooncleat.example/monsooncleat/internal/conf/node"
 	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/host/member"
 	"monsooncleat.example/monsooncleat/internal/serve/roster"
 	"monsooncleat.example/monsooncleat/internal/wire/link"
@@ -264,8 +265,8 @@
 	for _, frame := range out.Frames {
 		d.peers.Send(frame.To, frame.Body)
 	}
-	d.logResets(out.Resets)
-	d.logUnknowns(out.Unknowns)
+	d.logResets(out.Losses.Resets())
+	d.logUnknowns(out.Losses.Unknowns())
 	if out.Release != nil {
 		d.storeRelease(out.Release)
 	}
@@ -273,7 +274,7 @@
 }
 
 // logResets logs the flows that the core has reset, within the rate limit.
-func (d *Daemon) logResets(resets []core.Reset) {
+func (d *Daemon) logResets(resets []loss.Reset) {
 	for i := range resets {
 		r := &resets[i]
 		if omitted, ok := d.resetLimiter.Allow(d.clock.Now()); ok {
@@ -285,7 +286,7 @@
 
 // logUnknowns logs the requests that the core has answered as unknown, within the rate
 // limit.
-func (d *Daemon) logUnknowns(unknowns []core.UnknownOutcome) {
+func (d *Daemon) logUnknowns(unknowns []loss.Unknown) {
 	for _, u := range unknowns {
 		if omitted, ok := d.unknownLimiter.Allow(d.clock.Now()); ok {
 			d.log.Info("Request decided.", "request", u.ID, "outcome", "unknown", "why", u.Reason.String(), "omitted", omitted)
