dir/core: acknowledge that a server left once a quorum has it on disk

Now a departure is written with the list, at most every 20 ms; a voter confirms it, and the caller is answered, after that write. A host whose disk has failed confirms from memory, as before.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -92,8 +92,9 @@
 	// index.
 	proposals map[uint64]proposal
 
-	list   *share.List
-	blocks *share.Blocks
+	list       *share.List
+	departures departures
+	blocks     *share.Blocks
 	// entryHosts are the entry hosts to advertise this host to after a start.
 	entryHosts *advert.Hosts
 	// centres holds the data centres of the control hosts by address.
@@ -280,6 +281,7 @@
 
 // Take returns the pending output and clears it.
 func (c *Core) Take() Output {
+	c.saveDepartures()
 	if !c.diskFailed {
 		c.takeLogOutput()
 	}
--- /dev/null
+++ b/internal/dir/core/departs.go
@@ -0,0 +1,59 @@
+package core
+
+import (
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+)
+
+// departSaveInterval is the least time between two writes of the server list because
+// servers drain or have left. Many do at once when a service is released.
+const departSaveInterval = 20 * clock.Millis(1)
+
+// departures holds back what acknowledges that servers drain or have left, until the
+// server list with that is written. Without it, a host that loses power right after
+// an acknowledgement would offer them again.
+type departures struct {
+	// unsaved is set if the list holds a departure that is not in the latest write.
+	unsaved bool
+	savedAt clock.Millis
+	replies []OutMessage
+	answers []Answer
+}
+
+// departed notes that the list holds a new departure.
+func (c *Core) departed() { c.departures.unsaved = true }
+
+// replyWhenSaved sends a message once the departures so far are written, or at once if
+// the disk has failed: the other hosts have it then.
+func (c *Core) replyWhenSaved(address string, e *msgs.Envelope) {
+	if c.diskFailed {
+		c.sendNow(address, e)
+		return
+	}
+	c.departures.replies = append(c.departures.replies, OutMessage{address, msgs.Encode(e)})
+}
+
+// answerWhenSaved does the same for the answer to a call.
+func (c *Core) answerWhenSaved(callID CallID) {
+	if c.diskFailed {
+		c.answer(callID, Done, nil)
+		return
+	}
+	c.departures.answers = append(c.departures.answers, Answer{callID, Done, nil})
+}
+
+// saveDepartures writes the server list if it holds new departures and the last write
+// was not just now, and releases what waits for that.
+func (c *Core) saveDepartures() {
+	d := &c.departures
+	if !d.unsaved && len(d.replies) == 0 && len(d.answers) == 0 || d.unsaved && c.now-d.savedAt < departSaveInterval {
+		return
+	}
+	if d.unsaved {
+		d.unsaved, d.savedAt = false, c.now
+		c.out.Servers = c.list.Encode(c.now)
+	}
+	c.out.SendAfterSync = append(c.out.SendAfterSync, d.replies...)
+	c.out.AnswersAfterSync = append(c.out.AnswersAfterSync, d.answers...)
+	d.replies, d.answers = nil, nil
+}
--- a/internal/dir/core/restart_test.go
+++ b/internal/dir/core/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -23,7 +24,7 @@
 		if out.Servers != nil {
 			saved = out.Servers
 		}
-		for _, a := range out.Answers {
+		for _, a := range slices.Concat(out.Answers, out.AnswersAfterSync) {
 			answered = answered || a.CallID == 99 && a.Code == core.Done
 		}
 		return answered
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -25,6 +25,7 @@
 		c.logServer("Server announced.", &r)
 	}
 	if r.State != fleet.Ready {
+		c.departed()
 		c.replicate(callID, r)
 		return
 	}
@@ -40,8 +41,15 @@
 	c.answer(callID, Unavailable, nil)
 }
 
+// replicate acknowledges that a server drains or has left, once a quorum has saved it.
 func (c *Core) replicate(callID CallID, r fleet.Record) {
-	c.replicator.Start(c.now, r, func(replicated bool) { c.acknowledge(callID, replicated) })
+	c.replicator.Start(c.now, r, func(replicated bool) {
+		if replicated {
+			c.answerWhenSaved(callID)
+			return
+		}
+		c.acknowledge(callID, false)
+	})
 }
 
 func (c *Core) logServer(text string, r *fleet.Record) {
@@ -58,12 +66,14 @@
 		r = fleet.Record{ID: id, State: fleet.Left}
 	}
 	c.logServer("Server left.", &r)
+	c.departed()
 	c.replicate(callID, r)
 }
 
 func (c *Core) onReplicateRequest(m *msgs.ReplicateRequest) {
 	c.list.HandleReplication(c.now, m.Record)
-	c.sendNow(addressOf(m.From), &msgs.Envelope{ReplicateReply: &msgs.ReplicateReply{From: c.options.ID, RequestID: m.RequestID}})
+	c.departed()
+	c.replyWhenSaved(addressOf(m.From), &msgs.Envelope{ReplicateReply: &msgs.ReplicateReply{From: c.options.ID, RequestID: m.RequestID}})
 }
 
 // maintainServers requests announcements from the other control hosts, saves the
@@ -73,10 +83,7 @@
 		c.contacts.Retain(c.node.Conf().Members())
 		c.list.RequestSync(func(m *msgs.Sync) { m.ContactAges, m.Centre = c.contacts.Ages(c.now), c.options.Centre })
 	}
-	saved, err := c.list.Save(c.now)
-	if err != nil {
-		c.logLine("Cannot encode the server list.", "err", err)
-	} else if saved != nil {
+	if saved := c.list.Save(c.now); saved != nil {
 		c.out.Servers = saved
 	}
 	for _, s := range c.list.Expire(c.now) {
--- a/internal/dir/core/types.go
+++ b/internal/dir/core/types.go
@@ -59,9 +59,11 @@
 	Retained []raft.Entry
 	// SendAfterSync holds the messages to send once all of the above is synced.
 	SendAfterSync []OutMessage
-	// Servers is the encoded list of servers, saved for the next start. Losing
-	// it does no harm.
+	// Servers is the encoded list of servers, saved for the next start. It is written
+	// before SendAfterSync and AnswersAfterSync are released.
 	Servers []byte
+	// AnswersAfterSync holds the answers to deliver once all of the above is synced.
+	AnswersAfterSync []Answer
 
 	// EntryHosts are the encoded addresses of entry hosts, saved likewise.
 	EntryHosts []byte
@@ -87,7 +89,7 @@
 // NeedsDisk reports whether there is anything to write, or to send after a
 // write.
 func (o *Output) NeedsDisk() bool {
-	return o.State != nil || o.Install != nil || len(o.Entries) > 0 || o.Snapshot != nil || len(o.SendAfterSync) > 0 || o.Servers != nil || o.EntryHosts != nil
+	return o.State != nil || o.Install != nil || len(o.Entries) > 0 || o.Snapshot != nil || len(o.SendAfterSync) > 0 || len(o.AnswersAfterSync) > 0 || o.Servers != nil || o.EntryHosts != nil
 }
 
 // String returns the code in lower case.
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -81,9 +81,11 @@
 	answer chan<- core.Answer
 	// persisted, diskErr and reopened report the state of the store.
 	persisted *logPosition
-	diskErr   error
-	reopened  *reopenedStore
-	seeds     []string
+	// answers are those that waited for the disk.
+	answers  []core.Answer
+	diskErr  error
+	reopened *reopenedStore
+	seeds    []string
 	// resigned is closed once the host has given up its vote, or cannot.
 	resigned chan<- struct{}
 	// dump receives the state of the control host.
@@ -116,7 +118,7 @@
 	// inbox holds the messages and calls.
 	inbox  *order.Queue[event]
 	events *ring.Ring[event]
-	// diskEvents carries the events of the disk goroutine, at most two for each
+	// diskEvents carries the events of the disk goroutine, at most three for each
 	// batch.
 	diskEvents *ring.Ring[event]
 	batches    *ring.Ring[batch]
@@ -168,7 +170,7 @@
 	d := &Daemon{
 		settings: settings, clock: source, log: log, store: store,
 		inbox:  order.New[event]([order.Classes]int{consensusLimit, callLimit, fetchLimit}),
-		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](2 * diskRingSize), batches: ring.New[batch](diskRingSize),
+		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](3 * diskRingSize), batches: ring.New[batch](diskRingSize),
 		calls: map[core.CallID]chan<- core.Answer{}, repliers: map[core.ReplyHandle]link.Replier{},
 		metrics: admin.NewMetrics(), logLimiter: logs.NewLimiter(linesPerSecond),
 	}
@@ -335,6 +337,8 @@
 		d.lastCallID++
 		d.calls[d.lastCallID] = e.answer
 		e.call(now, d.lastCallID)
+	case e.answers != nil:
+		d.deliver(e.answers)
 	case e.persisted != nil:
 		d.core.Persisted(now, e.persisted.index, e.persisted.term)
 	case e.diskErr != nil:
@@ -379,16 +383,21 @@
 		delete(d.repliers, r.To)
 	}
 	d.sendAdverts(&out)
-	for _, a := range out.Answers {
+	d.deliver(out.Answers)
+	if out.NeedsDisk() && !d.core.Failed() && !d.batches.Offer(batch{out, d.generation}) {
+		d.log.Error("Disk is too slow. This host leaves the log.", "waiting", d.batches.Depth())
+		d.core.Fail()
+	}
+}
+
+// deliver passes the answers to the callers that wait for them.
+func (d *Daemon) deliver(answers []core.Answer) {
+	for _, a := range answers {
 		if to := d.calls[a.CallID]; to != nil {
 			to <- a
 		}
 		delete(d.calls, a.CallID)
 	}
-	if out.NeedsDisk() && !d.core.Failed() && !d.batches.Offer(batch{out, d.generation}) {
-		d.log.Error("Disk is too slow. This host leaves the log.", "waiting", d.batches.Depth())
-		d.core.Fail()
-	}
 }
 
 // writeLog writes a line to the process log unless the rate limit is reached.
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -45,6 +45,9 @@
 			for _, s := range b.SendAfterSync {
 				d.peers.Send(s.Address, s.Body)
 			}
+			if len(b.AnswersAfterSync) > 0 {
+				d.diskEvents.Offer(event{answers: b.AnswersAfterSync})
+			}
 			if synced != nil {
 				d.diskEvents.Offer(event{persisted: synced})
 			}
--- a/internal/dir/share/blocks_test.go
+++ b/internal/dir/share/blocks_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
@@ -136,3 +137,23 @@
 	qt.Check(t, receiver.HandleSyncReply(20, l.ReplyToSync(20, &msgs.Sync{From: "b"})), qt.IsNil)
 	qt.Check(t, receiver.Fleet().Len(), qt.Equals, 30)
 }
+
+// TestSavedListOfEarlierBuildIsLoaded loads the list that the build before saved as
+// msgpack, and that of this build.
+func TestSavedListOfEarlierBuildIsLoaded(t *testing.T) {
+	l := newList(9)
+	l.Fleet().SetSilent(5, "i-4", true)
+	l.Fleet().Leave(5, "i-5")
+	var list []msgs.ServerStatus
+	l.Fleet().Each(func(s *fleet.Server) { list = append(list, share.StatusOf(10, s)) })
+	earlier, err := msgpack.Marshal(list)
+	qt.Assert(t, err, qt.IsNil)
+	for _, saved := range [][]byte{earlier, l.Encode(10)} {
+		loaded := newList(0)
+		qt.Assert(t, loaded.Load(20, saved), qt.IsNil)
+		qt.Check(t, loaded.Fleet().Len(), qt.Equals, 9)
+		qt.Check(t, loaded.Fleet().Find("i-4").Silent(), qt.IsTrue)
+		qt.Check(t, loaded.Fleet().Find("i-5").State, qt.Equals, fleet.Left)
+	}
+	qt.Check(t, newList(0).Load(20, []byte{0xc1}), qt.IsNotNil)
+}
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -6,6 +6,8 @@
 package share
 
 import (
+	"errors"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
@@ -207,25 +209,34 @@
 	return out
 }
 
-// Save returns the encoded list if it has changed since the last call and enough time
-// has passed, and else nil. A restarted host loads it, so that it knows the servers
-// before they announce themselves again.
-func (l *List) Save(now clock.Millis) ([]byte, error) {
+// Save returns the encoded list if it has changed since the last call of Save or Encode
+// and enough time has passed, and else nil. A restarted host loads it, so that it knows
+// the servers before they announce themselves again.
+func (l *List) Save(now clock.Millis) []byte {
 	if l.fleet.LastChange() == l.savedPosition || now-l.savedAt < saveInterval {
-		return nil, nil
+		return nil
 	}
+	return l.Encode(now)
+}
+
+// Encode returns the encoded list.
+func (l *List) Encode(now clock.Millis) []byte {
 	l.savedPosition, l.savedAt = l.fleet.LastChange(), now
 	var list []msgs.ServerStatus
 	l.fleet.Each(func(s *fleet.Server) { list = append(list, StatusOf(now, s)) })
-	return msgpack.Marshal(list)
+	return record.Append(nil, list)
 }
 
-// Load loads a list that was saved before a restart. It sets the time of each server's
-// latest announcement to ReuseAfter before now, so that a server that no longer
-// announces itself becomes silent and its address can be reused.
+// Load loads a list that was saved before a restart, by this build or as msgpack by the
+// one before. It sets the time of each server's latest announcement to ReuseAfter before
+// now, so that a server that no longer announces itself becomes silent and its address
+// can be reused.
 func (l *List) Load(now clock.Millis, saved []byte) error {
-	var list []msgs.ServerStatus
-	if err := msgpack.Unmarshal(saved, &list); err != nil {
+	list, err := record.Decode(saved, 0)
+	if errors.Is(err, record.ErrVersion) {
+		err = msgpack.Unmarshal(saved, &list)
+	}
+	if err != nil {
 		return err
 	}
 	for i := range list {
--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -234,12 +234,7 @@
 	for _, s := range out.SendNow {
 		sim.send(h.address, s)
 	}
-	for _, answer := range out.Answers {
-		if done := sim.answers[answer.CallID]; done != nil {
-			delete(sim.answers, answer.CallID)
-			done(answer)
-		}
-	}
+	sim.deliver(out.Answers)
 	if !out.NeedsDisk() {
 		return
 	}
@@ -253,12 +248,23 @@
 		for _, s := range out.SendAfterSync {
 			sim.send(h.address, s)
 		}
+		sim.deliver(out.AnswersAfterSync)
 		if index > 0 {
 			sim.dispatch(h, func() { h.core.Persisted(sim.now, index, term) })
 		}
 	})
 }
 
+// deliver passes the answers to the callers that wait for them.
+func (sim *simulation) deliver(answers []core.Answer) {
+	for _, answer := range answers {
+		if done := sim.answers[answer.CallID]; done != nil {
+			delete(sim.answers, answer.CallID)
+			done(answer)
+		}
+	}
+}
+
 // send delivers a message after 1 or 2 ms or, if it is a slow one, after up to maxDelay,
 // unless the link is cut or the message is lost.
 func (sim *simulation) send(from string, s core.OutMessage) {
