dir/poll: bound the loads of other data centres by bytes, not by time

Loads of other data centres came each 1.2 s, whatever their size. So a host that spills to other data centres needs them often. They are now requested with each poll unless they take more than 4 kB a second: with 18 servers each poll, with 600 each 1.2 s as before, with 5,800 each 12 s.

--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -19,9 +19,10 @@
 const (
 	// Interval is the minimum time between two requests to the primary.
 	Interval = 300 * clock.Millis(1)
-	// allLoadsInterval is the time between two requests for the loads in all data
-	// centres. Those of other data centres matter only when the own one is full.
-	allLoadsInterval = 1200 * clock.Millis(1)
+	// allLoadsRate bounds the loads of all data centres that are requested, in bytes a
+	// second. Those of other data centres matter only when the own one is full, so
+	// where they take many bytes they are requested less often than with each poll.
+	allLoadsRate = 4000
 	// primaryTimeout is the time without a reply from the primary after which other
 	// control hosts are probed too. It covers two poll intervals and a slow host.
 	primaryTimeout = 700 * clock.Millis(1)
@@ -145,6 +146,9 @@
 	nextProbeAt    clock.Millis
 	nextMoveAt     clock.Millis
 	nextAllLoadsAt clock.Millis
+	// allLoadsInterval is the time between two requests for the loads of all data
+	// centres.
+	allLoadsInterval clock.Millis
 	// probed counts the requests to other hosts than the primary. It selects the next
 	// one.
 	probed int
@@ -277,7 +281,7 @@
 		r.Fetch.Part = msgs.LocalPart
 	}
 	if now >= p.nextAllLoadsAt {
-		r.Fetch.AllLoads, p.nextAllLoadsAt = true, now+allLoadsInterval
+		r.Fetch.AllLoads, p.nextAllLoadsAt = true, now+p.allLoadsInterval
 	}
 	p.reports[r.Fetch.RequestID] = loads
 	for id := range p.reports {
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -123,8 +123,10 @@
 		return r.Loads, nil, nil
 	}
 	var centres []string
+	size := 0
 	all := choose.Loads{}
 	for _, t := range r.Totals {
+		size += len(t.Loads)
 		if err := all.Parse(t.Loads); err != nil {
 			return nil, nil, err
 		}
@@ -133,6 +135,9 @@
 	if len(centres) == 0 {
 		return nil, nil, nil
 	}
+	if len(centres) > 1 {
+		p.allLoadsInterval = clock.Millis(size) * clock.Second / allLoadsRate
+	}
 	for token, own := range p.reports[r.ReportID] {
 		if total, known := all[token]; known {
 			all[token] = total.Minus(own)
--- a/internal/dir/poll/spread_test.go
+++ b/internal/dir/poll/spread_test.go
@@ -231,3 +231,27 @@
 	}
 	qt.Check(t, handle(p, 2000, &msgs.FetchReply{RequestID: 1 << 40, Current: true}, 1), qt.DeepEquals, poll.Accepted{})
 }
+
+// TestLoadsOfAllDataCentresAreBoundedInBytes has 18 servers, whose loads are requested
+// with each poll, and 5,800, whose loads of all data centres take 46 kB.
+func TestLoadsOfAllDataCentresAreBoundedInBytes(t *testing.T) {
+	for _, test := range []struct{ servers, least, most int }{{18, 60, 70}, {600, 15, 20}, {5800, 1, 3}} {
+		p := newPoller(false, hostA)
+		h := &fakeControlHost{runID: 1, current: true}
+		all := 0
+		for now := clock.Millis(1); now < 20_000; now += 100 {
+			for _, request := range p.Tick(now, 1, nil) {
+				r := h.reply(&request)
+				r.Form = msgs.BlockForm
+				if request.Fetch.AllLoads {
+					all++
+					for i := range 6 {
+						r.Totals = append(r.Totals, msgs.CentreLoads{Centre: string(rune('a' + i)), Loads: make([]byte, 8*(test.servers/6))})
+					}
+				}
+				handle(p, now, r, 1)
+			}
+		}
+		qt.Check(t, all >= test.least && all <= test.most, qt.IsTrue, qt.Commentf("%d servers: %d times in 20 s", test.servers, all))
+	}
+}
