--- a/internal/dir/daemon/advert.go
+++ b/internal/dir/daemon/advert.go
@@ -33,7 +33,7 @@
 			failed++
 		}
 	}
-	d.log.Info("Entry hosts advised of this host.", "hosts", len(out.AdvertTo), "failed", failed)
+	d.log.Info("Adverts sent to entry hosts.", "hosts", len(out.AdvertTo), "failed", failed)
 }
 
 // DecodeAdvert returns the body of a datagram that sendAdverts has sent.
--- /dev/null
+++ b/internal/dir/msgs/fetch.go
@@ -0,0 +1,162 @@
+package msgs
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+)
+
+// Advert tells an entry host, in a datagram, that a control host is up.
+type Advert struct {
+	// Address is the address of the control host for messages.
+	Address string `msgpack:"address"`
+}
+
+// Fetch asks a control host for all changes after a position and a version of
+// the routing table.
+type Fetch struct {
+	// Name is the name of the entry host.
+	Name string `msgpack:"name"`
+	// RequestID is echoed in the reply.
+	RequestID uint64 `msgpack:"number"`
+	// RunID identifies the run of the receiver's process that Since belongs to.
+	RunID uint64 `msgpack:"run"`
+	// Since is the highest Position received from that run, or 0.
+	Since uint64 `msgpack:"since"`
+	// Version is the version of the entry host's routing table, or 0.
+	Version uint64 `msgpack:"version"`
+	// Brief asks for the control host's state and the silent servers only.
+	Brief bool `msgpack:"brief"`
+	// Loads are the entry host's own loads, by server token.
+	Loads choose.Loads `msgpack:"loads"`
+
+	// Form is the form of the reply that the entry host understands. The fields below
+	// are for BlockForm.
+	Form Form `msgpack:"form,omitempty"`
+	// Part is the part of the server list to return.
+	Part Part `msgpack:"part,omitempty"`
+	// Centre is the data centre of the entry host.
+	Centre string `msgpack:"centre,omitempty"`
+	// SilentVersion and HostsVersion are those of the latest reply from that run.
+	SilentVersion uint64 `msgpack:"silentVersion,omitempty"`
+	HostsVersion  uint64 `msgpack:"hostsVersion,omitempty"`
+	// Adverts is the address where the entry host receives datagrams with an Advert.
+	// It is set in the first requests to a run only.
+	Adverts string `msgpack:"adverts,omitempty"`
+	// AllLoads asks for the loads in all data centres, besides the own one.
+	AllLoads bool `msgpack:"allLoads,omitempty"`
+}
+
+// Form is the form of a FetchReply or SyncReply.
+type Form uint8
+
+const (
+	// ListForm replies hold the servers as a list, and the loads for an entry host
+	// without its own. Hosts of earlier builds know no other form.
+	ListForm Form = iota
+	// BlockForm replies hold the servers, and what is the same for many entry hosts, in
+	// encoded form.
+	BlockForm
+)
+
+// Part is a part of the server list.
+type Part uint8
+
+const (
+	// AllParts are the changes since a position, or all servers without one.
+	AllParts Part = iota
+	// LocalPart is all servers of the entry host's data centre.
+	LocalPart
+	// RestPart is all servers of other data centres, and the changes since the
+	// position of the reply with LocalPart.
+	RestPart
+)
+
+// Block is a part of the server list, encoded by package record.
+type Block struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Data []byte
+	// Age is the time since Data was encoded.
+	Age clock.Millis
+}
+
+// CentreLoads are the loads on the servers of one data centre.
+type CentreLoads struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Centre string
+	// Loads is encoded by choose.Loads.Append.
+	Loads []byte
+}
+
+// EncodeDelta returns the encoded form of a delta, for FetchReply.
+func EncodeDelta(d *routes.Delta) msgpack.RawMessage {
+	b, err := msgpack.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// TableDelta decodes Delta. It returns nil if there is none.
+func (r *FetchReply) TableDelta() (*routes.Delta, error) {
+	if len(r.Delta) == 0 {
+		return nil, nil
+	}
+	var d routes.Delta
+	if err := msgpack.Unmarshal(r.Delta, &d); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+// FetchReply returns what changed, and the state of the control host.
+type FetchReply struct {
+	RequestID uint64 `msgpack:"number"`
+	// Current reports whether the control host is in contact with a quorum and has
+	// applied all that the leader is known to have committed.
+	Current bool   `msgpack:"current"`
+	RunID   uint64 `msgpack:"run"`
+	// Position is the position of the latest change that the reply covers, or 0 in the
+	// reply to a brief Fetch.
+	Position uint64         `msgpack:"position"`
+	Servers  []ServerStatus `msgpack:"news,omitempty"`
+	// SilentServers are the IDs of the servers that no longer announce themselves,
+	// except those whose incarnation is known to have ended.
+	SilentServers []string `msgpack:"silent,omitempty"`
+	// Delta is an encoded routes.Delta that leads from the entry host's routing table
+	// to the newest one.
+	Delta msgpack.RawMessage `msgpack:"delta,omitempty"`
+	// Version is the version of the newest routing table.
+	Version uint64 `msgpack:"version"`
+	// Loads are the sums, by server token, of the loads that entry hosts reported
+	// to any control host, without those that the requesting entry host reported
+	// to the replying one.
+	Loads choose.Loads `msgpack:"loads,omitempty"`
+	// ControlHosts are the addresses of the control hosts.
+	ControlHosts []string `msgpack:"controls,omitempty"`
+
+	// Form is the form of this reply. The fields below are for BlockForm.
+	Form Form `msgpack:"form,omitempty"`
+	// Part is the part of the server list that Blocks hold.
+	Part   Part    `msgpack:"part,omitempty"`
+	Blocks []Block `msgpack:"blocks,omitempty"`
+	// SilentVersion numbers the sets of silent servers of this run. If the request
+	// gave the same, SilentServers is left out.
+	SilentVersion uint64 `msgpack:"silentVersion,omitempty"`
+	// HostsVersion is a hash of the control hosts. If the request gave the same,
+	// ControlHosts is left out.
+	HostsVersion uint64 `msgpack:"hostsVersion,omitempty"`
+	// ControlCentres are the data centres of ControlHosts, "" where it is unknown.
+	ControlCentres []string `msgpack:"controlCentres,omitempty"`
+	// Totals are the sums of all loads, with those of the requesting host in its
+	// request ReportID, or without any if that is 0.
+	Totals   []CentreLoads `msgpack:"totals,omitempty"`
+	ReportID uint64        `msgpack:"reportID,omitempty"`
+	// RetryAfter is set if the control host is too busy to answer the request, and
+	// tells when to ask again. All other fields but RequestID are unset then.
+	RetryAfter clock.Millis `msgpack:"retryAfter,omitempty"`
+}
--- /dev/null
+++ b/internal/dir/msgs/sync.go
@@ -0,0 +1,72 @@
+package msgs
+
+import (
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/watch"
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+)
+
+// ReplicateRequest replicates an announcement to a voter, so that it survives
+// the loss of the control host that received it.
+type ReplicateRequest struct {
+	From      raft.ID      `msgpack:"from"`
+	RequestID uint64       `msgpack:"number"`
+	Record    fleet.Record `msgpack:"record"`
+}
+
+// ReplicateReply acknowledges a replicated announcement.
+type ReplicateReply struct {
+	From      raft.ID `msgpack:"from"`
+	RequestID uint64  `msgpack:"number"`
+}
+
+// ServerStatus is the state of a server as one control host knows it.
+type ServerStatus struct {
+	Record fleet.Record `msgpack:"record"`
+	// Age is the time since the latest announcement.
+	Age clock.Millis `msgpack:"age"`
+	// Silent reports whether the server no longer announces itself.
+	Silent bool `msgpack:"silent"`
+	// Ended reports whether the incarnation is known to have ended.
+	Ended bool `msgpack:"ended"`
+}
+
+// Sync asks a control host for the announcements after a position.
+type Sync struct {
+	From raft.ID `msgpack:"from"`
+	// RunID identifies the run of the receiver's process that Since belongs to.
+	RunID uint64 `msgpack:"run"`
+	// Since is the Position of the latest reply from the receiver, or 0.
+	Since uint64 `msgpack:"since"`
+	// ContactAges are the times since the sender last heard, directly or through
+	// others, from each control host.
+	ContactAges watch.Ages `msgpack:"contactAges"`
+	// Centre is the data centre of the sender.
+	Centre string `msgpack:"centre,omitempty"`
+	// EntryHostsVersion is that of the latest reply from the receiver's run.
+	EntryHostsVersion uint64 `msgpack:"entryHostsVersion,omitempty"`
+	// Form is the form of the servers that the sender understands.
+	Form Form `msgpack:"form,omitempty"`
+}
+
+// SyncReply returns the announcements after a position, and the replying host's
+// position and run.
+type SyncReply struct {
+	From  raft.ID `msgpack:"from"`
+	RunID uint64  `msgpack:"run"`
+	// Position counts the server changes, and the announcements received directly
+	// from servers, that the replying host has recorded in this run.
+	Position uint64 `msgpack:"position"`
+	// Servers holds the announcements in ListForm, Blocks those in BlockForm.
+	Servers []ServerStatus `msgpack:"news,omitempty"`
+	Blocks  []Block        `msgpack:"blocks,omitempty"`
+	// Loads are the sums, by server token, of the loads that entry hosts reported
+	// to the replying host.
+	Loads choose.Loads `msgpack:"loads"`
+	// EntryHosts are the addresses for adverts of the entry hosts that polled the
+	// replying host, left out if the request gave their EntryHostsVersion.
+	EntryHosts        []string `msgpack:"entryHosts,omitempty"`
+	EntryHostsVersion uint64   `msgpack:"entryHostsVersion,omitempty"`
+}
