token/daemon: serve on where adverts cannot be received

The task that receives adverts failed for good where its port was taken, and after six failures ended the host. It now ends with a warning: the host finds control hosts by its seeds.

--- a/internal/token/daemon/advert.go
+++ b/internal/token/daemon/advert.go
@@ -18,9 +18,10 @@
 	return s.Peer.String()
 }
 
-// receiveAdverts receives the adverts of control hosts that have started.
+// receiveAdverts receives the adverts of control hosts that have started. Without them
+// the host finds control hosts by its seeds, so a failure only ends this task.
 func (d *Daemon) receiveAdverts(ctx context.Context) error {
-	return link.NewDatagramServer(d.settings.Peer.String(), func(datagram *link.Datagram) {
+	err := link.NewDatagramServer(d.settings.Peer.String(), func(datagram *link.Datagram) {
 		defer datagram.Free()
 		if address, ok := decodeAdvert(datagram.Data); ok {
 			d.adverts.Offer(address)
@@ -28,6 +29,10 @@
 		}
 		d.log.Warn("Received an invalid advert.", "from", datagram.From)
 	}).Run(ctx)
+	if err != nil {
+		d.log.Warn("Cannot receive adverts of control hosts.", "address", d.settings.Peer, "err", err)
+	}
+	return nil
 }
 
 // decodeAdvert returns the address of the control host in a datagram.
--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -139,6 +139,37 @@
 	c.Check(<-stopped, qt.IsNil)
 }
 
+// TestServesWhereAdvertsCannotBeReceived guards against a host that ends because the port
+// for adverts is taken.
+func TestServesWhereAdvertsCannotBeReceived(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer taken.Close()
+	settings := &site.Settings{
+		Name: "entry", Centre: "a", Packets: freeAddress(c), Ready: freeAddress(c), Admin: freeAddress(c), Seeds: []netip.AddrPort{freeAddress(c)},
+		Peer: netip.MustParseAddrPort(taken.LocalAddr().String()), AnnounceInterval: 1000, GracePeriod: 1600,
+	}
+	serveControl(ctx, c, settings.Seeds[0], freeAddress(c))
+	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
+	c.Assert(err, qt.IsNil)
+	d, err := daemon.New(settings, clock.New(), factory, plainCodec{})
+	c.Assert(err, qt.IsNil)
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(ctx) }()
+	c.Assert(becomesReady(settings.Ready), qt.IsTrue)
+	// A task that keeps failing ends the process within this time.
+	select {
+	case err := <-stopped:
+		t.Fatalf("the host ended: %v", err)
+	case <-time.After(3 * time.Second):
+	}
+	cancel()
+	c.Check(<-stopped, qt.IsNil)
+}
+
 // kernelDrops returns how many datagrams to a local port the kernel dropped because the
 // receive buffer was full, or "unknown".
 func kernelDrops(port uint16) string {
