dir/daemon: say what a failed write of the server list means

A comment said that losing the list does no harm. Since what waits for its write acknowledges that servers left. No behaviour changes.

--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -82,14 +82,17 @@
 	return synced, out.State != nil || synced != nil || out.Snapshot != nil, nil
 }
 
-// Files in the data folder that make the next start faster. Losing them does no harm.
+// Files in the data folder that the next start reads.
 const (
-	// serversFile holds the server list, entryHostsFile the addresses of entry hosts.
+	// serversFile holds the server list. Without it, a server that left may be offered
+	// again. entryHostsFile holds the addresses of entry hosts, which only make the
+	// next start faster.
 	serversFile    = "servers"
 	entryHostsFile = "entryHosts"
 )
 
-// saveHint writes one of these files. An error is logged and otherwise ignored.
+// saveHint writes one of these files. An error is logged and otherwise ignored: what
+// waits for the write is released, as on a host whose disk has failed.
 func (d *Daemon) saveHint(name string, data []byte) {
 	if err := disk.Replace(filepath.Join(d.settings.DataFolder, name), data); err != nil {
 		d.log.Warn("Cannot save a file for the next start.", "file", name, "err", err)
