--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -86,6 +86,27 @@
 	go func() { c.Check(s.Run(ctx), qt.IsNil) }()
 }
 
+// newSettings returns settings with free addresses.
+func newSettings(c *qt.C) *site.Settings {
+	return &site.Settings{
+		Name: "entry", Centre: "a", Packets: freeAddress(c), Ready: freeAddress(c), Admin: freeAddress(c), Seeds: []netip.AddrPort{freeAddress(c)},
+		AnnounceInterval: 1000, GracePeriod: 1600,
+	}
+}
+
+// startReady runs an entry host and waits until it is ready. The channel gets the result
+// of its Run.
+func startReady(ctx context.Context, c *qt.C, settings *site.Settings) (*daemon.Daemon, <-chan error) {
+	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
+	c.Assert(err, qt.IsNil)
+	d, err := daemon.New(settings, clock.New(), factory, plainCodec{})
+	c.Assert(err, qt.IsNil)
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(ctx) }()
+	c.Assert(becomesReady(settings.Ready), qt.IsTrue)
+	return d, stopped
+}
+
 // TestForwardsWhileItTicks sends packets without a pause over many ticks. It guards
 // against data races between packets and ticks, which gnet runs on different
 // goroutines.
@@ -97,18 +118,9 @@
 	c.Assert(err, qt.IsNil)
 	defer server.Close()
 	serverAddr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(server.LocalAddr().(*net.UDPAddr).Port))
-	settings := &site.Settings{
-		Name: "entry", Centre: "a", Packets: freeAddress(c), Ready: freeAddress(c), Admin: freeAddress(c), Seeds: []netip.AddrPort{freeAddress(c)},
-		AnnounceInterval: 1000, GracePeriod: 1600,
-	}
+	settings := newSettings(c)
 	serveControl(ctx, c, settings.Seeds[0], serverAddr)
-	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
-	c.Assert(err, qt.IsNil)
-	d, err := daemon.New(settings, clock.New(), factory, plainCodec{})
-	c.Assert(err, qt.IsNil)
-	stopped := make(chan error, 1)
-	go func() { stopped <- d.Run(ctx) }()
-	c.Assert(becomesReady(settings.Ready), qt.IsTrue)
+	d, stopped := startReady(ctx, c, settings)
 
 	conn, err := net.Dial("udp4", settings.Packets.String())
 	c.Assert(err, qt.IsNil)
@@ -148,18 +160,10 @@
 	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer taken.Close()
-	settings := &site.Settings{
-		Name: "entry", Centre: "a", Packets: freeAddress(c), Ready: freeAddress(c), Admin: freeAddress(c), Seeds: []netip.AddrPort{freeAddress(c)},
-		Peer: netip.MustParseAddrPort(taken.LocalAddr().String()), AnnounceInterval: 1000, GracePeriod: 1600,
-	}
+	settings := newSettings(c)
+	settings.Peer = netip.MustParseAddrPort(taken.LocalAddr().String())
 	serveControl(ctx, c, settings.Seeds[0], freeAddress(c))
-	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
-	c.Assert(err, qt.IsNil)
-	d, err := daemon.New(settings, clock.New(), factory, plainCodec{})
-	c.Assert(err, qt.IsNil)
-	stopped := make(chan error, 1)
-	go func() { stopped <- d.Run(ctx) }()
-	c.Assert(becomesReady(settings.Ready), qt.IsTrue)
+	_, stopped := startReady(ctx, c, settings)
 	// A task that keeps failing ends the process within this time.
 	select {
 	case err := <-stopped:
