dir/msgs, token/core: define the messages of evacuations, grants and shares

The parts of docs/design/hard-load.md are built side by side and meet in the poll of an entry host. This commit adds the fields that they exchange, the settings that they read and their switches. Nothing reads or sets them yet, and they are left out of messages while they are empty, so hosts behave as before.

--- a/internal/bundle/routes/delta.go
+++ b/internal/bundle/routes/delta.go
@@ -22,15 +22,16 @@
 	Removed []netip.AddrPort `msgpack:"removed"`
 	// Changed holds the routes that are new or differ.
 	Changed []Route `msgpack:"changed"`
-	// Services and IdleTimeout are always those of the new version.
-	Services    []string     `msgpack:"services"`
-	IdleTimeout clock.Millis `msgpack:"idleTimeout"`
+	// Services, IdleTimeout and Warmups are always those of the new version.
+	Services    []string          `msgpack:"services"`
+	IdleTimeout clock.Millis      `msgpack:"idleTimeout"`
+	Warmups     map[string]Warmup `msgpack:"warmups,omitempty"`
 }
 
 // Diff returns the delta from one table to another. If from is nil, the delta
 // holds the whole table.
 func Diff(from, to *Table) *Delta {
-	d := &Delta{Version: to.Version, Services: to.Services, IdleTimeout: to.IdleTimeout}
+	d := &Delta{Version: to.Version, Services: to.Services, IdleTimeout: to.IdleTimeout, Warmups: to.Warmups}
 	if from == nil {
 		d.Changed = to.Routes
 		return d
@@ -60,7 +61,7 @@
 // the whole table. It returns ErrBaseMismatch if base has another version than
 // d needs.
 func (d *Delta) Apply(base *Table) (*Table, error) {
-	t := &Table{Version: d.Version, Services: d.Services, IdleTimeout: d.IdleTimeout}
+	t := &Table{Version: d.Version, Services: d.Services, IdleTimeout: d.IdleTimeout, Warmups: d.Warmups}
 	if d.Base == 0 {
 		t.Routes = d.Changed
 		return t, nil
--- a/internal/bundle/routes/routes.go
+++ b/internal/bundle/routes/routes.go
@@ -61,6 +61,19 @@
 	// IdleTimeout is the time without packets after which the state of a flow is
 	// dropped.
 	IdleTimeout clock.Millis `msgpack:"idleTimeout"`
+	// Warmups maps the services that limit their cold servers to what those bear.
+	Warmups map[string]Warmup `msgpack:"warmups,omitempty"`
+}
+
+// Warmup describes the cold servers of a service.
+type Warmup struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Duration is how long a server is cold after its start, and after its data centre
+	// was evacuated.
+	Duration clock.Millis
+	// Rate is the number of requests a second that a cold server bears.
+	Rate float64
 }
 
 // Check validates the table and returns the first error that it finds.
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -49,6 +49,12 @@
 	AddressReuseDelay clock.Millis
 	// Off holds the mechanisms of an entry host that are switched off.
 	Off tune.Off
+	// Centres are the names of all data centres, for control hosts.
+	Centres []string
+	// RepeatWindow is how long a caller may repeat an order whose answer was lost.
+	RepeatWindow clock.Millis
+	// LinkRate is the rate of the host's link in bits a second, or 0 if it is unknown.
+	LinkRate int64
 	// MaxLosses is the number of control hosts that may be lost at once.
 	MaxLosses int
 	// RecoveryTime is the time that a control host has, after a start, before
--- a/internal/conf/tune/tune.go
+++ b/internal/conf/tune/tune.go
@@ -40,6 +40,12 @@
 	Priorities
 	// FirstTable takes the first routing table without a quorum.
 	FirstTable
+	// Subsets gives each entry host a part of the slots of its data centre under load.
+	Subsets
+	// WarmupLimits keeps to the rates that cold servers bear.
+	WarmupLimits
+	// Shaping sends large flows at the rate of the host's link, after small ones.
+	Shaping
 	mechanisms
 )
 
@@ -47,6 +53,7 @@
 var names = [mechanisms]string{
 	"sampling", "localFirst", "localExcess", "longFlows", "loadExchange", "backoff", "trials",
 	"moveOpenings", "correctTokens", "quorumSilence", "admission", "priorities", "firstTable",
+	"subsets", "warmupLimits", "shaping",
 }
 
 // String returns the name in settings.
--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -47,6 +47,14 @@
 	Adverts string `msgpack:"adverts,omitempty"`
 	// AllLoads asks for the loads in all data centres, besides the own one.
 	AllLoads bool `msgpack:"allLoads,omitempty"`
+
+	// EvacuationsVersion is the version of the evacuations that the entry host holds, or
+	// 0. Unlike the versions above it is the same on all control hosts.
+	EvacuationsVersion uint64 `msgpack:"evacuationsVersion,omitempty"`
+	// Sharing reports that the entry host takes new flows: it is ready and not stopping.
+	Sharing bool `msgpack:"sharing,omitempty"`
+	// SharingVersion is that of the latest reply from that run.
+	SharingVersion uint64 `msgpack:"sharingVersion,omitempty"`
 }
 
 // Form is the form of a FetchReply or SyncReply.
@@ -159,4 +167,40 @@
 	// RetryAfter is set if the control host is too busy to answer the request, and
 	// tells when to ask again. All other fields but RequestID are unset then.
 	RetryAfter clock.Millis `msgpack:"retryAfter,omitempty"`
+
+	// Evacuations are the states of the data centres that were ever evacuated, and
+	// EvacuationsVersion the log index of the last order that changed them. If the
+	// request gave the same version, Evacuations is left out.
+	Evacuations        []Evacuation `msgpack:"evacuations,omitempty"`
+	EvacuationsVersion uint64       `msgpack:"evacuationsVersion,omitempty"`
+	// Sharing are the sorted hashes of the names of the entry hosts of the requesting
+	// host's data centre that take new flows, and SharingVersion a hash of that list.
+	// If the request gave the same version, Sharing is left out.
+	Sharing        []uint64 `msgpack:"sharing,omitempty"`
+	SharingVersion uint64   `msgpack:"sharingVersion,omitempty"`
+	// Grants are the requests that the entry host may open on cold servers.
+	Grants []Grant `msgpack:"grants,omitempty"`
+}
+
+// Evacuation is the state of a data centre that is or was evacuated.
+type Evacuation struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Centre string
+	// Active reports whether the data centre is evacuated now.
+	Active bool
+	// Age is the time since the last change, as the sending host knows it.
+	Age clock.Millis
+}
+
+// Grant allows an entry host to open flows on a cold server for a limited time.
+type Grant struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Token is the token of the server.
+	Token uint32
+	// Rate is in requests a second.
+	Rate float32
+	// Term is how long the grant holds after the request that it answers was sent.
+	Term clock.Millis
 }
--- a/internal/dir/msgs/sync.go
+++ b/internal/dir/msgs/sync.go
@@ -49,6 +49,8 @@
 	EntryHostsVersion uint64 `msgpack:"entryHostsVersion,omitempty"`
 	// Form is the form of the servers that the sender understands.
 	Form Form `msgpack:"form,omitempty"`
+	// SharingVersion is that of the latest reply from the receiver's run.
+	SharingVersion uint64 `msgpack:"sharingVersion,omitempty"`
 }
 
 // SyncReply returns the announcements after a position, and the replying host's
@@ -69,4 +71,9 @@
 	// replying host, left out if the request gave their EntryHostsVersion.
 	EntryHosts        []string `msgpack:"entryHosts,omitempty"`
 	EntryHostsVersion uint64   `msgpack:"entryHostsVersion,omitempty"`
+	// Sharing maps each data centre to the sorted hashes of the names of its entry hosts
+	// that polled the replying host and take new flows. It is left out if the request
+	// gave its SharingVersion.
+	Sharing        map[string][]uint64 `msgpack:"sharing,omitempty"`
+	SharingVersion uint64              `msgpack:"sharingVersion,omitempty"`
 }
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -91,6 +91,17 @@
 	// data centres if that is nil. They are set only by a reply from the primary.
 	Loads       choose.Loads
 	LoadCentres []string
+	// Evacuations are the states of evacuated data centres, newer than those held
+	// before. They hold if EvacuationsVersion is not 0.
+	Evacuations        []msgs.Evacuation
+	EvacuationsVersion uint64
+	// Sharing are the hashes of the entry hosts of the data centre that take new flows,
+	// or nil if they have not changed.
+	Sharing []uint64
+	// Grants are the requests that may be opened on cold servers, and GrantedAt when the
+	// request that they answer was sent. They are set only by a reply from the primary.
+	Grants    []msgs.Grant
+	GrantedAt clock.Millis
 	// Next reports that a request for the rest is due.
 	Next bool
 }
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -150,6 +150,34 @@
 	// announcements, and whether that is known. If it is nil, the silent state of
 	// all servers stays as it is.
 	Silence func(id string) (silent, known bool)
+	// Evacuations are the states of the data centres that are or were evacuated. They
+	// replace the previous ones if EvacuationsVersion is higher.
+	Evacuations        []EvacuationUpdate
+	EvacuationsVersion uint64
+	// Sharing are the sorted hashes of the entry hosts of this data centre that take new
+	// flows, this host included. If it is nil, the previous list stays.
+	Sharing []uint64
+	// Grants replace the previous grants if GrantedAt is not 0, which is when the request
+	// that they answer was sent.
+	Grants    []GrantUpdate
+	GrantedAt clock.Millis
+}
+
+// EvacuationUpdate tells whether a data centre is evacuated, and the time since that
+// changed.
+type EvacuationUpdate struct {
+	Centre string
+	Active bool
+	Age    clock.Millis
+}
+
+// GrantUpdate allows this host to open flows on a cold server.
+type GrantUpdate struct {
+	Token tokens.Token
+	// Rate is in requests a second.
+	Rate float64
+	// Term is how long the grant holds after Update.GrantedAt.
+	Term clock.Millis
 }
 
 // ServerUpdate is the record of a server with the state that a control host
