dir/peers: list the entry hosts that take new flows

Under overload, the entry hosts of a data centre will split the slots of its servers, and need the same list of themselves for that.

Package dir/peers keeps the entry hosts that polled a control host with Sharing within 2 s and the lists of the other control hosts, which are exchanged with the announcements. Replies hold the list of the data centre if it differs from the one that the entry host has; otherwise they are as long as before. An entry host that changes its control host is in the lists of both for up to 2 s. A control host gives out no list in the first 2 s after a start or a stall, when it would lack entry hosts; until then others keep its earlier one.

RequestSync now tells its callback the receiver, whose version the request carries.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -17,6 +17,7 @@
 	"monsooncleat.example/monsooncleat/internal/dir/advert"
 	"monsooncleat.example/monsooncleat/internal/dir/loads"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/peers"
 	"monsooncleat.example/monsooncleat/internal/dir/share"
 	"monsooncleat.example/monsooncleat/internal/dir/tables"
 	"monsooncleat.example/monsooncleat/internal/dir/watch"
@@ -73,6 +74,8 @@
 
 	tables tables.Tables
 	loads  *loads.Aggregator
+	// peers are the entry hosts that take new flows.
+	peers *peers.Peers
 
 	// knownAddresses are the control hosts to send join requests to.
 	knownAddresses []string
@@ -109,6 +112,7 @@
 	c := &Core{
 		options: options, rand: r, now: now,
 		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now), status: status{leaderSeenAt: now},
+		peers: peers.New(now),
 	}
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
 	c.lastRequestID = firstRequestID(options.RunID)
@@ -219,6 +223,7 @@
 func (c *Core) Tick(now clock.Millis) {
 	if now-c.now > stallThreshold {
 		c.list.Resume(now)
+		c.peers.Resume(now)
 	}
 	c.now = now
 	if !c.diskFailed {
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -81,7 +81,9 @@
 func (c *Core) maintainServers() {
 	if c.list.SyncDue(c.now) {
 		c.contacts.Retain(c.node.Conf().Members())
-		c.list.RequestSync(func(m *msgs.Sync) { m.ContactAges, m.Centre = c.contacts.Ages(c.now), c.options.Centre })
+		c.list.RequestSync(func(to raft.ID, m *msgs.Sync) {
+			m.ContactAges, m.Centre, m.SharingVersion = c.contacts.Ages(c.now), c.options.Centre, c.peers.Version(string(to))
+		})
 	}
 	if saved := c.list.Save(c.now); saved != nil {
 		c.out.Servers = saved
@@ -106,12 +108,14 @@
 		known = 0
 	}
 	r.EntryHosts, r.EntryHostsVersion = c.entryHosts.Own(known)
+	r.Sharing, r.SharingVersion = c.peers.Own(c.now, m.SharingVersion)
 	c.sendNow(addressOf(m.From), &msgs.Envelope{SyncReply: r})
 }
 
 func (c *Core) onSyncReply(m *msgs.SyncReply) {
 	c.loads.SetControlSum(c.now, string(m.From), m.Loads)
 	c.entryHosts.Learned(c.now, m.EntryHosts)
+	c.peers.Learned(c.now, string(m.From), m.SharingVersion, m.Sharing)
 	if err := c.list.HandleSyncReply(c.now, m); err != nil {
 		c.logLine("Cannot decode the announcements from another control host. They are requested again.", "from", m.From, "err", err)
 	}
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -143,6 +143,7 @@
 	silentVoters atomic.Int64
 	servers      atomic.Int64
 	entryHosts   atomic.Int64
+	sharingHosts atomic.Int64
 
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
@@ -315,6 +316,7 @@
 	d.version.Store(d.core.Version())
 	d.servers.Store(int64(d.core.Fleet().Len()))
 	d.entryHosts.Store(int64(d.core.EntryHosts()))
+	d.sharingHosts.Store(int64(d.core.SharingHosts()))
 	d.voters.Store(int64(len(d.core.Node().Conf().Voters)))
 	d.silentVoters.Store(int64(d.core.SilentVoters()))
 	d.current.Store(0)
--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -25,6 +25,7 @@
 		"logVotersSilent":  func() int64 { return d.silentVoters.Load() },
 		"serversKnown":     func() int64 { return d.servers.Load() },
 		"entryHosts":       func() int64 { return d.entryHosts.Load() },
+		"sharingHosts":     func() int64 { return d.sharingHosts.Load() },
 	}
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
@@ -62,8 +63,10 @@
 	Learners []raft.ID `json:"learners"`
 	Version  uint64    `json:"version"`
 	Servers  int       `json:"servers"`
-	Waiting  int       `json:"waiting"`
-	Counters any       `json:"counters"`
+	// Sharing is the number of entry hosts that take new flows, by data centre.
+	Sharing  map[string]int `json:"sharing"`
+	Waiting  int            `json:"waiting"`
+	Counters any            `json:"counters"`
 }
 
 // newDump returns the current state. It must be called on the core goroutine.
@@ -74,7 +77,7 @@
 		Role: "directory", Name: d.settings.Name, ID: n.ID(), LogRole: n.Role().String(),
 		Current: d.core.Current(), Failed: d.core.Failed(), Leader: n.Leader(), Term: n.Term(), Commit: n.Commit(),
 		Voters: conf.Voters, Learners: conf.Learners, Version: d.core.Version(),
-		Servers: d.core.Fleet().Len(), Waiting: d.core.Pending(), Counters: d.metrics.Values(),
+		Servers: d.core.Fleet().Len(), Sharing: d.core.SharingByCentre(), Waiting: d.core.Pending(), Counters: d.metrics.Values(),
 	}
 }
 
--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -53,7 +53,8 @@
 	EvacuationsVersion uint64 `msgpack:"evacuationsVersion,omitempty"`
 	// Sharing reports that the entry host takes new flows: it is ready and not stopping.
 	Sharing bool `msgpack:"sharing,omitempty"`
-	// SharingVersion is that of the latest reply from that run.
+	// SharingVersion is that of the list that the entry host holds, or 0. It is the same
+	// on all control hosts.
 	SharingVersion uint64 `msgpack:"sharingVersion,omitempty"`
 }
 
@@ -175,7 +176,8 @@
 	EvacuationsVersion uint64       `msgpack:"evacuationsVersion,omitempty"`
 	// Sharing are the sorted hashes of the names of the entry hosts of the requesting
 	// host's data centre that take new flows, and SharingVersion a hash of that list.
-	// If the request gave the same version, Sharing is left out.
+	// Both are left out if the request gave the same version, or if the control host
+	// does not know the list yet.
 	Sharing        []uint64 `msgpack:"sharing,omitempty"`
 	SharingVersion uint64   `msgpack:"sharingVersion,omitempty"`
 	// Grants are the requests that the entry host may open on cold servers.
--- a/internal/dir/msgs/sync.go
+++ b/internal/dir/msgs/sync.go
@@ -49,7 +49,7 @@
 	EntryHostsVersion uint64 `msgpack:"entryHostsVersion,omitempty"`
 	// Form is the form of the servers that the sender understands.
 	Form Form `msgpack:"form,omitempty"`
-	// SharingVersion is that of the latest reply from the receiver's run.
+	// SharingVersion is that of the lists of the receiver that the sender holds, or 0.
 	SharingVersion uint64 `msgpack:"sharingVersion,omitempty"`
 }
 
@@ -72,8 +72,9 @@
 	EntryHosts        []string `msgpack:"entryHosts,omitempty"`
 	EntryHostsVersion uint64   `msgpack:"entryHostsVersion,omitempty"`
 	// Sharing maps each data centre to the sorted hashes of the names of its entry hosts
-	// that polled the replying host and take new flows. It is left out if the request
-	// gave its SharingVersion.
+	// that polled the replying host and take new flows, and SharingVersion is a hash of
+	// these lists. Sharing is left out if the request gave the same version, and both
+	// are while the replying host does not know the lists.
 	Sharing        map[string][]uint64 `msgpack:"sharing,omitempty"`
 	SharingVersion uint64              `msgpack:"sharingVersion,omitempty"`
 }
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -96,15 +96,15 @@
 }
 
 // RequestSync asks the other members for the announcements since the last exchange.
-// Fill adds to each request what else it carries.
-func (l *List) RequestSync(fill func(m *msgs.Sync)) {
+// Fill adds to the request to each of them what else it carries.
+func (l *List) RequestSync(fill func(to raft.ID, m *msgs.Sync)) {
 	for _, id := range l.group.Members() {
 		if id == l.group.Self() {
 			continue
 		}
 		at := l.cursorOf(id)
 		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position, EntryHostsVersion: at.entryHosts, Form: msgs.BlockForm}
-		fill(m)
+		fill(id, m)
 		l.send(id, &msgs.Envelope{Sync: m})
 	}
 }
