dir/poll, token/daemon: report whether an entry host takes new flows

An entry host polls with Sharing while it is ready and not stopping. A change is reported at the next tick, and one that stops also tells the control hosts that it polled in the last 2 s, which would list it until then. The list in the replies of the primary goes to core.Update.Sharing and is shown as metric sharingHosts. After lost updates it is requested again. core.Options.Name gives the core its own entry.

--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -96,7 +96,7 @@
 	Evacuations        []msgs.Evacuation
 	EvacuationsVersion uint64
 	// Sharing are the hashes of the entry hosts of the data centre that take new flows,
-	// or nil if they have not changed.
+	// or nil if they have not changed. An empty list is not nil.
 	Sharing []uint64
 	// Grants are the requests that may be opened on cold servers, and GrantedAt when the
 	// request that they answer was sent. They are set only by a reply from the primary.
@@ -117,6 +117,8 @@
 	waitingSince clock.Millis
 	// askedAt is the time of the latest request.
 	askedAt clock.Millis
+	// polledAt is the time of the latest full request.
+	polledAt clock.Millis
 	// fullPending is set if a full request, one without Brief, was sent after the
 	// latest reply or reconnect.
 	fullPending bool
@@ -167,6 +169,7 @@
 	// the primary and from a control host in contact with a quorum.
 	primaryRepliedAt clock.Millis
 	quorumRepliedAt  clock.Millis
+	sharing          sharing
 }
 
 // New returns a Poller.
@@ -187,6 +190,7 @@
 	for _, h := range p.hosts {
 		h.runID, h.position, h.part = 0, 0, msgs.AllParts
 	}
+	p.sharing.version = 0
 }
 
 // Primary returns the address of the control host that is polled at each
@@ -230,6 +234,7 @@
 		}
 		requests = append(requests, p.fullRequest(now, p.primary, version, loads))
 	}
+	requests = p.appendWithdrawals(now, requests, version)
 	switch unhealthy := p.primaryUnhealthy(now); {
 	case unhealthy && p.wanted != "":
 		requests = p.appendProbe(now, requests, p.wanted, version)
@@ -283,7 +288,7 @@
 func (p *Poller) fullRequest(now clock.Millis, address string, version uint64, loads choose.Loads) Request {
 	r := p.newRequest(now, address, version)
 	h := p.hosts[address]
-	h.fullPending = true
+	h.fullPending, h.polledAt = true, now
 	r.Fetch.Loads, r.Fetch.Part = loads, h.part
 	if h.position == 0 {
 		r.Fetch.Adverts = p.options.Adverts
@@ -322,6 +327,7 @@
 	return Request{address, msgs.Fetch{
 		Name: p.options.Name, RequestID: p.lastRequestID, RunID: h.runID, Since: h.position, Version: version,
 		Form: msgs.BlockForm, Centre: p.options.Centre, SilentVersion: h.silentVersion, HostsVersion: p.hostsVersion,
+		Sharing: p.sharing.ready, SharingVersion: p.sharing.version,
 	}, reconnect}
 }
 
--- /dev/null
+++ b/internal/dir/poll/sharing_test.go
@@ -0,0 +1,62 @@
+package poll_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+)
+
+// TestSharingIsReportedAtOnce guards against slots that nobody uses because their entry
+// host has stopped. One that moved to another control host tells both.
+func TestSharingIsReportedAtOnce(t *testing.T) {
+	p := newPoller(false, hostA, hostB)
+	a, b := &fakeControlHost{runID: 1, current: true}, &fakeControlHost{runID: 2, current: true}
+	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: a, hostB: b})
+	first := p.Primary()
+	p.SetSharing(true)
+	requests := p.Tick(2010, 1, nil)
+	qt.Assert(t, requests, qt.HasLen, 1)
+	qt.Check(t, requests[0].Fetch.Sharing, qt.IsTrue)
+	handle(p, 2010, a.reply(&requests[0]), 1)
+	hosts := map[string]*fakeControlHost{hostA: a, hostB: b}
+	hosts[first].down = true
+	simulate(p, 2100, 3300, hosts)
+	qt.Assert(t, p.Primary() != first, qt.IsTrue)
+	p.SetSharing(false)
+	told := map[string]bool{}
+	for _, r := range p.Tick(3310, 1, nil) {
+		qt.Check(t, r.Fetch.Sharing, qt.IsFalse)
+		told[r.Address] = true
+	}
+	qt.Check(t, told, qt.DeepEquals, map[string]bool{hostA: true, hostB: true})
+}
+
+// TestEmptyListIsNotTheAbsenceOfOne replies with a list, without one and with an empty
+// one, which the encoding leaves out.
+func TestEmptyListIsNotTheAbsenceOfOne(t *testing.T) {
+	p := newPoller(false, hostA)
+	a := &fakeControlHost{runID: 1, current: true}
+	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: a})
+	now, version := clock.Millis(2000), uint64(0)
+	for _, test := range []struct {
+		hosts   []uint64
+		version uint64
+		want    []uint64
+	}{{[]uint64{3, 4}, 7, []uint64{3, 4}}, {nil, 0, nil}, {nil, 9, []uint64{}}, {[]uint64{3, 4}, 7, []uint64{3, 4}}} {
+		now += 400
+		requests := p.Tick(now, 1, nil)
+		qt.Check(t, requests[0].Fetch.SharingVersion, qt.Equals, version)
+		body := msgs.Encode(&msgs.Envelope{FetchReply: &msgs.FetchReply{
+			RequestID: requests[0].Fetch.RequestID, Current: true, RunID: 1, Sharing: test.hosts, SharingVersion: test.version,
+		}})
+		m, err := msgs.Decode(body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, handle(p, now, m.FetchReply, 1).Sharing, qt.DeepEquals, test.want)
+		if test.version != 0 {
+			version = test.version
+		}
+	}
+}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -52,6 +52,9 @@
 
 // Options are the settings of a Core.
 type Options struct {
+	// Name is the name of this host. The hash of it, hash.String, is the entry of this
+	// host in Update.Sharing.
+	Name string
 	// Centre is the data centre of this host.
 	Centre string
 	// Choice configures the selection of a server for a new flow.
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -108,6 +108,9 @@
 	openingsDiscarded atomic.Int64
 	// malformedReplies counts replies of control hosts that could not be decoded.
 	malformedReplies atomic.Int64
+	// sharingHosts is the number of entry hosts in the latest list of those that take new
+	// flows.
+	sharingHosts atomic.Int64
 	// reasons counts decisions by reason, opened counts new flows by service.
 	reasons *expvar.Map
 	opened  *expvar.Map
@@ -131,7 +134,7 @@
 		adverts: ring.New[string](advertQueueSize), metrics: admin.NewMetrics(), seeds: make(chan []string, 1),
 	}
 	d.core = core.New(core.Options{
-		Centre: settings.Centre, Choice: choose.DefaultSettings, DefaultIdleTimeout: defaultIdleTimeout, MaxFlows: maxFlows,
+		Name: settings.Name, Centre: settings.Centre, Choice: choose.DefaultSettings, DefaultIdleTimeout: defaultIdleTimeout, MaxFlows: maxFlows,
 		Off:   settings.Off,
 		Fleet: fleet.Options{SilentAfter: noTimeout, ForgetAfter: forgetAfter, Follower: true},
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
@@ -229,6 +232,7 @@
 
 // sendFetches sends the fetches that are due.
 func (d *Daemon) sendFetches() {
+	d.poller.SetSharing(d.ready.Load() && !d.stopping.Load())
 	var loads choose.Loads
 	if l := d.loads.Load(); l != nil {
 		loads = *l
@@ -263,7 +267,8 @@
 	if a.Next {
 		d.sendFetches()
 	}
-	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now)}}
+	d.noteSharing(a.Sharing)
+	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing}}
 	if d.poller.HasQuorum(now) {
 		u.confirmedAt = now
 	}
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -39,6 +39,7 @@
 	d.inputWait, d.openingWait = d.metrics.Histogram("inputWaitMicros"), d.metrics.Histogram("openingWaitMicros")
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
 	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
+	d.metrics.Gauge("sharingHosts", d.sharingHosts.Load)
 	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
 
