token/core: split the slots of a data centre among its entry hosts under load

Callers saw goodput fall to a quarter of what the slots bear where 84 entry hosts see a burst of short flows. Cause: all hosts decide by the same sums of loads, which are 300 ms old and averaged over a second, so all open on the same servers at once and then all refuse; a refused client tries again within 7 ms and is lost after three refusals. Ruled out: processor time (the same without it counted).

Change: serve/subset gives each entry host an equal segment of the line of all places of the data centre's servers, two a slot, three for the most urgent kind. While a service of short flows is busy, a host opens on its own places as long as one is free, which it knows by its own counts, and beyond them only on servers that are reported to be at most 80% used, with a bounded number in flight. The line needs no messages but the list of the entry hosts. Services with long flows, whose requests move between hosts, are decided as before.

The switch is subsets.

--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -72,6 +72,9 @@
 // Flows returns the number of active long flows through this host.
 func (b *Backend) Flows() int { return b.flows }
 
+// TotalFlows returns the number of active long flows through all hosts.
+func (b *Backend) TotalFlows() float64 { return float64(b.flows) + float64(b.remote.Flows) }
+
 // FlowStarted counts a long flow that became active.
 func (b *Backend) FlowStarted() { b.flows++ }
 
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/admit"
@@ -123,6 +124,14 @@
 	// received. Those that are too old are removed.
 	loadsAt map[string]clock.Millis
 	stats   Stats
+	// self is the hash of this host's name. Sharing holds the sorted hashes of the hosts
+	// of this data centre that take new flows, and shares this host's part by service.
+	self           uint64
+	sharing        []uint64
+	sharingVersion uint64
+	shares         map[string]*share
+	// listVersion counts the changes of services.
+	listVersion uint64
 }
 
 // Stats are the counters of a Core. Opened counts new flows, Answered those whose
@@ -137,7 +146,7 @@
 // New returns a Core without a routing table and without servers.
 func New(options Options, r *rand.Rand) *Core {
 	return &Core{
-		options: options, rand: r,
+		options: options, rand: r, self: hash.String(options.Name), shares: map[string]*share{},
 		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Choice.Without(options.Off), r),
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
@@ -222,6 +231,9 @@
 	c.updateSilent(now, u)
 	changed := c.fleet.ChangedSince(position)
 	c.updateServers(now, changed)
+	if u.Sharing != nil {
+		c.setSharing(u.Sharing)
+	}
 	if u.Loads != nil && !c.options.Off.Has(tune.LoadExchange) {
 		c.setRemoteLoads(now, u)
 	}
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -74,6 +74,11 @@
 		return r.server, r.load, false
 	}
 	o := admit.Opening{Kind: kind, Goal: class.Goal, Priority: class.Priority}
+	if mayRefuse {
+		if s, admitted, decided := c.pickShared(now, list, service, &o); decided {
+			return s, s.backend.Load(kind), admitted
+		}
+	}
 	for attempt := 0; attempt <= refusalAttempts; attempt++ {
 		s = list[c.policy.Pick(now, kind, list, backendOf)]
 		load = s.backend.Load(kind)
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -62,6 +62,7 @@
 		return
 	}
 	at, _ := slices.BinarySearchFunc(c.services[service], s.id, compareID)
+	c.listVersion++
 	c.services[service] = slices.Insert(c.services[service], at, s)
 	s.service = service
 }
@@ -72,6 +73,7 @@
 	}
 	list := c.services[s.service]
 	if at, found := slices.BinarySearchFunc(list, s.id, compareID); found {
+		c.listVersion++
 		c.services[s.service] = slices.Delete(list, at, at+1)
 	}
 	s.service = ""
--- /dev/null
+++ b/internal/token/core/share.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"math"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
+	"monsooncleat.example/monsooncleat/internal/serve/admit"
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+	"monsooncleat.example/monsooncleat/internal/serve/subset"
+)
+
+const (
+	// placesPerSlot is the number of requests per slot that the entry hosts together
+	// keep on a server under load: one that runs, and one that waits so that the slot
+	// never idles. urgentPlacesPerSlot is the same with the most urgent requests, which
+	// find room on a server that others fill. Servers reject what waits for long.
+	placesPerSlot       = 2.0
+	urgentPlacesPerSlot = 3.0
+	// busyUtilization is the mean utilization of the servers from which the places are
+	// used. Below it, a server with a free slot is found by the reported loads.
+	busyUtilization = 0.65
+	// overflowUtilization is the reported utilization up to which a server takes flows
+	// for which this host has no place left.
+	overflowUtilization = 0.8
+	// overflowShare bounds the requests in flight on places of other hosts, as a share of
+	// the slots that this host owns. Reported loads are up to a second old.
+	overflowShare = 0.5
+)
+
+// share is the part of the slots of a service in this data centre that this host owns.
+type share struct {
+	// listVersion and sharingVersion are the versions of the servers and of the list of
+	// hosts for which the share was computed.
+	listVersion, sharingVersion uint64
+	places                      []place
+	// slots is the number of slots that the host owns.
+	slots float64
+}
+
+// place is the part of one server that this host owns: the number of requests in flight
+// that it may have there.
+type place struct {
+	server        *server
+	usual, urgent int
+}
+
+// setSharing sets the sorted list of the entry hosts of this data centre.
+func (c *Core) setSharing(hosts []uint64) {
+	c.sharing = hosts
+	c.sharingVersion++
+}
+
+// shareOf returns this host's share of a service whose servers are in list, or nil if the
+// slots are not split.
+func (c *Core) shareOf(service string, list []*server) *share {
+	if len(c.sharing) < 2 || c.options.Off.Has(tune.Subsets) {
+		return nil
+	}
+	s := c.shares[service]
+	if s != nil && s.listVersion == c.listVersion && s.sharingVersion == c.sharingVersion {
+		return s
+	}
+	s = &share{listVersion: c.listVersion, sharingVersion: c.sharingVersion}
+	c.shares[service] = s
+	var local []*server
+	var usual, urgent, slots []int
+	for _, b := range list {
+		if b.entry.Centre == c.options.Centre {
+			local = append(local, b)
+			slots = append(slots, b.entry.Slots)
+			usual = append(usual, int(math.Round(placesPerSlot*float64(b.entry.Slots))))
+			urgent = append(urgent, int(math.Round(urgentPlacesPerSlot*float64(b.entry.Slots))))
+		}
+	}
+	ownUsual, ownUrgent := subset.Split(c.sharing, c.self, usual), subset.Split(c.sharing, c.self, urgent)
+	for i := range ownUrgent {
+		if ownUrgent[i] > 0 {
+			s.places = append(s.places, place{local[i], ownUsual[i], ownUrgent[i]})
+		}
+		s.slots += float64(slots[i])
+	}
+	s.slots /= float64(len(c.sharing))
+	return s
+}
+
+// pickShared selects the server of a short flow by this host's own places, while the
+// service is busy. Decided is false if it is not, so that the reported loads decide.
+func (c *Core) pickShared(now clock.Millis, list []*server, a *admit.Service, o *admit.Opening) (s *server, admitted, decided bool) {
+	if o.Kind != choose.Short || o.Goal == 0 {
+		return nil, false, false
+	}
+	share := c.shareOf(list[0].entry.Service, list)
+	if share == nil || len(share.places) == 0 {
+		return nil, false, false
+	}
+	usage := c.usageOf(list)
+	if usage.longFlows || usage.mean < busyUtilization && float64(usage.own) < share.slots {
+		return nil, false, false
+	}
+	urgent := a.MostUrgent(o.Priority)
+	best, bestUse, ownInFlight := (*server)(nil), 1.0, 0
+	for i := range share.places {
+		p := &share.places[i]
+		b := p.server.backend
+		ownInFlight += b.InFlight()
+		places := p.usual
+		if urgent {
+			places = p.urgent
+		}
+		if places == 0 || b.Avoided(now) {
+			continue
+		}
+		if use := float64(b.InFlight()) / float64(places); use < bestUse {
+			best, bestUse = p.server, use
+		}
+	}
+	if best != nil {
+		return best, true, true
+	}
+	index := c.policy.Pick(now, choose.Short, list, backendOf)
+	s = list[index]
+	overflow := float64(usage.own-ownInFlight) < max(overflowShare*share.slots, 1)
+	return s, overflow && s.backend.Utilization() <= overflowUtilization, true
+}
+
+// usage describes how busy the servers of a service are.
+type usage struct {
+	// mean is the mean utilization of the servers in this data centre.
+	mean float64
+	// own is the number of requests in flight through this host.
+	own int
+	// longFlows reports whether long flows are active on the servers. Their requests move
+	// between hosts, so a host's own counts don't show them.
+	longFlows bool
+}
+
+func (c *Core) usageOf(list []*server) usage {
+	u, local := usage{}, 0
+	for _, s := range list {
+		u.own += s.backend.InFlight()
+		if s.entry.Centre == c.options.Centre {
+			u.mean += s.backend.Utilization()
+			u.longFlows = u.longFlows || s.backend.TotalFlows() > 0
+			local++
+		}
+	}
+	u.mean /= float64(max(local, 1))
+	return u
+}
