agree/raft: let a leader spread a commit at once

Followers learn that an entry is committed with the next entry or heartbeat, up to 200 ms later. Entry hosts poll control hosts every 300 ms, so an evacuation could take more than its 500 ms to reach all of them.

A deployment without evacuations sends the same bytes as before.

Run: go test ./internal/dir/... ./internal/agree/...

--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -32,6 +32,8 @@
 	// ackedSentAt is when the latest acknowledged message was sent.
 	ackedSentAt clock.Millis
 	sentAt      clock.Millis
+	// sentCommit is the commit index at the latest message.
+	sentCommit uint64
 	// inFlight is set while an append or snapshot is unacknowledged. It is
 	// cleared after a heartbeat interval, so that a lost message is resent.
 	inFlight bool
@@ -64,6 +66,8 @@
 	lossLearnedAt clock.Millis
 	// leaderCommit is the highest commit index received from a leader.
 	leaderCommit uint64
+	// urgentCommit is the commit index at the latest SpreadCommit.
+	urgentCommit uint64
 
 	out Output
 	// stateDirty is set while state has changes that are not yet in out.
--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -36,6 +36,7 @@
 	}
 	p.sentAt = n.now
 	p.inFlight = true
+	p.sentCommit = n.log.commit
 	prev := p.next - 1
 	term, ok := n.log.term(prev)
 	if !ok {
@@ -175,11 +176,23 @@
 	p.match = max(p.match, m.Index)
 	p.next = p.match + 1
 	n.advanceCommit()
-	if n.role == Leader && p.next <= n.log.last() {
+	if n.role == Leader && (p.next <= n.log.last() || p.sentCommit < n.urgentCommit) {
 		n.sendAppend(m.From)
 	}
 }
 
+// SpreadCommit tells the other members at once what is committed, if this node leads.
+// Without it they learn that with the next entry or heartbeat.
+func (n *Node) SpreadCommit() {
+	if n.role != Leader {
+		return
+	}
+	n.urgentCommit = n.log.commit
+	for _, id := range n.receivers() {
+		n.sendAppend(id)
+	}
+}
+
 // advanceCommit commits the entries that are persisted on a quorum. As Raft
 // requires, it only counts replicas for entries of the current term.
 func (n *Node) advanceCommit() {
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -15,6 +15,7 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/advert"
+	"monsooncleat.example/monsooncleat/internal/dir/evac"
 	"monsooncleat.example/monsooncleat/internal/dir/loads"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/dir/share"
@@ -44,6 +45,12 @@
 	// RunID is a random number that identifies this run of the process. Positions
 	// in the list of server changes, and request IDs, are valid within one run only.
 	RunID uint64
+	// Centres are the names of all data centres. If it is empty, those of the known
+	// servers and control hosts count.
+	Centres []string
+	// RepeatWindow is how long a caller may repeat an order to evacuate a data centre or
+	// to end that.
+	RepeatWindow clock.Millis
 }
 
 const (
@@ -73,6 +80,11 @@
 
 	tables tables.Tables
 	loads  *loads.Aggregator
+	// evacuations belongs to the log, like tables. TickedAt is when Tick was last called,
+	// and shortOfRoom counts the starts of evacuations that left too few slots.
+	evacuations *evac.State
+	tickedAt    clock.Millis
+	shortOfRoom int
 
 	// knownAddresses are the control hosts to send join requests to.
 	knownAddresses []string
@@ -107,7 +119,7 @@
 // New returns a Core that continues from the state stored on disk.
 func New(options Options, stored raft.Stored, now clock.Millis, r *rand.Rand) *Core {
 	c := &Core{
-		options: options, rand: r, now: now,
+		options: options, rand: r, now: now, evacuations: evac.New(), tickedAt: now,
 		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now), status: status{leaderSeenAt: now},
 	}
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
@@ -212,11 +224,13 @@
 }
 
 func (c *Core) answer(callID CallID, code Code, data []byte) {
-	c.out.Answers = append(c.out.Answers, Answer{callID, code, data})
+	c.out.Answers = append(c.out.Answers, Answer{CallID: callID, Code: code, Data: data})
 }
 
 // Tick advances the time. Call it several times per heartbeat interval.
 func (c *Core) Tick(now clock.Millis) {
+	c.resumeEvacuations(now)
+	c.tickedAt = now
 	if now-c.now > stallThreshold {
 		c.list.Resume(now)
 	}
--- a/internal/dir/core/departs.go
+++ b/internal/dir/core/departs.go
@@ -39,7 +39,7 @@
 		c.answer(callID, Done, nil)
 		return
 	}
-	c.departures.answers = append(c.departures.answers, Answer{callID, Done, nil})
+	c.departures.answers = append(c.departures.answers, Answer{CallID: callID, Code: Done})
 }
 
 // saveDepartures writes the server list if it holds new departures and the last write
--- a/internal/dir/core/fetch.go
+++ b/internal/dir/core/fetch.go
@@ -16,6 +16,7 @@
 		c.loads.SetReport(c.now, m.Name, m.RequestID, m.Loads)
 		r.Delta = c.tables.DeltaSince(m.Version)
 	}
+	c.addEvacuations(r, m)
 	if m.Form == msgs.ListForm {
 		c.addLists(r, m)
 	} else {
--- a/internal/dir/core/log.go
+++ b/internal/dir/core/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/dir/evac"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 )
 
@@ -39,13 +40,18 @@
 	if len(o.Committed) > 0 {
 		c.compact()
 	}
+	if c.spreadOrders(o.Committed) {
+		c.takeLogOutput()
+	}
 }
 
-// applySnapshot puts the routing table of a snapshot in force, if it has one.
+// applySnapshot puts the routing table and the evacuations of a snapshot in force, if it
+// has them.
 func (c *Core) applySnapshot(data []byte) {
 	if len(data) == 0 {
 		return
 	}
+	c.restoreEvacuations(data)
 	c.applyTable(data)
 }
 
@@ -62,10 +68,15 @@
 }
 
 func (c *Core) applyEntry(e *raft.Entry) {
-	if e.Kind == raft.EntryCommand && len(e.Data) > 0 {
+	superseded := false
+	switch {
+	case e.Kind != raft.EntryCommand || len(e.Data) == 0:
+	case evac.IsEntry(e.Data):
+		superseded = !c.applyOrder(e.Index, e.Data)
+	default:
 		c.applyTable(e.Data)
 	}
-	c.completeProposal(e.Index, e.Term)
+	c.completeProposal(e.Index, e.Term, superseded)
 }
 
 func (c *Core) compact() {
@@ -76,7 +87,12 @@
 	if len(entries) < compactAtEntries && size < compactAtBytes {
 		return
 	}
-	if snap := c.node.Compact(c.node.Commit(), c.tables.Encoded()); snap != nil {
+	data, err := c.snapshotData()
+	if err != nil {
+		c.logLine("Cannot encode a snapshot. The log grows.", "err", err)
+		return
+	}
+	if snap := c.node.Compact(c.node.Commit(), data); snap != nil {
 		c.out.Snapshot = snap
 		c.out.Retained = c.node.Entries()
 	}
--- a/internal/dir/core/requests.go
+++ b/internal/dir/core/requests.go
@@ -9,13 +9,17 @@
 )
 
 // request is a call that waits for a log entry to be committed: the entry that
-// holds its routing table, or for a read an empty entry that confirms the
-// leader's state.
+// holds its routing table or evacuation order, or for a read an empty entry that
+// confirms the leader's state.
 type request struct {
 	callID CallID
-	// data is the encoded msgs.Publication, or nil for a read.
+	// data is the encoded msgs.Publication or order, or nil for a read.
 	data []byte
-	// version is the version of the routing table, or 0 for a read.
+	// order is the evacuation order, or nil.
+	order *evacuationOrder
+	// list is set on a read of the evacuations.
+	list bool
+	// version is the version of the routing table, or 0 for an order or a read.
 	version  uint64
 	deadline clock.Millis
 	sentAt   clock.Millis
@@ -111,9 +115,10 @@
 	c.proposals[index] = proposal{term: term, from: m.From, requestID: m.RequestID, read: len(m.Data) == 0}
 }
 
-// completeProposal replies to the request whose entry was committed. If the
+// completeProposal replies to the request whose entry was committed. Superseded is set if
+// the entry held an evacuation order without effect. If the
 // committed entry has another term, the proposal was overwritten and is dropped.
-func (c *Core) completeProposal(index, term uint64) {
+func (c *Core) completeProposal(index, term uint64, superseded bool) {
 	p, ok := c.proposals[index]
 	if !ok {
 		return
@@ -122,9 +127,9 @@
 	if p.term != term {
 		return
 	}
-	r := &msgs.ProposeReply{RequestID: p.requestID, Committed: true}
+	r := &msgs.ProposeReply{RequestID: p.requestID, Committed: true, Superseded: superseded}
 	if p.read {
-		r.Data = c.tables.Encoded()
+		r.Data, r.Evacuations = c.tables.Encoded(), c.evacuations.Encode()
 	}
 	if p.from == c.options.ID {
 		c.onProposeReply(r)
@@ -139,6 +144,9 @@
 		return
 	}
 	delete(c.requests, m.RequestID)
+	if c.answerEvacuation(r, m) {
+		return
+	}
 	if r.version > 0 {
 		c.answer(r.callID, Done, nil)
 		return
--- a/internal/dir/core/types.go
+++ b/internal/dir/core/types.go
@@ -1,6 +1,9 @@
 package core
 
-import "monsooncleat.example/monsooncleat/internal/agree/raft"
+import (
+	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/dir/evac"
+)
 
 // ReplyHandle identifies a received message, so that a reply can be sent on its
 // connection.
@@ -35,6 +38,8 @@
 	Unavailable
 	// Missing means that no routing table has been published yet.
 	Missing
+	// UnknownCentre means that the order names a data centre that does not exist.
+	UnknownCentre
 )
 
 // Answer is the result of a call.
@@ -44,6 +49,11 @@
 	// Data is the source text of the newest routing table. Only a successful
 	// read returns it.
 	Data []byte
+	// Shortages are the services whose demand the servers left cannot bear, in the
+	// answer to the start of an evacuation.
+	Shortages []evac.Shortage
+	// Uses are the data centres. Only a successful list of evacuations returns them.
+	Uses []evac.Use
 }
 
 // Output is the work that the caller performs after a step. State, Install,
@@ -94,7 +104,7 @@
 
 // String returns the code in lower case.
 func (c Code) String() string {
-	names := [...]string{"none", "done", "unavailable", "missing"}
+	names := [...]string{"none", "done", "unavailable", "missing", "unknownCentre"}
 	if int(c) >= len(names) {
 		return names[0]
 	}
--- a/internal/dir/msgs/log.go
+++ b/internal/dir/msgs/log.go
@@ -42,7 +42,7 @@
 type ProposeRequest struct {
 	From      raft.ID `msgpack:"from"`
 	RequestID uint64  `msgpack:"number"`
-	// Data is an encoded Publication, or empty.
+	// Data is an encoded Publication or evacuation order, or empty.
 	Data []byte `msgpack:"data"`
 }
 
@@ -52,4 +52,10 @@
 	RequestID uint64 `msgpack:"number"`
 	Committed bool   `msgpack:"done"`
 	Data      []byte `msgpack:"data"`
+	// Superseded reports that the entry held an evacuation order that had no effect,
+	// because an opposite one had been applied that its receiver did not know.
+	Superseded bool `msgpack:"superseded,omitempty"`
+	// Evacuations is the encoded state of the evacuations if the entry was empty and
+	// there was ever an order.
+	Evacuations []byte `msgpack:"evacuations,omitempty"`
 }
