dir, token: evacuate data centres

Operators need to take a data centre out of service and put it back. The control hosts now confirm such orders and entry hosts poll the state.

dir/poll accepts evacuations that are newer than those held, from a host in contact with a quorum or with the first routing table. token/core keeps servers of an evacuated data centre out of the lists for new flows; open flows stay, and openings that only such servers could take are refused and counted. dir/daemon has Evacuate for the platform and /evacuations at the admin address. Both have metrics, log lines and state in the dump. Without an evacuation, messages and decisions are as before.

--- a/internal/base/admin/admin.go
+++ b/internal/base/admin/admin.go
@@ -83,6 +83,7 @@
 // Server is the admin HTTP server of a process.
 type Server struct {
 	addr string
+	mux  *http.ServeMux
 	http http.Server
 }
 
@@ -102,7 +103,7 @@
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) {
 		serveDump(w, r, dump)
 	})
-	return &Server{addr: addr, http: http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
+	return &Server{addr: addr, mux: mux, http: http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
 }
 
 func serveDump(w http.ResponseWriter, r *http.Request, dump Dumper) {
@@ -119,6 +120,9 @@
 	_ = enc.Encode(v)
 }
 
+// Handle adds a handler for a pattern of http.ServeMux. Call it before Run.
+func (s *Server) Handle(pattern string, handler http.HandlerFunc) { s.mux.HandleFunc(pattern, handler) }
+
 // Run serves until ctx is done.
 func (s *Server) Run(ctx context.Context) error {
 	return ServeHTTP(ctx, s.addr, &s.http)
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -125,13 +125,14 @@
 	// generation counts how often the store was reopened. It belongs to the core
 	// goroutine; runDisk keeps its own count and discards batches of another
 	// generation.
-	generation  int
-	peers       *link.Peers
-	server      *link.Server
-	api         *http.Server
-	metrics     *admin.Metrics
-	syncTime    *admin.Histogram
-	publishTime *admin.Histogram
+	generation     int
+	peers          *link.Peers
+	server         *link.Server
+	api            *http.Server
+	metrics        *admin.Metrics
+	syncTime       *admin.Histogram
+	publishTime    *admin.Histogram
+	evacuationTime *admin.Histogram
 	// waits and works are how long messages and calls wait and take, by class.
 	waits, works [order.Classes]*admin.Histogram
 	logLimiter   *logs.Limiter
@@ -143,6 +144,8 @@
 	silentVoters atomic.Int64
 	servers      atomic.Int64
 	entryHosts   atomic.Int64
+	evacuated    atomic.Int64
+	shortOfRoom  atomic.Int64
 
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
@@ -175,6 +178,7 @@
 		metrics: admin.NewMetrics(), logLimiter: logs.NewLimiter(linesPerSecond),
 	}
 	d.syncTime, d.publishTime = d.metrics.Histogram("syncMicros"), d.metrics.Histogram("publishMicros")
+	d.evacuationTime = d.metrics.Histogram("evacuationMicros")
 	id, err := d.raftID(store, !discarded && d.canBootstrap())
 	if err != nil {
 		return nil, err
@@ -200,7 +204,8 @@
 func (d *Daemon) options(id raft.ID) core.Options {
 	o := core.Options{
 		ID: id, Seeds: d.settings.SeedAddresses(), Centre: d.settings.Centre, RunID: rand.Uint64(),
-		Timing:    raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
+		Timing:  raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
+		Centres: d.settings.Centres, RepeatWindow: d.settings.RepeatWindow,
 		MaxLosses: d.settings.MaxLosses, EvictAfter: d.settings.RecoveryTime / 2,
 		Fleet: fleet.Options{SilentAfter: missedAnnouncements * d.settings.AnnounceInterval, ForgetAfter: forgetAfter, ReuseAfter: d.settings.AddressReuseDelay},
 	}
@@ -220,7 +225,9 @@
 	tree.Start("disk", d.runDisk)
 	tree.Start("decisions", d.runCore)
 	tree.Start("api", func(ctx context.Context) error { return admin.ServeHTTP(ctx, d.settings.API.String(), d.api) })
-	tree.Start("admin", admin.New(d.settings.Admin.String(), d.metrics, d.dump, func() bool { return true }).Run)
+	adminServer := admin.New(d.settings.Admin.String(), d.metrics, d.dump, func() bool { return true })
+	d.handleEvacuations(adminServer)
+	tree.Start("admin", adminServer.Run)
 	d.log.Info("Control host is up.", "name", d.settings.Name, "api", d.settings.API, "peer", d.settings.Peer)
 	select {
 	case <-tree.Done():
@@ -315,6 +322,8 @@
 	d.version.Store(d.core.Version())
 	d.servers.Store(int64(d.core.Fleet().Len()))
 	d.entryHosts.Store(int64(d.core.EntryHosts()))
+	d.evacuated.Store(int64(d.core.Evacuated()))
+	d.shortOfRoom.Store(int64(d.core.ShortOfRoom()))
 	d.voters.Store(int64(len(d.core.Node().Conf().Voters)))
 	d.silentVoters.Store(int64(d.core.SilentVoters()))
 	d.current.Store(0)
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -139,12 +139,14 @@
 	started clock.Millis
 	// learned are the control hosts in the latest reply that listed any, centres their
 	// data centres, and hostsVersion the number of that list.
-	learned       []string
-	centres       map[string]string
-	hostsVersion  uint64
-	hosts         map[string]*controlHost
-	primary       string
-	lastRequestID uint64
+	learned      []string
+	centres      map[string]string
+	hostsVersion uint64
+	// evacuationsVersion is the version of the accepted evacuations, or 0.
+	evacuationsVersion uint64
+	hosts              map[string]*controlHost
+	primary            string
+	lastRequestID      uint64
 	// pending holds the addresses of unanswered requests by request ID.
 	pending map[uint64]string
 	// advertised are control hosts that are known from adverts only, and wanted is the
@@ -181,9 +183,10 @@
 // SetSeeds replaces the control host addresses from the settings.
 func (p *Poller) SetSeeds(seeds []string) { p.options.Seeds = slices.Clone(seeds) }
 
-// RefetchAll makes the next requests ask for all servers again, after the caller
+// RefetchAll makes the next requests ask for all servers and evacuations again, after the caller
 // lost accepted changes.
 func (p *Poller) RefetchAll() {
+	p.evacuationsVersion = 0
 	for _, h := range p.hosts {
 		h.runID, h.position, h.part = 0, 0, msgs.AllParts
 	}
@@ -322,6 +325,7 @@
 	return Request{address, msgs.Fetch{
 		Name: p.options.Name, RequestID: p.lastRequestID, RunID: h.runID, Since: h.position, Version: version,
 		Form: msgs.BlockForm, Centre: p.options.Centre, SilentVersion: h.silentVersion, HostsVersion: p.hostsVersion,
+		EvacuationsVersion: p.evacuationsVersion,
 	}, reconnect}
 }
 
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -54,6 +54,7 @@
 	if delta != nil && (r.Current || version == 0 && (!p.options.AwaitQuorum || p.Isolated(now))) {
 		a.Delta = delta
 	}
+	p.acceptEvacuations(&a, r, a.Delta != nil)
 	return a, nil
 }
 
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -118,17 +118,20 @@
 	smoothedAt  clock.Millis
 	// loadsAt is when the loads of other hosts on the servers of each data centre were
 	// received. Those that are too old are removed.
-	loadsAt map[string]clock.Millis
-	stats   Stats
+	loadsAt     map[string]clock.Millis
+	evacuations evacuations
+	stats       Stats
 }
 
 // Stats are the counters of a Core. Opened counts new flows, Answered those whose
 // handshake was completed, Moved retransmitted opening packets sent to another
 // server, Corrected tokens that were replaced, and Avoided the backoffs that were
-// started. The others count packets by their verdict and reason.
+// started. EvacuatedNoServer counts the packets of ResetNoServer and DroppedNoServer that
+// a server in an evacuated data centre could have served. The others count packets by
+// their verdict and reason.
 type Stats struct {
 	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, DroppedUnknown, DroppedNoServer,
-	Moved, Corrected, Avoided, Answered uint64
+	Moved, Corrected, Avoided, Answered, EvacuatedNoServer uint64
 }
 
 // New returns a Core without a routing table and without servers.
@@ -210,6 +213,7 @@
 // Learn applies an update and returns the servers whose state changed.
 func (c *Core) Learn(now clock.Millis, u *Update) []*fleet.Server {
 	c.refusals.Forget()
+	c.setEvacuations(u)
 	position := c.fleet.Position()
 	for i := range u.Servers {
 		s := &u.Servers[i]
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -47,11 +47,11 @@
 	return s
 }
 
-// list puts a server into the list of its service, sorted by ID, if it takes new flows,
-// and removes it otherwise.
+// list puts a server into the list of its service, sorted by ID, if it takes new flows
+// and its data centre is not evacuated, and removes it otherwise.
 func (c *Core) list(s *server) {
 	service := ""
-	if s.entry.Usable() {
+	if s.entry.Usable() && !c.evacuations.active[s.entry.Centre] {
 		service = s.entry.Service
 	}
 	if s.service == service {
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -106,6 +106,8 @@
 	inputWait         *admin.Histogram
 	openingWait       *admin.Histogram
 	openingsDiscarded atomic.Int64
+	// evacuations is the number of evacuated data centres.
+	evacuations atomic.Int64
 	// malformedReplies counts replies of control hosts that could not be decoded.
 	malformedReplies atomic.Int64
 	// reasons counts decisions by reason, opened counts new flows by service.
@@ -264,6 +266,7 @@
 		d.sendFetches()
 	}
 	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now)}}
+	addEvacuations(&u.changes, &a)
 	if d.poller.HasQuorum(now) {
 		u.confirmedAt = now
 	}
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -141,6 +141,7 @@
 		return
 	}
 	f.confirmedAt = max(f.confirmedAt, u.confirmedAt)
+	evacuations := f.d.core.EvacuationsVersion()
 	for _, s := range f.d.core.Learn(now, &u.changes) {
 		if omitted, ok := f.serverLimiter.Allow(now); ok {
 			f.d.log.Info("Server known.", "id", s.ID, "state", s.State.String(), "started", int64(s.Started), "seq", s.Seq,
@@ -148,6 +149,7 @@
 				"omitted", omitted)
 		}
 	}
+	f.logEvacuations(evacuations)
 	f.configure(now, u.delta)
 	if f.d.core.Version() > 0 && !f.d.stopping.Load() && !f.d.ready.Swap(true) {
 		f.d.log.Info("Ready.", "version", f.d.core.Version(), "servers", f.d.core.Servers())
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -18,6 +18,7 @@
 		"controlBytesOut": func() int64 { return int64(d.peers.BytesOut()) },
 		"framesDropped":   func() int64 { return int64(d.peers.Dropped()) },
 		"configVersion":   func() int64 { return int64(d.version.Load()) },
+		"evacuations":     d.evacuations.Load,
 	}
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
@@ -27,6 +28,8 @@
 		"flowsAnswered":    func(s *core.Stats) uint64 { return s.Answered },
 		"packetsForwarded": func(s *core.Stats) uint64 { return s.Forwarded },
 		"serversAvoided":   func(s *core.Stats) uint64 { return s.Avoided },
+
+		"evacuatedNoServer": func(s *core.Stats) uint64 { return s.EvacuatedNoServer },
 	} {
 		d.metrics.Gauge(name, func() int64 {
 			if s := d.stats.Load(); s != nil {
@@ -47,20 +50,26 @@
 
 // Dump is the state of an entry host that the admin listener returns.
 type Dump struct {
-	Role     string     `json:"role"`
-	Name     string     `json:"name"`
-	Version  uint64     `json:"version"`
-	Servers  int        `json:"servers"`
-	Usable   int        `json:"usable"`
-	Flows    int        `json:"flows"`
-	Stats    core.Stats `json:"stats"`
-	Counters any        `json:"counters"`
+	Role    string     `json:"role"`
+	Name    string     `json:"name"`
+	Version uint64     `json:"version"`
+	Servers int        `json:"servers"`
+	Usable  int        `json:"usable"`
+	Flows   int        `json:"flows"`
+	Stats   core.Stats `json:"stats"`
+	// Evacuated are the evacuated data centres, and EvacuationsVersion the version of
+	// that list.
+	Evacuated          []string `json:"evacuated"`
+	EvacuationsVersion uint64   `json:"evacuationsVersion"`
+
+	Counters any `json:"counters"`
 }
 
 // state requires forwarder.mu to be held.
 func (d *Daemon) state() Dump {
 	return Dump{
 		Role: "entry", Name: d.settings.Name, Version: d.core.Version(), Servers: d.core.Servers(),
+		Evacuated: d.core.Evacuated(), EvacuationsVersion: d.core.EvacuationsVersion(),
 		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(), Counters: d.metrics.Values(),
 	}
 }
