proof/dirsim: show that an evacuation is in force on all entry hosts soon

The simulation gets entry hosts, which poll the control hosts as the daemon does, and a route with a server in each data centre. The test checks that orders at each control host are acknowledged within 50 ms, known to all control hosts at that time and in force on five entry hosts within 500 ms. It fails if the leader does not spread the commit of an order at once.

Run: go test ./internal/proof/dirsim.

--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -79,6 +79,8 @@
 	disk    *disk
 	alive   bool
 	frozen  bool
+	// diskFull is set while the host's writes never end.
+	diskFull bool
 	// deferred holds the events that arrived while the host was frozen.
 	deferred []func()
 	// incarnation counts starts and losses of power. Ticks and disk writes of an
@@ -120,6 +122,11 @@
 	// lastRunID is the run ID of the latest start of any host.
 	lastRunID uint64
 
+	// fetches holds the entry hosts that wait for replies.
+	fetches    map[core.ReplyHandle]func(*msgs.FetchReply)
+	lastHandle core.ReplyHandle
+	orders     orders
+
 	// leaders holds the leader of each term, votes the candidate that got the vote
 	// of a host, by its address, in a term, and committed the term of each committed
 	// entry.
@@ -179,7 +186,7 @@
 		ID: raft.ID(h.address + "/" + h.disk.identity), Seeds: sim.seeds, RunID: sim.lastRunID,
 		Timing:    raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
 		Fleet:     fleet.Options{SilentAfter: silentAfter, ForgetAfter: forgetAfter, ReuseAfter: reuseAfter},
-		MaxLosses: sim.maxLosses, EvictAfter: evictAfter,
+		MaxLosses: sim.maxLosses, EvictAfter: evictAfter, Centres: centres, RepeatWindow: repeatWindow,
 	}
 	if founder {
 		for _, s := range sim.seeds {
@@ -235,13 +242,16 @@
 		sim.send(h.address, s)
 	}
 	sim.deliver(out.Answers)
+	for _, r := range out.Replies {
+		sim.reply(r)
+	}
 	if !out.NeedsDisk() {
 		return
 	}
 	incarnation := h.incarnation
 	h.syncedAt = max(sim.now+syncDelay, h.syncedAt+1)
 	sim.events.Add(h.syncedAt, func() {
-		if h.incarnation != incarnation || !h.alive {
+		if h.incarnation != incarnation || !h.alive || h.diskFull {
 			return
 		}
 		index, term := h.disk.save(&out)
