--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -44,6 +44,7 @@
 		{"relay", "[-settings FILE]", "run an entry host that routes flows by token", runRelay},
 		{"directory", "[-settings FILE]", "run a control host for relays", runDirectory},
 		{"bundle", "publish|approve|roll|resume|status", "publish, approve and roll out bundles", runBundle},
+		{"evacuations", "list|start|end [-control ADDRESS] [DATA-CENTRE]", "list the data centres, take one out of service or put it back", runEvacuations},
 		{"member", "add|remove NAME", "add or remove a control host", runMember},
 		{"keys", "operator|shared FILE", "create a key", runKeys},
 		{"dump", "ADDRESS", "print the state of one process", runDump},
@@ -98,7 +99,7 @@
 func usage(w io.Writer) {
 	fmt.Fprintln(w, "monsooncleat is a layer-4 load balancer.\n\nusage: monsooncleat COMMAND [flags]")
 	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-9s %-40s %s\n", c.name, c.args, c.summary)
+		fmt.Fprintf(w, "  %-11s %-48s %s\n", c.name, c.args, c.summary)
 	}
 	fmt.Fprintln(w, "\nRun a command with -h for its flags. Exit codes: 0 done, 1 failed, 2 wrong usage.")
 }
