--- a/internal/dir/core/fetch.go
+++ b/internal/dir/core/fetch.go
@@ -17,6 +17,7 @@
 		r.Delta = c.tables.DeltaSince(m.Version)
 	}
 	c.addSharing(r, m)
+	c.addEvacuations(r, m)
 	if m.Form == msgs.ListForm {
 		c.addLists(r, m)
 	} else {
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -106,6 +106,8 @@
 	inputWait         *admin.Histogram
 	openingWait       *admin.Histogram
 	openingsDiscarded atomic.Int64
+	// evacuations is the number of evacuated data centres.
+	evacuations atomic.Int64
 	// malformedReplies counts replies of control hosts that could not be decoded.
 	malformedReplies atomic.Int64
 	// sharingHosts is the number of entry hosts in the latest list of those that take new
@@ -269,6 +271,7 @@
 	}
 	d.noteSharing(a.Sharing)
 	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing}}
+	addEvacuations(&u.changes, &a)
 	if d.poller.HasQuorum(now) {
 		u.confirmedAt = now
 	}
