token/shape: decide when packets are sent at the rate of a link

Cause: uploads with 16 packets in flight share the first-in, first-out queue of a narrow link with requests of one packet, which then wait behind them.

--- /dev/null
+++ b/internal/token/shape/queues.go
@@ -0,0 +1,294 @@
+package shape
+
+import (
+	"net/netip"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+)
+
+const (
+	// maxMemory bounds the bytes of the buffers of waiting packets.
+	maxMemory = 1_000_000
+	// slotSize is the size of such a buffer, which a datagram and the header added for the
+	// server fit in.
+	slotSize = 1600
+	maxSlots = maxMemory / slotSize
+	// maxFlows bounds the flows that are told apart. It exceeds maxSlots, so that there is
+	// always a flow of which nothing waits.
+	maxFlows = 1024
+	// maxPerFlow bounds the waiting packets of a flow. Senders have 16 packets in flight.
+	maxPerFlow = 64
+	// quantum is the number of bytes that a flow may send in each round.
+	quantum = slotSize
+	// none is the index of no slot and no flow.
+	none = -1
+)
+
+// slot holds a waiting packet.
+type slot struct {
+	seq      uint32
+	length   int
+	to       netip.AddrPort
+	datagram []byte
+	flow     int32
+	// next is the slot of the next packet of the flow, or the next free slot.
+	next int32
+	// older and newer link all waiting packets in the order in which they came.
+	older, newer int32
+	// since is when the packet came, renewed when it or its latest copy came.
+	since, renewed clock.Millis
+}
+
+// flow is the state of a flow.
+type flow struct {
+	key Flow
+	// sent is the number of bytes sent lately. It is halved each halfLife.
+	sent      int
+	decayedAt clock.Millis
+	delayedAt clock.Millis
+	// first and last are the slots of the waiting packets.
+	first, last int32
+	packets     int
+	// deficit is the number of bytes that the flow may still send in the round.
+	deficit int
+	round   uint64
+	// place is the index of the flow in queues.heap, or none if nothing waits.
+	place int32
+	// before and after link the flows in the order in which they were last used.
+	before, after int32
+}
+
+func (f *flow) decay(now clock.Millis) {
+	if n := (now - f.decayedAt) / halfLife; n > 0 {
+		f.sent >>= min(uint(n), 62)
+		f.decayedAt += n * halfLife
+	}
+}
+
+// queues holds the flows and their packets. Memory is allocated as it is first needed
+// and then used again.
+type queues struct {
+	index map[Flow]int32
+	flows []flow
+	slots []slot
+	free  int32
+	// oldest and newest are the ends of the list of waiting packets, idlest and latest
+	// those of the list of flows.
+	oldest, newest, idlest, latest int32
+	waiting, bytes                 int
+	// heap holds the flows with waiting packets by round and, within a round, by the bytes
+	// sent.
+	heap  []int32
+	round uint64
+}
+
+func (q *queues) init() {
+	*q = queues{index: map[Flow]int32{}, free: none, oldest: none, newest: none, idlest: none, latest: none}
+}
+
+// find returns the state of a flow. A new flow takes the place of the one that was used
+// the longest time ago if there are too many.
+func (q *queues) find(now clock.Millis, key Flow) *flow {
+	i, ok := q.index[key]
+	switch {
+	case ok:
+		q.unlinkFlow(i)
+	case len(q.flows) < maxFlows:
+		i = int32(len(q.flows))
+		q.flows = append(q.flows, flow{})
+	default:
+		// Flows with waiting packets are too few to fill the list.
+		i = q.idlest
+		for q.flows[i].place != none {
+			i = q.flows[i].after
+		}
+		q.unlinkFlow(i)
+		delete(q.index, q.flows[i].key)
+	}
+	if !ok {
+		q.index[key] = i
+		q.flows[i] = flow{key: key, first: none, last: none, place: none, decayedAt: now, delayedAt: now - 2*measuredAgain}
+	}
+	f := &q.flows[i]
+	f.before, f.after = q.latest, none
+	if q.latest == none {
+		q.idlest = i
+	} else {
+		q.flows[q.latest].after = i
+	}
+	q.latest = i
+	return f
+}
+
+func (q *queues) unlinkFlow(i int32) {
+	f := &q.flows[i]
+	if f.before == none {
+		q.idlest = f.after
+	} else {
+		q.flows[f.before].after = f.after
+	}
+	if f.after == none {
+		q.latest = f.before
+	} else {
+		q.flows[f.after].before = f.before
+	}
+}
+
+// renewCopy reports whether a copy of the packet, which has data, waits. The sender then
+// still waits for an answer to it, so its age starts again.
+func (q *queues) renewCopy(now clock.Millis, f *flow, p *Packet) bool {
+	if p.Length == 0 {
+		return false
+	}
+	for i := f.first; i != none; i = q.slots[i].next {
+		if s := &q.slots[i]; s.seq == p.Seq && s.length == p.Length {
+			s.renewed = now
+			return true
+		}
+	}
+	return false
+}
+
+// push adds a packet to the latest flow found. It returns false if there is no room.
+func (q *queues) push(now clock.Millis, f *flow, p *Packet) bool {
+	if f.packets == maxPerFlow || len(p.Datagram) > slotSize {
+		return false
+	}
+	i := q.free
+	switch {
+	case i != none:
+		q.free = q.slots[i].next
+	case len(q.slots) < maxSlots:
+		i = int32(len(q.slots))
+		q.slots = append(q.slots, slot{datagram: make([]byte, 0, slotSize)})
+	default:
+		return false
+	}
+	s := &q.slots[i]
+	*s = slot{
+		seq: p.Seq, length: p.Length, to: p.To, datagram: append(s.datagram[:0], p.Datagram...), flow: q.latest,
+		next: none, older: q.newest, newer: none, since: now, renewed: now,
+	}
+	if q.newest == none {
+		q.oldest = i
+	} else {
+		q.slots[q.newest].newer = i
+	}
+	q.newest = i
+	if f.first == none {
+		f.first = i
+	} else {
+		q.slots[f.last].next = i
+	}
+	f.last = i
+	f.packets++
+	q.waiting++
+	q.bytes += len(p.Datagram)
+	if f.place == none {
+		// A flow that has used up its turn in this round gets the next one in the next round.
+		if f.round < q.round {
+			f.round, f.deficit = q.round, quantum
+		}
+		f.place = int32(len(q.heap))
+		q.heap = append(q.heap, q.latest)
+		q.up(f.place)
+	}
+	return true
+}
+
+// pop removes the first packet of a flow.
+func (q *queues) pop(flow int32) {
+	f := &q.flows[flow]
+	i := f.first
+	s := &q.slots[i]
+	f.first = s.next
+	if f.first == none {
+		f.last = none
+	}
+	if s.older == none {
+		q.oldest = s.newer
+	} else {
+		q.slots[s.older].newer = s.newer
+	}
+	if s.newer == none {
+		q.newest = s.older
+	} else {
+		q.slots[s.newer].older = s.older
+	}
+	f.packets--
+	q.waiting--
+	q.bytes -= len(s.datagram)
+	s.next = q.free
+	q.free = i
+	if f.first == none {
+		q.remove(f.place)
+	} else {
+		q.down(f.place)
+	}
+}
+
+// next returns the flow whose first packet is sent next. A packet must wait.
+func (q *queues) next() int32 {
+	for {
+		f := &q.flows[q.heap[0]]
+		if f.deficit > 0 {
+			q.round = f.round
+			return q.heap[0]
+		}
+		f.deficit += quantum
+		f.round++
+		q.down(0)
+	}
+}
+
+// remove removes the flow at a place of the heap.
+func (q *queues) remove(place int32) {
+	q.flows[q.heap[place]].place = none
+	last := int32(len(q.heap) - 1)
+	moved := q.heap[last]
+	q.heap = q.heap[:last]
+	if place < last {
+		q.heap[place] = moved
+		q.flows[moved].place = place
+		q.down(place)
+		q.up(q.flows[moved].place)
+	}
+}
+
+// less reports whether the flow at one place of the heap is served before that at
+// another.
+func (q *queues) less(a, b int32) bool {
+	f, g := &q.flows[q.heap[a]], &q.flows[q.heap[b]]
+	if f.round != g.round {
+		return f.round < g.round
+	}
+	return f.sent < g.sent
+}
+
+func (q *queues) swap(a, b int32) {
+	q.heap[a], q.heap[b] = q.heap[b], q.heap[a]
+	q.flows[q.heap[a]].place, q.flows[q.heap[b]].place = a, b
+}
+
+func (q *queues) up(i int32) {
+	for i > 0 && q.less(i, (i-1)/2) {
+		q.swap(i, (i-1)/2)
+		i = (i - 1) / 2
+	}
+}
+
+func (q *queues) down(i int32) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < int32(len(q.heap)); child++ {
+			if q.less(child, least) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		q.swap(i, least)
+		i = least
+	}
+}
