token/daemon: send at the rate of the host's link

Change: forwarded packets pass through a shaper if the settings have the rate of the link and the mechanism shaping isn't off. Packets that wait are sent when others come or by a timer that runs only while packets wait, and at the stop before the socket closes. Resets are sent at once and counted. Packets of flows that are delayed here count as late, so that they put no server into backoff and don't raise its response times.

Run: go test -race -count=1 ./internal/token/...: all passed.

--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -66,6 +66,7 @@
 	timeoutLimiter   *logs.Limiter
 	serverLimiter    *logs.Limiter
 	behindLimiter    *logs.Limiter
+	shaping          shaping
 }
 
 func newForwarder(d *Daemon) *forwarder {
@@ -75,6 +76,7 @@
 		timeoutLimiter: logs.NewLimiter(linesPerSecond), serverLimiter: logs.NewLimiter(linesPerSecond),
 		behindLimiter: logs.NewLimiter(behindLinesPerSecond),
 	}
+	f.shaping = newShaping(d.settings)
 	f.queue = intake.New(f, d.clock.Now, maxDatagram)
 	return f
 }
@@ -211,7 +213,7 @@
 		f.runPeriodic(now)
 	}
 	f.d.codec.Decode(datagram, &f.packet)
-	f.packet.Waited = waited
+	f.packet.Waited = f.waited(now, waited)
 	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL
 	a := f.d.core.HandlePacket(now, &f.packet, upToDate)
 	f.recordMetrics(&a)
@@ -219,16 +221,16 @@
 	switch a.Verdict {
 	case core.Forward:
 		f.buffer = f.d.codec.Forward(f.buffer[:0], datagram, &a)
-		f.send(a.Server)
+		f.forward(now, a.Server)
 	case core.Reset:
 		f.buffer = f.d.codec.Reset(f.buffer[:0], &f.packet)
 		// Clients receive resets at the port number of Settings.Packets.
-		f.send(netip.AddrPortFrom(f.packet.From.Addr(), f.d.settings.Packets.Port()))
+		f.sendOwn(now, netip.AddrPortFrom(f.packet.From.Addr(), f.d.settings.Packets.Port()))
 	case core.Drop:
 	}
 }
 
-func (f *forwarder) send(to netip.AddrPort) {
+func (f *forwarder) send(to netip.AddrPort, datagram []byte) {
 	if !to.Addr().Unmap().Is4() {
 		f.d.reasons.Add("sendFailed", 1)
 		f.d.log.Warn("Failed to send a datagram: not an IPv4 address.", "to", to)
@@ -242,7 +244,7 @@
 		address = &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()}
 		f.addresses[to] = address
 	}
-	if err := unix.Sendto(f.fd, f.buffer, 0, address); err != nil {
+	if err := unix.Sendto(f.fd, datagram, 0, address); err != nil {
 		f.d.reasons.Add("sendFailed", 1)
 		f.d.log.Warn("Failed to send a datagram.", "to", to, "err", err)
 	}
