token/shape: find flows and copies in less time

Cause: a map of flows cost 80 ns a packet of a new flow. A packet that has waited behind a renewed one could be sent after 600 ms.

Change: flows are in lists by hash in fixed arrays. Waiting packets are compared with a new one only if its sequence number isn't above theirs. The age of each packet is checked as it is released.

--- a/internal/token/daemon/shaping.go
+++ b/internal/token/daemon/shaping.go
@@ -39,7 +39,7 @@
 // until it was read. Packets of a flow that the shaper delays are answered late through
 // no fault of the server.
 func (f *forwarder) waited(now, untilRead clock.Millis) clock.Millis {
-	if f.shaping.shaper != nil && f.shaping.shaper.Delayed(now, shape.Flow{Client: f.packet.From, Route: f.packet.To}) {
+	if f.shaping.shaper != nil && f.shaping.shaper.Delayed(now, &shape.Flow{Client: f.packet.From, Route: f.packet.To}) {
 		return max(untilRead, shapingWait)
 	}
 	return untilRead
@@ -53,7 +53,7 @@
 		return
 	}
 	packet := shape.Packet{Seq: f.packet.Seq, Length: f.packet.Length, To: to, Datagram: f.buffer}
-	if f.shaping.shaper.Offer(now, shape.Flow{Client: f.packet.From, Route: f.packet.To}, &packet) == shape.Send {
+	if f.shaping.shaper.Offer(now, &shape.Flow{Client: f.packet.From, Route: f.packet.To}, &packet) == shape.Send {
 		f.send(to, f.buffer)
 	}
 	f.sendDue(now)
--- a/internal/token/shape/bench_test.go
+++ b/internal/token/shape/bench_test.go
@@ -23,7 +23,7 @@
 	p := shape.Packet{Length: 900, To: route, Datagram: make([]byte, 920)}
 	offer := func(i int) {
 		p.Seq = uint32(i)
-		s.Offer(milli(i), all[i%flows], &p)
+		s.Offer(milli(i), &all[i%flows], &p)
 		for {
 			if _, ok := s.Next(milli(i)); !ok {
 				break
--- a/internal/token/shape/queues.go
+++ b/internal/token/shape/queues.go
@@ -1,6 +1,8 @@
 package shape
 
 import (
+	"encoding/binary"
+	"hash/maphash"
 	"net/netip"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
@@ -16,6 +18,8 @@
 	// maxFlows bounds the flows that are told apart. It exceeds maxSlots, so that there is
 	// always a flow of which nothing waits.
 	maxFlows = 1024
+	// buckets is the number of lists of flows with the same hash, a power of two.
+	buckets = 2048
 	// maxPerFlow bounds the waiting packets of a flow. Senders have 16 packets in flight.
 	maxPerFlow = 64
 	// quantum is the number of bytes that a flow may send in each round.
@@ -42,6 +46,8 @@
 // flow is the state of a flow.
 type flow struct {
 	key Flow
+	// bucket is the list that holds the flow, chained the next flow in it.
+	bucket, chained int32
 	// sent is the number of bytes sent lately. It is halved each halfLife.
 	sent      int
 	decayedAt clock.Millis
@@ -49,6 +55,8 @@
 	// first and last are the slots of the waiting packets.
 	first, last int32
 	packets     int
+	// highest is the highest sequence number among the waiting packets, or above it.
+	highest uint32
 	// deficit is the number of bytes that the flow may still send in the round.
 	deficit int
 	round   uint64
@@ -68,10 +76,13 @@
 // queues holds the flows and their packets. Memory is allocated as it is first needed
 // and then used again.
 type queues struct {
-	index map[Flow]int32
-	flows []flow
-	slots []slot
-	free  int32
+	// seed makes the lists of equal hashes unpredictable to senders. It has no effect on
+	// decisions.
+	seed    maphash.Seed
+	buckets []int32
+	flows   []flow
+	slots   []slot
+	free    int32
 	// oldest and newest are the ends of the list of waiting packets, idlest and latest
 	// those of the list of flows.
 	oldest, newest, idlest, latest int32
@@ -83,15 +94,49 @@
 }
 
 func (q *queues) init() {
-	*q = queues{index: map[Flow]int32{}, free: none, oldest: none, newest: none, idlest: none, latest: none}
+	*q = queues{
+		seed: maphash.MakeSeed(), buckets: make([]int32, buckets),
+		free: none, oldest: none, newest: none, idlest: none, latest: none,
+	}
+	for i := range q.buckets {
+		q.buckets[i] = none
+	}
+}
+
+// lookup returns the index of a flow, or none, and the bucket for it. Clients rarely use a
+// port for several routes, so the route has no part in the hash.
+func (q *queues) lookup(key *Flow) (i, bucket int32) {
+	var b [18]byte
+	address := key.Client.Addr().As16()
+	copy(b[:], address[:])
+	binary.LittleEndian.PutUint16(b[16:], key.Client.Port())
+	bucket = int32(maphash.Bytes(q.seed, b[:]) % buckets)
+	for i = q.buckets[bucket]; i != none; i = q.flows[i].chained {
+		if q.flows[i].key == *key {
+			break
+		}
+	}
+	return i, bucket
+}
+
+// forget removes a flow from its bucket.
+func (q *queues) forget(i int32) {
+	link := &q.buckets[q.flows[i].bucket]
+	for *link != i {
+		link = &q.flows[*link].chained
+	}
+	*link = q.flows[i].chained
 }
 
 // find returns the state of a flow. A new flow takes the place of the one that was used
 // the longest time ago if there are too many.
-func (q *queues) find(now clock.Millis, key Flow) *flow {
-	i, ok := q.index[key]
+func (q *queues) find(now clock.Millis, key *Flow) *flow {
+	i, bucket := q.lookup(key)
+	known := i != none
 	switch {
-	case ok:
+	case i == q.latest && known:
+		return &q.flows[i]
+	case known:
 		q.unlinkFlow(i)
 	case len(q.flows) < maxFlows:
 		i = int32(len(q.flows))
@@ -103,11 +148,14 @@
 			i = q.flows[i].after
 		}
 		q.unlinkFlow(i)
-		delete(q.index, q.flows[i].key)
+		q.forget(i)
 	}
-	if !ok {
-		q.index[key] = i
-		q.flows[i] = flow{key: key, first: none, last: none, place: none, decayedAt: now, delayedAt: now - 2*measuredAgain}
+	if !known {
+		q.flows[i] = flow{
+			key: *key, bucket: bucket, chained: q.buckets[bucket], first: none, last: none, place: none,
+			decayedAt: now, delayedAt: now - 2*measuredAgain,
+		}
+		q.buckets[bucket] = i
 	}
 	f := &q.flows[i]
 	f.before, f.after = q.latest, none
@@ -137,7 +185,7 @@
 // renewCopy reports whether a copy of the packet, which has data, waits. The sender then
 // still waits for an answer to it, so its age starts again.
 func (q *queues) renewCopy(now clock.Millis, f *flow, p *Packet) bool {
-	if p.Length == 0 {
+	if p.Length == 0 || int32(p.Seq-f.highest) > 0 {
 		return false
 	}
 	for i := f.first; i != none; i = q.slots[i].next {
@@ -176,8 +224,11 @@
 	}
 	q.newest = i
 	if f.first == none {
-		f.first = i
+		f.first, f.highest = i, p.Seq
 	} else {
+		if int32(p.Seq-f.highest) > 0 {
+			f.highest = p.Seq
+		}
 		q.slots[f.last].next = i
 	}
 	f.last = i
--- a/internal/token/shape/shape.go
+++ b/internal/token/shape/shape.go
@@ -147,7 +147,7 @@
 }
 
 // Offer decides on a packet. If it is to wait, its datagram is copied.
-func (s *Shaper) Offer(now clock.Millis, flow Flow, p *Packet) Verdict {
+func (s *Shaper) Offer(now clock.Millis, flow *Flow, p *Packet) Verdict {
 	size := len(p.Datagram) + headerSize
 	s.advance(now)
 	if !s.busy {
@@ -188,19 +188,16 @@
 		return nil, false
 	}
 	s.advance(now)
-	if s.queues.waiting == 0 || s.credit <= 0 && s.reserve <= 0 {
+	if s.credit <= 0 && s.reserve <= 0 {
 		return nil, false
 	}
-	return s.release(), true
+	return s.release()
 }
 
 // Drain returns the next waiting packet, due or not, until there is none.
 func (s *Shaper) Drain(now clock.Millis) (*Packet, bool) {
 	s.advance(now)
-	if s.queues.waiting == 0 {
-		return nil, false
-	}
-	return s.release(), true
+	return s.release()
 }
 
 // DueIn returns the time after which Next is to be called again, as of its latest call.
@@ -215,12 +212,12 @@
 
 // Delayed reports whether a packet of the flow waits or has lately waited, so that its
 // retransmissions and the time of its answer say little about the server.
-func (s *Shaper) Delayed(now clock.Millis, flow Flow) bool {
+func (s *Shaper) Delayed(now clock.Millis, flow *Flow) bool {
 	if s.queues.waiting == 0 && now-s.delayedAt > measuredAgain {
 		return false
 	}
-	i, ok := s.queues.index[flow]
-	if !ok {
+	i, _ := s.queues.lookup(flow)
+	if i == none {
 		return false
 	}
 	f := &s.queues.flows[i]
@@ -232,7 +229,7 @@
 	s.advance(now)
 	q := &s.queues
 	out := s.stats
-	out.Waiting, out.WaitingBytes, out.Flows = q.waiting, q.bytes, len(q.index)
+	out.Waiting, out.WaitingBytes, out.Flows = q.waiting, q.bytes, len(q.flows)
 	if q.oldest != none {
 		out.LongestWait = max(out.LongestWait, now-q.slots[q.oldest].since)
 	}
@@ -264,15 +261,18 @@
 	}
 }
 
-// expire drops the packets that have waited for too long.
+// expire drops the oldest packets if they have waited for too long. Behind one that was
+// renewed, release does so.
 func (s *Shaper) expire() {
 	q := &s.queues
-	for q.oldest != none && s.now-q.slots[q.oldest].renewed > maxAge {
+	for q.oldest != none && s.expired(&q.slots[q.oldest]) {
 		s.remove(q.slots[q.oldest].flow)
 		s.stats.Expired++
 	}
 }
 
+func (s *Shaper) expired(p *slot) bool { return s.now-p.renewed > maxAge }
+
 // remove removes the first packet of a flow and records how long it waited.
 func (s *Shaper) remove(f int32) {
 	q := &s.queues
@@ -290,9 +290,20 @@
 }
 
 // release takes the next packet out of the queues.
-func (s *Shaper) release() *Packet {
+func (s *Shaper) release() (*Packet, bool) {
 	q := &s.queues
-	i := q.next()
+	var i int32
+	for {
+		if q.waiting == 0 {
+			return nil, false
+		}
+		i = q.next()
+		if !s.expired(&q.slots[q.flows[i].first]) {
+			break
+		}
+		s.remove(i)
+		s.stats.Expired++
+	}
 	f := &q.flows[i]
 	slot := &q.slots[f.first]
 	size := len(slot.datagram) + headerSize
@@ -305,7 +316,7 @@
 	s.reserve = max(s.reserve-float64(size), -minBurst)
 	s.spend(size)
 	s.remove(i)
-	return &s.out
+	return &s.out, true
 }
 
 func (s *Shaper) spend(size int) {
