token/shape: drop what would wait for 150 ms in the queue of the link

Cause: in a model with requests of one packet at one and a half times the rate of a link behind the host, all of them waited 1.6 s (p50) in the queue of the link, and an upload beside them didn't end within 8.5 s.

Change: packets with data that would be sent at once are dropped while the queue of the link is estimated at more than 150 ms. Their bytes count for their flow, so that the packets of an upload get the reserved share.

--- a/internal/token/shape/shape.go
+++ b/internal/token/shape/shape.go
@@ -41,6 +41,10 @@
 	// reservedShare is the part of the rate that waiting packets get even if the packets
 	// sent at once need all of it, so that uploads advance.
 	reservedShare = 1.0 / 12
+	// maxLinkWait is the wait in the queue of the link from which packets with data are
+	// dropped instead of sent at once. Their senders send them again after 200 ms, so with
+	// a longer queue the link would carry most packets twice.
+	maxLinkWait = 150 * clock.Millis(1)
 	// pause is the least time from one release of waiting packets to the next one that a
 	// timer triggers. It saves wake-ups: several packets are released at once.
 	pause = 4 * clock.Millis(1)
@@ -102,8 +106,9 @@
 	// ReleasedPackets and ReleasedBytes those that had waited.
 	SentPackets, SentBytes, ReleasedPackets, ReleasedBytes uint64
 	// Duplicates counts packets dropped because an earlier copy waited, Expired those
-	// that waited for too long, Refused those for which there was no room.
-	Duplicates, Expired, Refused uint64
+	// that waited for too long, Refused those for which there was no room, and Shed those
+	// that would have waited for too long in the queue of the link.
+	Duplicates, Expired, Refused, Shed uint64
 	// Waiting and WaitingBytes tell how many packets wait, and Flows how many flows are
 	// told apart.
 	Waiting, WaitingBytes, Flows int
@@ -127,6 +132,8 @@
 	// credit is the number of bytes that may be sent now, reserve that of the share of
 	// packets that wait. Both are below 0 after a packet that exceeded them.
 	credit, reserve float64
+	// linkQueue estimates the number of bytes in the queue of the link.
+	linkQueue float64
 	// used counts bytes since usedSince.
 	used      uint64
 	usedSince clock.Millis
@@ -159,6 +166,12 @@
 	if f.first == none {
 		f.decay(now)
 		small := p.Length == 0 || f.sent+size <= smallFlow
+		if small && p.Length > 0 && s.linkQueue > s.linkRate*float64(maxLinkWait) {
+			// The bytes count, so that the following packets of a large flow wait.
+			f.sent += size
+			s.stats.Shed++
+			return Drop
+		}
 		if small || q.waiting == 0 && s.credit > 0 {
 			f.sent += size
 			s.pass(size)
@@ -245,6 +258,7 @@
 	elapsed := float64(now - s.now)
 	s.now = now
 	s.excess = max(s.excess-elapsed*s.linkRate*calmFraction, 0)
+	s.linkQueue = max(s.linkQueue-elapsed*s.linkRate, 0)
 	limit := s.burst
 	if s.queues.waiting > 0 {
 		limit = max(limit, s.rate*float64(catchUpTime))
@@ -321,6 +335,7 @@
 
 func (s *Shaper) spend(size int) {
 	s.used += uint64(size)
+	s.linkQueue += float64(size)
 	s.credit = max(s.credit-float64(size), -s.rate*float64(maxDebt))
 	s.excess = min(s.excess+float64(size), max(s.linkRate*calmFraction*float64(calmAfter), 2*calmBurst))
 	if s.excess > calmBurst {
