token/daemon: publish how the link is used

Cause: an operator couldn't see why packets waited or were dropped on a host that sends at the rate of its link.

--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -66,7 +66,7 @@
 	timeoutLimiter   *logs.Limiter
 	serverLimiter    *logs.Limiter
 	behindLimiter    *logs.Limiter
-	shaping          shaping
+	shaping          *shaping
 }
 
 func newForwarder(d *Daemon) *forwarder {
@@ -114,6 +114,7 @@
 		f.logTimeouts(now, f.d.core.Tick(now))
 		f.publishCounts()
 		f.recordWaits(now)
+		f.recordShaping(now)
 		stats := f.d.core.Stats()
 		f.d.stats.Store(&stats)
 		loads := f.d.core.Loads()
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -6,6 +6,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/token/core"
+	"monsooncleat.example/monsooncleat/internal/token/shape"
 )
 
 // registerMetrics registers the metrics of an entry host.
@@ -39,6 +40,7 @@
 	d.inputWait, d.openingWait = d.metrics.Histogram("inputWaitMicros"), d.metrics.Histogram("openingWaitMicros")
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
 	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
+	d.forward.shaping.registerMetrics(d.metrics)
 	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
 
@@ -47,21 +49,23 @@
 
 // Dump is the state of an entry host that the admin listener returns.
 type Dump struct {
-	Role     string     `json:"role"`
-	Name     string     `json:"name"`
-	Version  uint64     `json:"version"`
-	Servers  int        `json:"servers"`
-	Usable   int        `json:"usable"`
-	Flows    int        `json:"flows"`
-	Stats    core.Stats `json:"stats"`
-	Counters any        `json:"counters"`
+	Role    string     `json:"role"`
+	Name    string     `json:"name"`
+	Version uint64     `json:"version"`
+	Servers int        `json:"servers"`
+	Usable  int        `json:"usable"`
+	Flows   int        `json:"flows"`
+	Stats   core.Stats `json:"stats"`
+	// Shaping is nil if packets aren't sent at the rate of the link.
+	Shaping  *shape.Stats `json:"shaping,omitempty"`
+	Counters any          `json:"counters"`
 }
 
 // state requires forwarder.mu to be held.
 func (d *Daemon) state() Dump {
 	return Dump{
 		Role: "entry", Name: d.settings.Name, Version: d.core.Version(), Servers: d.core.Servers(),
-		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(), Counters: d.metrics.Values(),
+		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(), Shaping: d.forward.shaping.published.Load(), Counters: d.metrics.Values(),
 	}
 }
 
--- a/internal/token/daemon/shaping.go
+++ b/internal/token/daemon/shaping.go
@@ -1,12 +1,16 @@
 package daemon
 
 import (
+	"expvar"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
+	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/conf/site"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/token/shape"
@@ -22,13 +26,69 @@
 	armed bool
 	// drained is set when the host stops. Packets are then sent at once.
 	drained bool
+	// published are the counters as of the latest tick, or nil without a shaper.
+	published atomic.Pointer[shape.Stats]
+	waits     *admin.Histogram
+	drops     *expvar.Map
+	limiter   *logs.Limiter
 }
 
-func newShaping(settings *site.Settings) shaping {
-	if settings.LinkRate <= 0 || settings.Off.Has(tune.Shaping) {
-		return shaping{}
+func newShaping(settings *site.Settings) *shaping {
+	s := &shaping{limiter: logs.NewLimiter(behindLinesPerSecond)}
+	if settings.LinkRate > 0 && !settings.Off.Has(tune.Shaping) {
+		s.shaper = shape.New(shape.Options{LinkRate: settings.LinkRate})
+	}
+	return s
+}
+
+// registerMetrics registers the metrics of the link. Without a shaper they are 0.
+func (s *shaping) registerMetrics(m *admin.Metrics) {
+	for name, read := range map[string]func(*shape.Stats) int64{
+		"linkUsePercent":         func(s *shape.Stats) int64 { return int64(100 * s.Share) },
+		"shapingPacketsAtOnce":   func(s *shape.Stats) int64 { return int64(s.SentPackets) },
+		"shapingBytesAtOnce":     func(s *shape.Stats) int64 { return int64(s.SentBytes) },
+		"shapingPacketsReleased": func(s *shape.Stats) int64 { return int64(s.ReleasedPackets) },
+		"shapingBytesReleased":   func(s *shape.Stats) int64 { return int64(s.ReleasedBytes) },
+		"shapingPacketsWaiting":  func(s *shape.Stats) int64 { return int64(s.Waiting) },
+	} {
+		m.Gauge(name, func() int64 {
+			if stats := s.published.Load(); stats != nil {
+				return read(stats)
+			}
+			return 0
+		})
+	}
+	s.waits, s.drops = m.Histogram("shapingWaitMicros"), m.Map("shapingDrops")
+}
+
+// recordShaping publishes the counters of the shaper, and logs while packets wait for long.
+func (f *forwarder) recordShaping(now clock.Millis) {
+	s := f.shaping
+	if s.shaper == nil {
+		return
+	}
+	stats, previous := s.shaper.Stats(now), s.published.Load()
+	s.published.Store(&stats)
+	s.waits.Record(stats.LongestWait.Duration())
+	if previous == nil {
+		previous = &shape.Stats{}
+	}
+	for cause, n := range map[string]uint64{
+		"duplicate": stats.Duplicates - previous.Duplicates, "age": stats.Expired - previous.Expired,
+		"memory": stats.Refused - previous.Refused, "link": stats.Shed - previous.Shed,
+	} {
+		if n > 0 {
+			s.drops.Add(cause, int64(n))
+		}
+	}
+	if stats.LongestWait <= behindThreshold {
+		return
+	}
+	if omitted, ok := s.limiter.Allow(now); ok {
+		f.d.log.Warn("Packets wait for the link.", "longest", int64(stats.LongestWait), "waiting", stats.Waiting, "bytes", stats.WaitingBytes,
+			"usePercent", int64(100*stats.Share), "duplicate", stats.Duplicates, "age", stats.Expired, "memory", stats.Refused,
+			"link", stats.Shed, "omitted", omitted)
 	}
-	return shaping{shaper: shape.New(shape.Options{LinkRate: settings.LinkRate})}
 }
 
 // shapingWait stands for the wait of packets of a flow that the shaper delays. It is more
@@ -113,6 +173,7 @@
 		f.send(p.To, p.Datagram)
 		sent++
 	}
+	f.recordShaping(now)
 	if sent > 0 {
 		f.d.log.Info("Waiting packets sent at the stop.", "packets", sent)
 	}
