--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -6,6 +6,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/token/core"
+	"monsooncleat.example/monsooncleat/internal/token/shape"
 )
 
 // registerMetrics registers the metrics of an entry host.
@@ -43,6 +44,7 @@
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
 	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
 	d.metrics.Gauge("sharingHosts", d.sharingHosts.Load)
+	d.forward.shaping.registerMetrics(d.metrics)
 	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
 
@@ -63,7 +65,9 @@
 	Evacuated          []string `json:"evacuated"`
 	EvacuationsVersion uint64   `json:"evacuationsVersion"`
 
-	Counters any `json:"counters"`
+	// Shaping is nil if packets aren't sent at the rate of the link.
+	Shaping  *shape.Stats `json:"shaping,omitempty"`
+	Counters any          `json:"counters"`
 }
 
 // state requires forwarder.mu to be held.
@@ -71,7 +75,8 @@
 	return Dump{
 		Role: "entry", Name: d.settings.Name, Version: d.core.Version(), Servers: d.core.Servers(),
 		Evacuated: d.core.Evacuated(), EvacuationsVersion: d.core.EvacuationsVersion(),
-		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(), Counters: d.metrics.Values(),
+		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(),
+		Shaping: d.forward.shaping.published.Load(), Counters: d.metrics.Values(),
 	}
 }
 
