token/shape, token/core: refuse uploads for which the link has no room

Cause: at six times the tournament's demand, turns between all uploads left each with too little.

Change: while a packet waits for more than 200 ms, openings on routes whose flows are mostly large are reset with the reason linkFull. Copies of openings and open flows aren't.

--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -148,6 +148,7 @@
 	"noServer":     "no server of the service accepted new flows",
 	"noConfig":     "the entry host had no routing table yet",
 	"overloaded":   "its servers could not have answered in time",
+	"linkFull":     "the link of its entry host had no room for a large flow",
 	"unknownFlow":  "the entry host had no record of the flow and could not find its server",
 	"noProgress":   "its client kept retransmitting a segment that its server did not acknowledge",
 	"clientSilent": "its client answered no probe",
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -127,7 +127,7 @@
 // server, Corrected tokens that were replaced, and Avoided the backoffs that were
 // started. The others count packets by their verdict and reason.
 type Stats struct {
-	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, DroppedUnknown, DroppedNoServer,
+	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
 	Moved, Corrected, Avoided, Answered uint64
 }
 
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -33,6 +33,11 @@
 	if f != nil && f.seq == p.Seq && !f.closed {
 		return c.handleRetransmittedOpening(now, f, p)
 	}
+	// A copy may follow an opening that was forwarded by another host.
+	if p.LinkFull && p.Ack == 0 {
+		c.stats.ResetLinkFull++
+		return Action{Verdict: Reset, Reason: LinkFull}
+	}
 	if f != nil {
 		f.endRequest()
 		f.markInactive()
--- a/internal/token/core/refuse_test.go
+++ b/internal/token/core/refuse_test.go
@@ -66,3 +66,24 @@
 	p.Ack = 1
 	qt.Check(t, c.HandlePacket(61, p, true).Verdict, qt.Equals, core.Forward)
 }
+
+// TestFullLinkRefusesOnlyNewFlows guards against a flow that is reset after it was opened
+// because the host's link has no more room.
+func TestFullLinkRefusesOnlyNewFlows(t *testing.T) {
+	c := qt.New(t)
+	h := newCore(1)
+	full := func(p *core.Packet) core.Action {
+		p.LinkFull = true
+		return h.HandlePacket(10, p, false)
+	}
+	a := full(opening(1))
+	c.Check(a.Verdict, qt.Equals, core.Reset)
+	c.Check(a.Reason, qt.Equals, core.LinkFull)
+	c.Check(h.HandlePacket(10, opening(1), false).Verdict, qt.Equals, core.Forward)
+	a = full(opening(1))
+	c.Check(a.Verdict, qt.Equals, core.Forward, qt.Commentf("a copy of an opening that was forwarded"))
+	another := opening(2)
+	another.Ack = 1
+	c.Check(full(another).Verdict, qt.Equals, core.Forward, qt.Commentf("a copy of an opening that another host may have forwarded"))
+	c.Check(h.Stats().ResetLinkFull, qt.Equals, uint64(1))
+}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -37,6 +37,9 @@
 	// Waited is the longest time for which the packet may have waited on this host
 	// before it is decided.
 	Waited clock.Millis
+	// LinkFull is set on an opening packet if the link of this host has no room for the
+	// data of another flow of the route.
+	LinkFull bool
 }
 
 // late reports whether the packet may have waited for so long that it says little about
@@ -87,6 +90,8 @@
 	CorrectedToken
 	// Overloaded means that the servers could not answer a new flow in time.
 	Overloaded
+	// LinkFull means that the link of the host has no room for a new flow.
+	LinkFull
 	// Reasons is the number of reasons.
 	Reasons
 )
@@ -95,7 +100,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded",
+		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded", "linkFull",
 	}[r]
 }
 
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -214,7 +214,7 @@
 		f.runPeriodic(now)
 	}
 	f.d.codec.Decode(datagram, &f.packet)
-	f.packet.Waited = f.waited(now, waited)
+	f.packet.Waited, f.packet.LinkFull = f.waited(now, waited), f.linkFull(now)
 	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL
 	a := f.d.core.HandlePacket(now, &f.packet, upToDate)
 	f.recordMetrics(&a)
--- a/internal/token/daemon/shaping.go
+++ b/internal/token/daemon/shaping.go
@@ -105,6 +105,11 @@
 	return untilRead
 }
 
+// linkFull reports whether f.packet opens a flow for whose data the link has no room.
+func (f *forwarder) linkFull(now clock.Millis) bool {
+	return f.packet.Open && f.shaping.shaper != nil && f.shaping.shaper.Full(now, f.packet.To)
+}
+
 // forward sends the datagram in f.buffer, which forwards f.packet, now or when the link
 // has room.
 func (f *forwarder) forward(now clock.Millis, to netip.AddrPort) {
--- a/internal/token/shape/bench_test.go
+++ b/internal/token/shape/bench_test.go
@@ -12,8 +12,8 @@
 
 var route = netip.MustParseAddrPort("198.18.0.1:443")
 
-// benchmark offers a packet of 900 bytes each milli(i), of one of so many flows, and takes
-// what is due.
+// benchmark makes the calls that the forwarder makes for each packet. Packet i, of 900
+// bytes, comes at milli(i) and is of one of so many flows.
 func benchmark(b *testing.B, flows int, milli func(i int) clock.Millis) {
 	s := shape.New(shape.Options{LinkRate: linkRate})
 	all := make([]shape.Flow, flows)
@@ -23,6 +23,7 @@
 	p := shape.Packet{Length: 900, To: route, Datagram: make([]byte, 920)}
 	offer := func(i int) {
 		p.Seq = uint32(i)
+		s.Delayed(milli(i), &all[i%flows])
 		s.Offer(milli(i), &all[i%flows], &p)
 		for {
 			if _, ok := s.Next(milli(i)); !ok {
--- a/internal/token/shape/model_test.go
+++ b/internal/token/shape/model_test.go
@@ -24,6 +24,9 @@
 	uploadsAt = 500
 )
 
+// uploadRoute is the route of uploads. That of small requests is route.
+var uploadRoute = netip.MustParseAddrPort("198.18.0.2:443")
+
 func flowOf(n int) *shape.Flow {
 	return &shape.Flow{Client: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 4000), Route: route}
 }
@@ -108,7 +111,11 @@
 func (h *host) offer(now clock.Millis, p packet) shape.Verdict {
 	datagram := make([]byte, p.length+tokenSize)
 	copy(datagram, fmt.Sprint(p.sentAt, " "))
-	return h.shaper.Offer(now, flowOf(p.flow), &shape.Packet{Seq: p.seq, Length: p.length, To: flowOf(p.flow).Client, Datagram: datagram})
+	flow := flowOf(p.flow)
+	if p.length == dataSize {
+		flow.Route = uploadRoute
+	}
+	return h.shaper.Offer(now, flow, &shape.Packet{Seq: p.seq, Length: p.length, To: flowOf(p.flow).Client, Datagram: datagram})
 }
 
 func decode(p *shape.Packet) packet {
--- a/internal/token/shape/queues.go
+++ b/internal/token/shape/queues.go
@@ -22,6 +22,12 @@
 	buckets = 2048
 	// maxPerFlow bounds the waiting packets of a flow. Senders have 16 packets in flight.
 	maxPerFlow = 64
+	// maxRoutes bounds the routes whose flows are counted. Further ones refuse no openings.
+	maxRoutes = 64
+	// routeSample is the number of flows of a route after which the counts are halved, and
+	// minLarge the least number of large ones that tells the kind of the route.
+	routeSample = 256
+	minLarge    = 4
 	// quantum is the number of bytes that a flow may send in each round.
 	quantum = slotSize
 	// none is the index of no slot and no flow.
@@ -62,6 +68,10 @@
 	round   uint64
 	// place is the index of the flow in queues.heap, or none if nothing waits.
 	place int32
+	// route is the index of the flow's route, or none. Large is set once the flow has been
+	// counted as a large one.
+	route int32
+	large bool
 	// before and after link the flows in the order in which they were last used.
 	before, after int32
 }
@@ -73,6 +83,12 @@
 	}
 }
 
+// route counts the flows that were told apart, and the large ones among them.
+type route struct {
+	address      netip.AddrPort
+	flows, large int
+}
+
 // queues holds the flows and their packets. Memory is allocated as it is first needed
 // and then used again.
 type queues struct {
@@ -81,6 +97,7 @@
 	seed    maphash.Seed
 	buckets []int32
 	flows   []flow
+	routes  []route
 	slots   []slot
 	free    int32
 	// oldest and newest are the ends of the list of waiting packets, idlest and latest
@@ -153,7 +170,7 @@
 	if !known {
 		q.flows[i] = flow{
 			key: *key, bucket: bucket, chained: q.buckets[bucket], first: none, last: none, place: none,
-			decayedAt: now, delayedAt: now - 2*measuredAgain,
+			decayedAt: now, delayedAt: now - 2*measuredAgain, route: q.countFlow(key.Route),
 		}
 		q.buckets[bucket] = i
 	}
@@ -168,6 +185,47 @@
 	return f
 }
 
+// countFlow counts a flow of a route, and returns the index of the route or none.
+func (q *queues) countFlow(address netip.AddrPort) int32 {
+	i := q.findRoute(address)
+	if i == none && len(q.routes) < maxRoutes {
+		i = int32(len(q.routes))
+		q.routes = append(q.routes, route{address: address})
+	}
+	if i == none {
+		return none
+	}
+	r := &q.routes[i]
+	if r.flows++; r.flows == routeSample {
+		r.flows /= 2
+		r.large /= 2
+	}
+	return i
+}
+
+func (q *queues) findRoute(address netip.AddrPort) int32 {
+	for i := range q.routes {
+		if q.routes[i].address == address {
+			return int32(i)
+		}
+	}
+	return none
+}
+
+// countLarge counts a flow as a large one of its route.
+func (q *queues) countLarge(f *flow) {
+	if !f.large && f.route != none {
+		q.routes[f.route].large++
+	}
+	f.large = true
+}
+
+// mostlyLarge reports whether most flows of a route are large.
+func (q *queues) mostlyLarge(address netip.AddrPort) bool {
+	i := q.findRoute(address)
+	return i != none && q.routes[i].large >= minLarge && 2*q.routes[i].large > q.routes[i].flows
+}
+
 func (q *queues) unlinkFlow(i int32) {
 	f := &q.flows[i]
 	if f.before == none {
--- a/internal/token/shape/shape.go
+++ b/internal/token/shape/shape.go
@@ -45,6 +45,9 @@
 	// dropped instead of sent at once. Their senders send them again after 200 ms, so with
 	// a longer queue the link would carry most packets twice.
 	maxLinkWait = 150 * clock.Millis(1)
+	// fullWait is the wait of a packet from which new large flows are refused. Senders send
+	// a packet again after this time, and the copies fill the link in front of the host.
+	fullWait = 200 * clock.Millis(1)
 	// pause is the least time from one release of waiting packets to the next one that a
 	// timer triggers. It saves wake-ups: several packets are released at once.
 	pause = 4 * clock.Millis(1)
@@ -172,6 +175,9 @@
 			s.stats.Shed++
 			return Drop
 		}
+		if !small {
+			q.countLarge(f)
+		}
 		if small || q.waiting == 0 && s.credit > 0 {
 			f.sent += size
 			s.pass(size)
@@ -237,6 +243,13 @@
 	return f.first != none || now-f.delayedAt <= measuredAgain
 }
 
+// Full reports whether a new flow of the route can't be served, since packets wait for
+// too long and most flows of the route are large.
+func (s *Shaper) Full(now clock.Millis, route netip.AddrPort) bool {
+	q := &s.queues
+	return q.oldest != none && now-q.slots[q.oldest].since > fullWait && q.mostlyLarge(route)
+}
+
 // Stats returns the counters and restarts the longest wait.
 func (s *Shaper) Stats(now clock.Millis) Stats {
 	s.advance(now)
