--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -142,7 +142,7 @@
 // a server in an evacuated data centre could have served. The others count packets by
 // their verdict and reason.
 type Stats struct {
-	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, DroppedUnknown, DroppedNoServer,
+	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
 	Moved, Corrected, Avoided, Answered, EvacuatedNoServer uint64
 }
 
