serve/fleet, dir/record: announce how long a server is cold

A server bears a fraction of its usual rate for a while after its start, and the hosts that place flows did not know for how long.

The record of a server has the time left. It counts as a change only where the server turns warm or cold, so that its countdown isn't sent to every entry host with each announcement. A block with a cold server has version 2, which builds before it refuse as a whole instead of reading the time as another record. Other blocks stay as they are: the test compares the digest of one with that of the build before.

Run: go test ./internal/dir/record ./internal/serve/fleet (ok), FuzzDecode for 10 s (ok).

--- a/internal/dir/record/decode.go
+++ b/internal/dir/record/decode.go
@@ -15,10 +15,10 @@
 // Decode returns the servers of a block. Elapsed is the time since it was encoded,
 // which adds to their ages.
 func Decode(b []byte, elapsed clock.Millis) ([]msgs.ServerStatus, error) {
-	if len(b) == 0 || b[0] != version {
+	if len(b) == 0 || b[0] != version && b[0] != warmVersion {
 		return nil, ErrVersion
 	}
-	d := decoder{rest: b[1:]}
+	d := decoder{rest: b[1:], warmups: b[0] == warmVersion}
 	for range d.count() {
 		d.names = append(d.names, d.text())
 	}
@@ -54,6 +54,8 @@
 	rest   []byte
 	names  []string
 	failed bool
+	// warmups is set for a block that may have warm-ups.
+	warmups bool
 }
 
 func (d *decoder) fail() {
@@ -128,6 +130,9 @@
 		d.rest, r.Started = d.rest[n:], clock.Millis(started)
 	}
 	r.Address = d.address(f&longFlag != 0)
+	if d.warmups && f&warmupFlag != 0 {
+		r.Warmup = clock.Millis(min(d.uvarint(), math.MaxInt32))
+	}
 	if r.State == 0 || r.ID == "" {
 		d.fail()
 	}
--- a/internal/dir/record/encode.go
+++ b/internal/dir/record/encode.go
@@ -15,7 +15,11 @@
 	for i := range servers {
 		e.add(&servers[i])
 	}
-	dst = append(dst, version)
+	if e.warmups {
+		dst = append(dst, warmVersion)
+	} else {
+		dst = append(dst, version)
+	}
 	dst = binary.AppendUvarint(dst, uint64(len(e.names)))
 	for _, name := range e.names {
 		dst = appendString(dst, name)
@@ -28,13 +32,16 @@
 	names   []string
 	numbers map[string]uint64
 	records []byte
+	// warmups is set once a server with a warm-up was added.
+	warmups bool
 }
 
 func (e *encoder) add(s *msgs.ServerStatus) {
 	r := &s.Record
 	prefix, digits := splitID(r.ID, r.Number)
 	b := append(e.records, byte(r.State)&stateMask|flagIf(s.Silent, silentFlag)|flagIf(s.Ended, endedFlag)|
-		flagIf(r.Started != 0, startedFlag)|flagIf(digits > 0, derivedFlag)|flagIf(!r.Address.Addr().Is4(), longFlag))
+		flagIf(r.Started != 0, startedFlag)|flagIf(digits > 0, derivedFlag)|flagIf(!r.Address.Addr().Is4(), longFlag)|
+		flagIf(r.Warmup > 0, warmupFlag))
 	b = binary.AppendUvarint(b, e.number(r.Service))
 	b = binary.AppendUvarint(b, e.number(r.Centre))
 	if digits > 0 {
@@ -58,6 +65,10 @@
 	} else {
 		b = appendString(b, addressText(r.Address))
 	}
+	if r.Warmup > 0 {
+		e.warmups = true
+		b = binary.AppendUvarint(b, uint64(r.Warmup))
+	}
 	e.records = b
 }
 
--- a/internal/dir/record/record.go
+++ b/internal/dir/record/record.go
@@ -12,8 +12,13 @@
 	"errors"
 )
 
-// version is the first byte of a block.
-const version = 1
+// The first byte of a block is its version. A block with a cold server has warmVersion,
+// which builds before it refuse as a whole; in version they would take the time left as
+// the start of the next record.
+const (
+	version     = 1
+	warmVersion = 2
+)
 
 // Errors returned by Decode.
 var (
@@ -36,6 +41,9 @@
 	derivedFlag = 32
 	// longFlag is set if the address is in text form, and not an IPv4 address.
 	longFlag = 64
+	// warmupFlag is set, in warmVersion only, if the record ends with the time for which
+	// the server is cold.
+	warmupFlag = 128
 )
 
 // maxDigits is the number of hexadecimal digits of the highest number.
--- a/internal/dir/record/record_test.go
+++ b/internal/dir/record/record_test.go
@@ -1,11 +1,14 @@
 package record_test
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
@@ -43,6 +46,27 @@
 	qt.Check(t, older[7].Age, qt.Equals, list[7].Age+40)
 }
 
+// TestColdServersHaveABlockOfTheirOwnVersion guards against a block that builds without
+// warm-ups would misread, and against a change of blocks without one.
+func TestColdServersHaveABlockOfTheirOwnVersion(t *testing.T) {
+	list := servers(20)
+	before := record.Append(nil, list)
+	// The digest was computed with the build before warm-ups.
+	qt.Check(t, fmt.Sprintf("%x", sha256.Sum256(before)), qt.Equals, "856a1cf1203587dcb55de199128bb0d7308556b8eec886a4a09f13bd01fd2a4b")
+	list[1].Record.Warmup = 29_500
+	block := record.Append(nil, list)
+	qt.Check(t, block[0], qt.Equals, byte(2))
+	got, err := record.Decode(block, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, fmt.Sprintf("%+v", got), qt.Equals, fmt.Sprintf("%+v", list))
+	list[1].Record.Warmup = 0
+	qt.Check(t, record.Append(nil, list), qt.DeepEquals, before)
+	// In msgpack, a warm server takes the same keys as before.
+	b, err := msgpack.Marshal(&list[1].Record)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, bytes.Contains(b, []byte("warmup")), qt.IsFalse)
+}
+
 // TestRecordTakesFewBytes has the servers of one data centre, and of all, on a link that
 // carries 250 bytes in a millisecond.
 func TestRecordTakesFewBytes(t *testing.T) {
@@ -68,6 +92,9 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(record.Append(nil, servers(3)))
+	cold := servers(3)
+	cold[1].Record.Warmup = 700
+	f.Add(record.Append(nil, cold))
 	f.Add([]byte{1, 255, 255, 255, 255, 15})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		list, err := record.Decode(b, 0)
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -47,6 +47,9 @@
 	// Slots is the number of requests that the server processes concurrently.
 	Slots int   `msgpack:"slots"`
 	State State `msgpack:"state"`
+	// Warmup is how long the server is cold from this announcement on: it bears only the
+	// rate of requests that the routing table names. It is 0 for a warm server.
+	Warmup clock.Millis `msgpack:"warmup,omitempty"`
 }
 
 // supersedes reports whether r is newer than old, a record of the same server.
@@ -61,10 +64,21 @@
 }
 
 // equivalent reports whether two records agree in every field that routing
-// depends on.
+// depends on. Of Warmup it compares only whether the server is cold, since the rest is
+// the passage of time.
 func (r *Record) equivalent(old *Record) bool {
 	return r.Started == old.Started && r.Service == old.Service && r.Address == old.Address &&
-		r.Centre == old.Centre && r.Slots == old.Slots && r.State == old.State
+		r.Centre == old.Centre && r.Slots == old.Slots && r.State == old.State &&
+		(r.Warmup > 0) == (old.Warmup > 0)
+}
+
+// ColdUntil returns the time until which the server is cold by its latest announcement,
+// or 0 if it announced that it is warm.
+func (s *Server) ColdUntil() clock.Millis {
+	if s.Warmup <= 0 {
+		return 0
+	}
+	return s.announcedAt + s.Warmup
 }
 
 // Server is the latest record of a server and its liveness, derived by this host
--- a/internal/serve/fleet/fleet_test.go
+++ b/internal/serve/fleet/fleet_test.go
@@ -21,6 +21,12 @@
 	}
 }
 
+func coldRecord(started clock.Millis, seq uint64, left clock.Millis) fleet.Record {
+	r := record("a", started, seq, fleet.Ready)
+	r.Warmup = left
+	return r
+}
+
 func TestApplyKeepsTheNewestRecord(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -31,6 +37,8 @@
 	}{
 		{"newer sequence with the same content", record("a", 5, 1, fleet.Ready), record("a", 5, 2, fleet.Ready), fleet.Refreshed, fleet.Ready},
 		{"newer sequence with another state", record("a", 5, 1, fleet.Ready), record("a", 5, 2, fleet.Draining), fleet.Changed, fleet.Draining},
+		{"newer sequence of a cold server", coldRecord(5, 1, 900), coldRecord(5, 2, 400), fleet.Refreshed, fleet.Ready},
+		{"cold server that is warm", coldRecord(5, 1, 900), record("a", 5, 2, fleet.Ready), fleet.Changed, fleet.Ready},
 		{"older sequence", record("a", 5, 3, fleet.Draining), record("a", 5, 2, fleet.Ready), fleet.Stale, fleet.Draining},
 		{"later start", record("a", 5, 9, fleet.Draining), record("a", 6, 1, fleet.Ready), fleet.Changed, fleet.Ready},
 		{"earlier start", record("a", 6, 1, fleet.Ready), record("a", 5, 9, fleet.Draining), fleet.Stale, fleet.Ready},
