--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -55,6 +55,9 @@
 	Sharing bool `msgpack:"sharing,omitempty"`
 	// SharingVersion is that of the latest reply from that run.
 	SharingVersion uint64 `msgpack:"sharingVersion,omitempty"`
+	// Instance is a random number that identifies the run of the entry host's process,
+	// or 0 if the host takes no grants. A process with the same name has another one.
+	Instance uint64 `msgpack:"instance,omitempty"`
 }
 
 // Form is the form of a FetchReply or SyncReply.
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -71,6 +71,9 @@
 	// AwaitQuorum refuses a first routing table without a quorum until the entry host
 	// is isolated.
 	AwaitQuorum bool
+	// Instance is a random number that identifies the run of the process, or 0 if the
+	// host takes no grants.
+	Instance uint64
 }
 
 // Request is a request to the control host at an address.
@@ -152,7 +155,9 @@
 	advertised []string
 	wanted     string
 	// reports holds the latest loads that were reported, by request ID.
-	reports        map[uint64]choose.Loads
+	reports map[uint64]choose.Loads
+	// sentAt holds when the latest full requests were sent, by request ID.
+	sentAt         map[uint64]clock.Millis
 	nextPollAt     clock.Millis
 	nextProbeAt    clock.Millis
 	nextMoveAt     clock.Millis
@@ -174,7 +179,7 @@
 	options.Seeds = slices.Clone(options.Seeds)
 	return &Poller{
 		options: options, started: now, centres: map[string]string{},
-		hosts: map[string]*controlHost{}, pending: map[uint64]string{}, reports: map[uint64]choose.Loads{},
+		hosts: map[string]*controlHost{}, pending: map[uint64]string{}, reports: map[uint64]choose.Loads{}, sentAt: map[uint64]clock.Millis{},
 	}
 }
 
@@ -294,6 +299,7 @@
 	if now >= p.nextAllLoadsAt {
 		r.Fetch.AllLoads, p.nextAllLoadsAt = true, now+p.allLoadsInterval
 	}
+	p.noteSent(now, r.Fetch.RequestID)
 	p.reports[r.Fetch.RequestID] = loads
 	for id := range p.reports {
 		if id+maxReports <= r.Fetch.RequestID {
@@ -321,7 +327,7 @@
 	p.pending[p.lastRequestID] = address
 	return Request{address, msgs.Fetch{
 		Name: p.options.Name, RequestID: p.lastRequestID, RunID: h.runID, Since: h.position, Version: version,
-		Form: msgs.BlockForm, Centre: p.options.Centre, SilentVersion: h.silentVersion, HostsVersion: p.hostsVersion,
+		Form: msgs.BlockForm, Centre: p.options.Centre, SilentVersion: h.silentVersion, HostsVersion: p.hostsVersion, Instance: p.options.Instance,
 	}, reconnect}
 }
 
