dir/core, dir/daemon: hand out grants with the replies to polls

A full poll of an entry host that takes grants is now answered with those for it, as long as the routing table has a rate for a service.

The number of cold servers and of grants are metrics and, by server, in the dump.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -15,12 +15,14 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/advert"
+	"monsooncleat.example/monsooncleat/internal/dir/grant"
 	"monsooncleat.example/monsooncleat/internal/dir/loads"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/dir/share"
 	"monsooncleat.example/monsooncleat/internal/dir/tables"
 	"monsooncleat.example/monsooncleat/internal/dir/watch"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/serve/warm"
 )
 
 // Options are the settings of a Core.
@@ -101,6 +103,10 @@
 	centres    map[string]string
 	replicator *share.Replicator
 
+	grants *grant.Keeper
+	// centreEnds holds when the evacuations of data centres ended.
+	centreEnds *warm.Centres
+
 	out Output
 }
 
@@ -116,6 +122,7 @@
 	c.blocks, c.entryHosts = share.NewBlocks(c.list), advert.New(now)
 	c.centres = map[string]string{addressOf(options.ID): options.Centre}
 	c.replicator = share.NewReplicator(group{c}, send, firstRequestID(options.RunID))
+	c.grants, c.centreEnds = grant.New(now, options.EvictAfter), warm.NewCentres()
 	c.addAddresses(options.Seeds)
 	c.Restart(now, options.ID, stored)
 	return c
--- a/internal/dir/core/fetch.go
+++ b/internal/dir/core/fetch.go
@@ -15,6 +15,7 @@
 		c.entryHosts.Polled(c.now, m.Adverts)
 		c.loads.SetReport(c.now, m.Name, m.RequestID, m.Loads)
 		r.Delta = c.tables.DeltaSince(m.Version)
+		c.addGrants(r, m)
 	}
 	if m.Form == msgs.ListForm {
 		c.addLists(r, m)
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -143,6 +143,8 @@
 	silentVoters atomic.Int64
 	servers      atomic.Int64
 	entryHosts   atomic.Int64
+	coldServers  atomic.Int64
+	grants       atomic.Int64
 
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
@@ -317,6 +319,9 @@
 	d.entryHosts.Store(int64(d.core.EntryHosts()))
 	d.voters.Store(int64(len(d.core.Node().Conf().Voters)))
 	d.silentVoters.Store(int64(d.core.SilentVoters()))
+	cold, granted := d.core.ColdServers()
+	d.coldServers.Store(int64(cold))
+	d.grants.Store(int64(granted))
 	d.current.Store(0)
 	if d.core.Current() {
 		d.current.Store(1)
--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -6,6 +6,7 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
+	"monsooncleat.example/monsooncleat/internal/dir/grant"
 	"monsooncleat.example/monsooncleat/internal/dir/order"
 )
 
@@ -25,6 +26,8 @@
 		"logVotersSilent":  func() int64 { return d.silentVoters.Load() },
 		"serversKnown":     func() int64 { return d.servers.Load() },
 		"entryHosts":       func() int64 { return d.entryHosts.Load() },
+		"coldServers":      func() int64 { return d.coldServers.Load() },
+		"grants":           func() int64 { return d.grants.Load() },
 	}
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
@@ -63,7 +66,9 @@
 	Version  uint64    `json:"version"`
 	Servers  int       `json:"servers"`
 	Waiting  int       `json:"waiting"`
-	Counters any       `json:"counters"`
+	// Cold are the cold servers, and what this host grants of them.
+	Cold     []grant.Share `json:"cold,omitempty"`
+	Counters any           `json:"counters"`
 }
 
 // newDump returns the current state. It must be called on the core goroutine.
@@ -74,7 +79,7 @@
 		Role: "directory", Name: d.settings.Name, ID: n.ID(), LogRole: n.Role().String(),
 		Current: d.core.Current(), Failed: d.core.Failed(), Leader: n.Leader(), Term: n.Term(), Commit: n.Commit(),
 		Voters: conf.Voters, Learners: conf.Learners, Version: d.core.Version(),
-		Servers: d.core.Fleet().Len(), Waiting: d.core.Pending(), Counters: d.metrics.Values(),
+		Servers: d.core.Fleet().Len(), Waiting: d.core.Pending(), Cold: d.core.Shares(), Counters: d.metrics.Values(),
 	}
 }
 
--- a/internal/dir/tables/tables.go
+++ b/internal/dir/tables/tables.go
@@ -54,6 +54,10 @@
 // Routes returns the number of routes in the newest version.
 func (t *Tables) Routes() int { return len(t.newest.Table.Routes) }
 
+// Warmups returns the services of the newest version that limit their cold servers.
+// Callers must only read from it.
+func (t *Tables) Warmups() map[string]routes.Warmup { return t.newest.Table.Warmups }
+
 // DeltaSince returns the encoded delta from version to the newest version, or nil if
 // version is not older. For a version that is no longer kept, it returns the whole
 // table. Each delta is computed once.
