token/core: open flows on cold servers only by grants

Entry hosts placed flows on a server as if it bore its usual rate from its start on.

Cold servers now take new flows only within the budget of the host's grants, and long flows only if there is no warm server. While the warm servers are busy, a host looks at the cold ones first that it holds grants on: among many servers, the choice of two at random would rarely find them. Retransmitted openings don't count again, moved ones do. Without a grant on any cold server and without a warm one, an opening is refused with the reason coldServers.

--- /dev/null
+++ b/internal/token/core/cold_test.go
@@ -0,0 +1,192 @@
+package core_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/timers"
+	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
+	"monsooncleat.example/monsooncleat/internal/dir/grant"
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
+	"monsooncleat.example/monsooncleat/internal/token/core"
+)
+
+// newColdCore returns a Core whose servers 1 to cold of service x are cold until 5,000.
+func newColdCore(cold int, rate float64, off tune.Off) *core.Core {
+	c := core.New(core.Options{
+		Centre: "a", Choice: choose.DefaultSettings, DefaultIdleTimeout: 15_000, MaxFlows: 1000, Off: off,
+		Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
+	}, rand.New(rand.NewPCG(1, 1)))
+	u := core.Update{}
+	for n := 1; n <= 3; n++ {
+		r := record(n, "x", 1)
+		if n <= cold {
+			r.Warmup = 4999
+		}
+		u.Servers = append(u.Servers, core.ServerUpdate{Record: r})
+	}
+	c.Learn(1, &u)
+	t := table(1, routeX)
+	if rate > 0 {
+		t.Warmups = map[string]routes.Warmup{"x": {Duration: 4000, Rate: rate}}
+	}
+	c.Configure(1, t)
+	return c
+}
+
+// grants returns an update that grants 10 flows a second on servers.
+func grants(at clock.Millis, servers ...int) *core.Update {
+	u := &core.Update{GrantedAt: at}
+	for _, n := range servers {
+		u.Grants = append(u.Grants, core.GrantUpdate{Token: tokens.Candidate(record(n, "x", 1).ID, 1, 0), Rate: 10, Term: 1000})
+	}
+	return u
+}
+
+func TestColdServersWithoutAGrantAreRefused(t *testing.T) {
+	c := newColdCore(3, 10, 0)
+	a := c.HandlePacket(100, opening(1), false)
+	qt.Check(t, a.Verdict, qt.Equals, core.Reset)
+	qt.Check(t, a.Reason, qt.Equals, core.ColdServers)
+	// The first copy may have opened the flow through another host.
+	again := opening(2)
+	again.Ack = 1
+	qt.Check(t, c.HandlePacket(100, again, true).Verdict, qt.Equals, core.Drop)
+	qt.Check(t, c.HandlePacket(5000, opening(3), true).Verdict, qt.Equals, core.Forward)
+	qt.Check(t, newColdCore(3, 0, 0).HandlePacket(100, opening(1), true).Verdict, qt.Equals, core.Forward)
+	off := newColdCore(3, 10, tune.Off(0).With(tune.WarmupLimits))
+	qt.Check(t, off.HandlePacket(100, opening(1), true).Verdict, qt.Equals, core.Forward)
+}
+
+// TestGrantCountsOpeningsOnce retransmits an opening, and moves it to another cold server.
+func TestGrantCountsOpeningsOnce(t *testing.T) {
+	c := newColdCore(3, 10, 0)
+	c.Learn(1000, grants(990, 1, 2))
+	first := c.HandlePacket(1100, opening(1), true)
+	qt.Assert(t, first.Reason, qt.Equals, core.NewFlow)
+	again := opening(1)
+	again.Ack = 1
+	moved := c.HandlePacket(1300, again, true)
+	qt.Check(t, moved.Reason, qt.Equals, core.MovedFlow)
+	qt.Check(t, moved.Number+first.Number, qt.Equals, uint64(3))
+	qt.Check(t, c.HandlePacket(1310, again, true).Number, qt.Equals, moved.Number)
+	qt.Check(t, c.Stats().OpenedCold, qt.Equals, uint64(2))
+	qt.Check(t, c.HandlePacket(1310, opening(2), true).Reason, qt.Equals, core.ColdServers)
+	// The grant has ended, or another reply leaves it out.
+	qt.Check(t, c.HandlePacket(1990, opening(3), true).Reason, qt.Equals, core.ColdServers)
+	c.Learn(2300, grants(2290, 3))
+	c.Learn(2600, grants(2590))
+	qt.Check(t, c.HandlePacket(2700, opening(4), true).Reason, qt.Equals, core.ColdServers)
+	qt.Check(t, c.ColdServers(2700), qt.HasLen, 3)
+}
+
+// TestLongFlowsGoToWarmServers has cold servers with grants beside a warm one.
+func TestLongFlowsGoToWarmServers(t *testing.T) {
+	for _, cold := range []int{2, 3} {
+		c := newColdCore(cold, 10, 0)
+		p := data(tokens.Candidate(record(3, "x", 1).ID, 1, 0), 100, 10)
+		for range 5 {
+			c.HandlePacket(50, p, true)
+			p.Seq, p.Ack = p.Seq+10, p.Ack+10
+		}
+		c.Learn(1000, grants(1000, 1, 2, 3))
+		for port := range uint16(3) {
+			a := c.HandlePacket(1100+clock.Millis(port), opening(port+1), true)
+			qt.Check(t, a.Verdict, qt.Equals, core.Forward)
+			qt.Check(t, a.Number == 3 || cold == 3, qt.IsTrue)
+		}
+	}
+}
+
+// TestReturnOfADataCentreUnderLoad has 84 entry hosts, and the 40 servers of a data centre
+// that return in a burst of twice what the slots of the other 80 bear. It guards against
+// hosts that all open on the idle servers at once, as they do with the limits switched off.
+func TestReturnOfADataCentreUnderLoad(t *testing.T) {
+	const rate, end, back = 12.0, clock.Millis(7000), clock.Millis(1500)
+	for _, off := range []tune.Off{0, tune.Off(0).With(tune.WarmupLimits)} {
+		r, now, events, opened := rand.New(rand.NewPCG(3, 1)), clock.Millis(1), timers.Queue[func()]{}, make([][]clock.Millis, 121)
+		var servers []core.ServerUpdate
+		var returned []grant.Server
+		for n := 1; n <= 120; n++ {
+			s := record(n, "x", 0)
+			s.Centre = string(rune('a' + (n-1)/40))
+			servers = append(servers, core.ServerUpdate{Record: s})
+			returned = append(returned, grant.Server{ID: s.ID, Token: uint32(tokens.Candidate(s.ID, 0, 0)), Centre: "a", Rate: rate / 6})
+		}
+		keepers := make([]*grant.Keeper, 6)
+		for i := range keepers {
+			keepers[i] = grant.New(-5000, 2000)
+		}
+		hosts, reports := make([]*core.Core, 84), make([]choose.Loads, 84)
+		warmups := table(1, routeX)
+		warmups.Routes[0].LatencyGoal, warmups.Warmups = 600, map[string]routes.Warmup{"x": {Duration: 10_000, Rate: rate}}
+		poll := func(i int) {
+			reports[i] = nil
+			u := core.Update{Loads: choose.Loads{}, GrantedAt: now}
+			for _, l := range reports {
+				u.Loads.Add(l)
+			}
+			hosts[i].Tick(now)
+			reports[i] = hosts[i].Loads()
+			k := keepers[i%6]
+			k.Confirmed(now)
+			k.Polled(now, grant.Host{Instance: uint64(i + 1), Centre: string(rune('a' + i%3))})
+			if now >= back {
+				k.Update(now, returned[:40])
+				u.Servers, u.EvacuationsVersion, u.Evacuations = servers[:40], 1, []core.EvacuationUpdate{{Centre: "a", Age: now - back}}
+			}
+			for _, g := range k.Grants(now, uint64(i+1)) {
+				u.Grants = append(u.Grants, core.GrantUpdate{Token: tokens.Token(g.Token), Rate: float64(g.Rate), Term: g.Term})
+			}
+			hosts[i].Learn(now, &u)
+		}
+		for i := range hosts {
+			hosts[i] = core.New(core.Options{
+				Centre: string(rune('a' + i%3)), Choice: choose.DefaultSettings, DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: off,
+				Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
+			}, rand.New(rand.NewPCG(uint64(i), 2)))
+			hosts[i].Learn(now, &core.Update{Servers: servers[40:]})
+			hosts[i].Configure(now, warmups)
+			for at := clock.Millis(3 * i); at < end; at += 300 {
+				events.Add(at, func() { poll(i) })
+			}
+		}
+		for ; now < end; now++ {
+			for event, due := events.PopDue(now); due; event, due = events.PopDue(now) {
+				event()
+			}
+			for k := range 8 {
+				h, p := hosts[r.IntN(84)], syn(0)
+				p.From = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(now >> 8), byte(now)}), uint16(k+1))
+				a := h.HandlePacket(now, p, true)
+				if a.Verdict != core.Forward {
+					continue
+				}
+				opened[a.Number] = append(opened[a.Number], now)
+				q, answer := data(a.Token, 9000, 50), data(a.Token, 9100, 0)
+				q.From, answer.From = p.From, p.From
+				events.Add(now+5, func() { h.HandlePacket(now, q, true) })
+				events.Add(now+45, func() { h.HandlePacket(now, answer, true) })
+			}
+		}
+		worst, sum, least, most := 0, 0, 1<<30, 0
+		for _, times := range opened[1:41] {
+			sum, least, most = sum+len(times), min(least, len(times)), max(most, len(times))
+			for i := range times {
+				first, _ := slices.BinarySearch(times, times[i]-clock.Second+1)
+				worst = max(worst, i+1-first)
+			}
+		}
+		t.Logf("off %q: at most %d in a second, %d opened on cold servers, %d to %d on one", off, worst, sum, least, most)
+		qt.Check(t, float64(worst) <= rate*1.5+5, qt.Equals, off == 0)
+		qt.Check(t, float64(sum) >= 0.7*40*rate*5 && most <= 2*least, qt.IsTrue)
+	}
+}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -12,6 +12,7 @@
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
+	"monsooncleat.example/monsooncleat/internal/serve/warm"
 )
 
 const (
@@ -81,6 +82,9 @@
 	// meanInFlight is the smoothed number of requests in flight that this host
 	// forwarded.
 	meanInFlight float64
+	// coldUntil is the time until which the server takes only the flows of budget, or 0.
+	coldUntil clock.Millis
+	budget    warm.Budget
 }
 
 type replacedServer struct {
@@ -119,16 +123,17 @@
 	// loadsAt is when the loads of other hosts on the servers of each data centre were
 	// received. Those that are too old are removed.
 	loadsAt map[string]clock.Millis
+	cold    coldState
 	stats   Stats
 }
 
 // Stats are the counters of a Core. Opened counts new flows, Answered those whose
 // handshake was completed, Moved retransmitted opening packets sent to another
 // server, Corrected tokens that were replaced, and Avoided the backoffs that were
-// started. The others count packets by their verdict and reason.
+// started. OpenedCold counts the flows opened on or moved to cold servers. The others count packets by their verdict and reason.
 type Stats struct {
 	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, DroppedUnknown, DroppedNoServer,
-	Moved, Corrected, Avoided, Answered uint64
+	Moved, Corrected, Avoided, Answered, OpenedCold, ResetCold uint64
 }
 
 // New returns a Core without a routing table and without servers.
@@ -140,6 +145,7 @@
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
 		loadsAt: map[string]clock.Millis{}, admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
+		cold: coldState{centres: warm.NewCentres()},
 	}
 }
 
@@ -204,6 +210,7 @@
 			f.route = r
 		}
 	}
+	c.updateCold(now)
 	return true
 }
 
@@ -219,6 +226,7 @@
 	c.updateSilent(now, u)
 	changed := c.fleet.ChangedSince(position)
 	c.updateServers(now, changed)
+	c.learnCold(now, u, len(changed) > 0)
 	if u.Loads != nil && !c.options.Off.Has(tune.LoadExchange) {
 		c.setRemoteLoads(now, u)
 	}
@@ -292,6 +300,9 @@
 func (c *Core) Tick(now clock.Millis) []Timeout {
 	c.smoothLoads(now)
 	c.expireRemoteLoads(now)
+	if c.cold.count > 0 {
+		c.updateCold(now)
+	}
 	if now < c.nextSweepAt {
 		return nil
 	}
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -39,6 +39,9 @@
 	}
 	kind := c.requestMix[key.route].kind()
 	s, load, admitted := c.pickAdmitted(now, route, kind, p)
+	if s == nil && c.allCold(route) {
+		return c.refuseCold(p)
+	}
 	if s == nil && upToDate {
 		// A retransmission could not be served either, so don't make the client wait.
 		c.stats.ResetNoServer++
@@ -59,6 +62,7 @@
 		f.markActive()
 	}
 	c.stats.Opened++
+	c.recordOpening(now, s)
 	a := c.forward(s, NewFlow)
 	a.Load = load
 	return a
@@ -87,6 +91,7 @@
 		if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), s); other != nil && other != s {
 			f.moveTo(other)
 			c.stats.Moved++
+			c.recordOpening(now, other)
 			return c.forward(other, MovedFlow)
 		}
 	}
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -38,7 +38,7 @@
 // pickServer selects the server of a flow, or returns nil if there is none.
 // Exclude, if not nil, is not selected.
 func (c *Core) pickServer(now clock.Millis, route *routes.Route, kind choose.Kind, exclude *server) *server {
-	list := c.candidates(route, exclude)
+	list := c.openable(now, kind, c.candidates(route, exclude))
 	if index := c.policy.Pick(now, kind, list, backendOf); index >= 0 {
 		return list[index]
 	}
@@ -59,7 +59,7 @@
 // reports the load of that server, and whether the flow is admitted. Only the first
 // transmission of an opening packet is refused: an earlier one may have opened the flow.
 func (c *Core) pickAdmitted(now clock.Millis, route *routes.Route, kind choose.Kind, p *Packet) (s *server, load float64, admitted bool) {
-	list := c.candidates(route, nil)
+	list := c.openable(now, kind, c.candidates(route, nil))
 	if len(list) == 0 {
 		return nil, 0, false
 	}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -87,6 +87,9 @@
 	CorrectedToken
 	// Overloaded means that the servers could not answer a new flow in time.
 	Overloaded
+	// ColdServers means that all servers are cold, and that this host may not open
+	// another flow on one of them now.
+	ColdServers
 	// Reasons is the number of reasons.
 	Reasons
 )
@@ -95,7 +98,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded",
+		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded", "coldServers",
 	}[r]
 }
 
