--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -148,6 +148,7 @@
 	"noServer":     "no server of the service accepted new flows",
 	"noConfig":     "the entry host had no routing table yet",
 	"overloaded":   "its servers could not have answered in time",
+	"coldServers":  "all its servers were cold, and the host had no grant left to open a flow on one",
 	"unknownFlow":  "the entry host had no record of the flow and could not find its server",
 	"noProgress":   "its client kept retransmitting a segment that its server did not acknowledge",
 	"clientSilent": "its client answered no probe",
--- a/internal/proof/layout/layout_test.go
+++ b/internal/proof/layout/layout_test.go
@@ -19,6 +19,7 @@
 	"/internal/serve/maglev", "/internal/serve/roster", "/internal/serve/fleet", "/internal/serve/choose",
 	"/internal/bundle/routes", "/internal/dir/core", "/internal/dir/poll", "/internal/dir/evict", "/internal/dir/tables", "/internal/dir/loads",
 	"/internal/entry/batch", "/internal/entry/loss", "/internal/entry/meter", "/internal/entry/place", "/internal/entry/poll", "/internal/dir/share", "/internal/dir/watch", "/internal/dir/record", "/internal/dir/advert", "/internal/dir/order", "/internal/serve/admit",
+	"/internal/dir/grant", "/internal/serve/warm",
 	"/internal/serve/tokens", "/internal/token/core", "/internal/token/intake", "/internal/lab/simnet",
 }
 
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -106,6 +106,7 @@
 	inputWait         *admin.Histogram
 	openingWait       *admin.Histogram
 	openingsDiscarded atomic.Int64
+	coldServers       atomic.Int64
 	// malformedReplies counts replies of control hosts that could not be decoded.
 	malformedReplies atomic.Int64
 	// reasons counts decisions by reason, opened counts new flows by service.
@@ -137,7 +138,7 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
 	d.poller = poll.New(poll.Options{
 		Name: settings.Name, Centre: settings.Centre, Seeds: settings.SeedAddresses(), Adverts: advertAddress(settings),
-		AwaitQuorum: settings.Off.Has(tune.FirstTable),
+		AwaitQuorum: settings.Off.Has(tune.FirstTable), Instance: newInstance(settings.Off),
 	}, source.Now())
 	d.peers = link.NewPeers(directory.Key, d.onReply)
 	d.forward = newForwarder(d)
@@ -264,6 +265,7 @@
 		d.sendFetches()
 	}
 	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now)}}
+	addGrants(&u.changes, &a)
 	if d.poller.HasQuorum(now) {
 		u.confirmedAt = now
 	}
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -66,6 +66,8 @@
 	timeoutLimiter   *logs.Limiter
 	serverLimiter    *logs.Limiter
 	behindLimiter    *logs.Limiter
+	// cold is the number of cold servers that was logged last.
+	cold int
 }
 
 func newForwarder(d *Daemon) *forwarder {
@@ -112,6 +114,7 @@
 		f.logTimeouts(now, f.d.core.Tick(now))
 		f.publishCounts()
 		f.recordWaits(now)
+		f.logCold()
 		stats := f.d.core.Stats()
 		f.d.stats.Store(&stats)
 		loads := f.d.core.Loads()
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -27,6 +27,7 @@
 		"flowsAnswered":    func(s *core.Stats) uint64 { return s.Answered },
 		"packetsForwarded": func(s *core.Stats) uint64 { return s.Forwarded },
 		"serversAvoided":   func(s *core.Stats) uint64 { return s.Avoided },
+		"flowsOpenedCold":  func(s *core.Stats) uint64 { return s.OpenedCold },
 	} {
 		d.metrics.Gauge(name, func() int64 {
 			if s := d.stats.Load(); s != nil {
@@ -38,6 +39,7 @@
 	d.handshakes, d.responses = d.metrics.Histogram("handshakeMicros"), d.metrics.Histogram("responseMicros")
 	d.inputWait, d.openingWait = d.metrics.Histogram("inputWaitMicros"), d.metrics.Histogram("openingWaitMicros")
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
+	d.metrics.Gauge("coldServers", d.coldServers.Load)
 	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
 	d.reasons, d.opened = d.metrics.Map("decisions"), d.metrics.Map("flowsOpenedByService")
 }
@@ -47,14 +49,16 @@
 
 // Dump is the state of an entry host that the admin listener returns.
 type Dump struct {
-	Role     string     `json:"role"`
-	Name     string     `json:"name"`
-	Version  uint64     `json:"version"`
-	Servers  int        `json:"servers"`
-	Usable   int        `json:"usable"`
-	Flows    int        `json:"flows"`
-	Stats    core.Stats `json:"stats"`
-	Counters any        `json:"counters"`
+	Role    string     `json:"role"`
+	Name    string     `json:"name"`
+	Version uint64     `json:"version"`
+	Servers int        `json:"servers"`
+	Usable  int        `json:"usable"`
+	Flows   int        `json:"flows"`
+	Stats   core.Stats `json:"stats"`
+	// Cold are the cold servers.
+	Cold     []core.ColdServer `json:"cold,omitempty"`
+	Counters any               `json:"counters"`
 }
 
 // state requires forwarder.mu to be held.
@@ -62,6 +66,7 @@
 	return Dump{
 		Role: "entry", Name: d.settings.Name, Version: d.core.Version(), Servers: d.core.Servers(),
 		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(), Counters: d.metrics.Values(),
+		Cold: d.core.ColdServers(d.clock.Now()),
 	}
 }
 
