--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -6,6 +6,7 @@
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
 	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
+	"monsooncleat.example/monsooncleat/internal/dir/grant"
 	"monsooncleat.example/monsooncleat/internal/dir/order"
 )
 
@@ -29,6 +30,8 @@
 		"evacuations":      d.evacuated.Load,
 
 		"evacuationShortOfRoom": d.shortOfRoom.Load,
+		"coldServers":           func() int64 { return d.coldServers.Load() },
+		"grants":                func() int64 { return d.grants.Load() },
 	}
 	for name, read := range gauges {
 		d.metrics.Gauge(name, read)
@@ -71,7 +74,9 @@
 	Waiting int            `json:"waiting"`
 	// Evacuations are the data centres that are or were evacuated.
 	Evacuations []Evacuation `json:"evacuations"`
-	Counters    any          `json:"counters"`
+	// Cold are the cold servers, and what this host grants of them.
+	Cold     []grant.Share `json:"cold,omitempty"`
+	Counters any           `json:"counters"`
 }
 
 // newDump returns the current state. It must be called on the core goroutine.
@@ -82,7 +87,7 @@
 		Role: "directory", Name: d.settings.Name, ID: n.ID(), LogRole: n.Role().String(),
 		Current: d.core.Current(), Failed: d.core.Failed(), Leader: n.Leader(), Term: n.Term(), Commit: n.Commit(),
 		Voters: conf.Voters, Learners: conf.Learners, Version: d.core.Version(),
-		Servers: d.core.Fleet().Len(), Sharing: d.core.SharingByCentre(), Waiting: d.core.Pending(), Evacuations: d.evacuations(), Counters: d.metrics.Values(),
+		Servers: d.core.Fleet().Len(), Sharing: d.core.SharingByCentre(), Waiting: d.core.Pending(), Evacuations: d.evacuations(), Cold: d.core.Shares(), Counters: d.metrics.Values(),
 	}
 }
 
--- a/internal/proof/layout/layout_test.go
+++ b/internal/proof/layout/layout_test.go
@@ -20,6 +20,7 @@
 	"/internal/bundle/routes", "/internal/dir/core", "/internal/dir/poll", "/internal/dir/evict", "/internal/dir/evac", "/internal/dir/tables", "/internal/dir/loads", "/internal/dir/peers",
 	"/internal/entry/batch", "/internal/entry/loss", "/internal/entry/meter", "/internal/entry/place", "/internal/entry/poll", "/internal/dir/share", "/internal/dir/watch", "/internal/dir/record", "/internal/dir/advert", "/internal/dir/order", "/internal/serve/admit", "/internal/serve/subset",
 	"/internal/serve/tokens", "/internal/token/core", "/internal/token/intake", "/internal/token/shape", "/internal/lab/simnet",
+	"/internal/dir/grant", "/internal/serve/warm",
 }
 
 // ioPackages lists the packages of the standard library, of dependencies and of
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -13,6 +13,7 @@
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
+	"monsooncleat.example/monsooncleat/internal/serve/warm"
 )
 
 const (
@@ -85,6 +86,9 @@
 	// meanInFlight is the smoothed number of requests in flight that this host
 	// forwarded.
 	meanInFlight float64
+	// coldUntil is the time until which the server takes only the flows of budget, or 0.
+	coldUntil clock.Millis
+	budget    warm.Budget
 }
 
 type replacedServer struct {
@@ -132,6 +136,7 @@
 	listVersion uint64
 	loadsAt     map[string]clock.Millis
 	evacuations evacuations
+	cold        coldState
 	stats       Stats
 }
 
@@ -140,10 +145,11 @@
 // server, Corrected tokens that were replaced, and Avoided the backoffs that were
 // started. EvacuatedNoServer counts the packets of ResetNoServer and DroppedNoServer that
 // a server in an evacuated data centre could have served. The others count packets by
-// their verdict and reason.
+// their verdict and reason. OpenedCold counts the flows opened on or moved to cold
+// servers.
 type Stats struct {
 	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
-	Moved, Corrected, Avoided, Answered, EvacuatedNoServer uint64
+	Moved, Corrected, Avoided, Answered, EvacuatedNoServer, OpenedCold, ResetCold uint64
 }
 
 // New returns a Core without a routing table and without servers.
@@ -155,6 +161,7 @@
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
 		loadsAt: map[string]clock.Millis{}, admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
+		cold: coldState{centres: warm.NewCentres()},
 	}
 }
 
@@ -219,6 +226,7 @@
 			f.route = r
 		}
 	}
+	c.updateCold(now)
 	return true
 }
 
@@ -238,6 +246,7 @@
 	if u.Sharing != nil {
 		c.setSharing(u.Sharing)
 	}
+	c.learnCold(now, u, len(changed) > 0)
 	if u.Loads != nil && !c.options.Off.Has(tune.LoadExchange) {
 		c.setRemoteLoads(now, u)
 	}
@@ -311,6 +320,9 @@
 func (c *Core) Tick(now clock.Millis) []Timeout {
 	c.smoothLoads(now)
 	c.expireRemoteLoads(now)
+	if c.cold.count > 0 {
+		c.updateCold(now)
+	}
 	if now < c.nextSweepAt {
 		return nil
 	}
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -47,6 +47,9 @@
 	if s == nil && c.hasEvacuatedServer(route) {
 		c.stats.EvacuatedNoServer++
 	}
+	if s == nil && c.allCold(route) {
+		return c.refuseCold(p)
+	}
 	if s == nil && upToDate {
 		// A retransmission could not be served either, so don't make the client wait.
 		c.stats.ResetNoServer++
@@ -67,6 +70,7 @@
 		f.markActive()
 	}
 	c.stats.Opened++
+	c.recordOpening(now, s)
 	a := c.forward(s, NewFlow)
 	a.Load = load
 	return a
@@ -95,6 +99,7 @@
 		if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), s); other != nil && other != s {
 			f.moveTo(other)
 			c.stats.Moved++
+			c.recordOpening(now, other)
 			return c.forward(other, MovedFlow)
 		}
 	}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -92,6 +92,9 @@
 	Overloaded
 	// LinkFull means that the link of the host has no room for a new flow.
 	LinkFull
+	// ColdServers means that all servers are cold, and that this host may not open
+	// another flow on one of them now.
+	ColdServers
 	// Reasons is the number of reasons.
 	Reasons
 )
@@ -100,7 +103,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded", "linkFull",
+		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded", "linkFull", "coldServers",
 	}[r]
 }
 
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -108,6 +108,7 @@
 	openingsDiscarded atomic.Int64
 	// evacuations is the number of evacuated data centres.
 	evacuations atomic.Int64
+	coldServers atomic.Int64
 	// malformedReplies counts replies of control hosts that could not be decoded.
 	malformedReplies atomic.Int64
 	// sharingHosts is the number of entry hosts in the latest list of those that take new
@@ -142,7 +143,7 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), uint64(os.Getpid()))))
 	d.poller = poll.New(poll.Options{
 		Name: settings.Name, Centre: settings.Centre, Seeds: settings.SeedAddresses(), Adverts: advertAddress(settings),
-		AwaitQuorum: settings.Off.Has(tune.FirstTable),
+		AwaitQuorum: settings.Off.Has(tune.FirstTable), Instance: newInstance(settings.Off),
 	}, source.Now())
 	d.peers = link.NewPeers(directory.Key, d.onReply)
 	d.forward = newForwarder(d)
@@ -272,6 +273,7 @@
 	d.noteSharing(a.Sharing)
 	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing}}
 	addEvacuations(&u.changes, &a)
+	addGrants(&u.changes, &a)
 	if d.poller.HasQuorum(now) {
 		u.confirmedAt = now
 	}
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -67,6 +67,8 @@
 	serverLimiter    *logs.Limiter
 	behindLimiter    *logs.Limiter
 	shaping          *shaping
+	// cold is the number of cold servers that was logged last.
+	cold int
 }
 
 func newForwarder(d *Daemon) *forwarder {
@@ -115,6 +117,7 @@
 		f.publishCounts()
 		f.recordWaits(now)
 		f.recordShaping(now)
+		f.logCold()
 		stats := f.d.core.Stats()
 		f.d.stats.Store(&stats)
 		loads := f.d.core.Loads()
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -31,6 +31,7 @@
 		"serversAvoided":   func(s *core.Stats) uint64 { return s.Avoided },
 
 		"evacuatedNoServer": func(s *core.Stats) uint64 { return s.EvacuatedNoServer },
+		"flowsOpenedCold":   func(s *core.Stats) uint64 { return s.OpenedCold },
 	} {
 		d.metrics.Gauge(name, func() int64 {
 			if s := d.stats.Load(); s != nil {
@@ -42,6 +43,7 @@
 	d.handshakes, d.responses = d.metrics.Histogram("handshakeMicros"), d.metrics.Histogram("responseMicros")
 	d.inputWait, d.openingWait = d.metrics.Histogram("inputWaitMicros"), d.metrics.Histogram("openingWaitMicros")
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
+	d.metrics.Gauge("coldServers", d.coldServers.Load)
 	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
 	d.metrics.Gauge("sharingHosts", d.sharingHosts.Load)
 	d.forward.shaping.registerMetrics(d.metrics)
@@ -66,8 +68,10 @@
 	EvacuationsVersion uint64   `json:"evacuationsVersion"`
 
 	// Shaping is nil if packets aren't sent at the rate of the link.
-	Shaping  *shape.Stats `json:"shaping,omitempty"`
-	Counters any          `json:"counters"`
+	Shaping *shape.Stats `json:"shaping,omitempty"`
+	// Cold are the cold servers.
+	Cold     []core.ColdServer `json:"cold,omitempty"`
+	Counters any               `json:"counters"`
 }
 
 // state requires forwarder.mu to be held.
@@ -77,6 +81,7 @@
 		Evacuated: d.core.Evacuated(), EvacuationsVersion: d.core.EvacuationsVersion(),
 		Usable: d.core.UsableServers(), Flows: d.core.Flows(), Stats: d.core.Stats(),
 		Shaping: d.forward.shaping.published.Load(), Counters: d.metrics.Values(),
+		Cold: d.core.ColdServers(d.clock.Now()),
 	}
 }
 
