dir/core: grant only for rates above 0

A rate that is not a number was neither above 0 nor at most 0, so that control hosts and entry hosts disagreed about it. Both now ask whether it is above 0.

--- a/internal/dir/core/grants.go
+++ b/internal/dir/core/grants.go
@@ -11,10 +11,10 @@
 // warmupOf returns for how long a server that announces itself is cold. It is 0 if the
 // routing table limits no cold servers of its service.
 func (c *Core) warmupOf(r *fleet.Record) clock.Millis {
-	if c.tables.Warmups()[r.Service].Rate <= 0 {
-		return 0
+	if c.tables.Warmups()[r.Service].Rate > 0 {
+		return max(r.Warmup, 0)
 	}
-	return max(r.Warmup, 0)
+	return 0
 }
 
 // EvacuationEnded records that an evacuation of a data centre ended, from when on its
@@ -52,12 +52,11 @@
 	warmups := c.tables.Warmups()
 	c.list.Fleet().Each(func(s *fleet.Server) {
 		w := warmups[s.Service]
-		if w.Rate <= 0 || !s.Usable() || c.now >= c.centreEnds.ColdUntil(s, w.Duration) {
-			return
+		if w.Rate > 0 && s.Usable() && c.now < c.centreEnds.ColdUntil(s, w.Duration) {
+			token := uint32(tokens.Candidate(s.ID, s.Started, 0))
+			rate := grant.Part(w.Rate, token, string(c.options.ID), members)
+			out = append(out, grant.Server{ID: s.ID, Token: token, Centre: s.Centre, Rate: rate})
 		}
-		token := uint32(tokens.Candidate(s.ID, s.Started, 0))
-		rate := grant.Part(w.Rate, token, string(c.options.ID), members)
-		out = append(out, grant.Server{ID: s.ID, Token: token, Centre: s.Centre, Rate: rate})
 	})
 	return out
 }
