--- a/internal/dir/core/evacuate.go
+++ b/internal/dir/core/evacuate.go
@@ -117,6 +117,7 @@
 		c.logLine("Evacuation order without effect: an opposite one came before it.", "centre", o.Centre, "start", o.Start, "index", index, "base", o.Base)
 	case c.evacuations.Version() != version:
 		c.logLine("Evacuation changed.", "centre", o.Centre, "evacuated", o.Start, "index", index)
+		c.notifyGrants()
 	}
 	return applied
 }
@@ -199,6 +200,16 @@
 	if err != nil {
 		c.logLine("Cannot decode the evacuations of a snapshot.", "err", err)
 	}
+	c.notifyGrants()
+}
+
+// notifyGrants tells the grants which evacuations have ended. The servers there are cold.
+func (c *Core) notifyGrants() {
+	for _, e := range c.evacuations.List(c.now) {
+		if !e.Active {
+			c.EvacuationEnded(e.Centre, c.now-e.Age)
+		}
+	}
 }
 
 // addEvacuations adds the evacuations to a reply unless the entry host has them.
