lab/simnet: simulate a flood warning office with many entry hosts

The overload that docs/design/hard-load.md describes needs many entry hosts that see little of the load each. Flood has short requests of two kinds through 6 to 294 entry hosts of three data centres, and passes the list of entry hosts to the cores. Clients come back 7 ms after a refusal, up to three tries. Failures are killed entry hosts, lists that differ and slow servers. The other scenarios give the same results as before (output of TestOverloadAnswersWhatTheSlotsBear and TestReportEachStrategyInEachScenario compared).

Run: go test ./internal/lab/simnet ./internal/proof/policy: pass.

--- a/internal/lab/simnet/client.go
+++ b/internal/lab/simnet/client.go
@@ -28,6 +28,9 @@
 	sim    *simulation
 	centre int
 	long   bool
+	// kind is the kind of a request in a scenario with kinds, and route its address.
+	kind  *Kind
+	route netip.AddrPort
 	// pool is the pool to which a pooled client returns after each request, or nil.
 	pool *pool
 	flow *flow
@@ -65,7 +68,7 @@
 		sim.result.Burst.Requests++
 	}
 	id := c.requestID
-	sim.after(requestTimeout, func() {
+	sim.after(sim.scenario.requestTimeout(), func() {
 		if c.requestID == id && c.waiting {
 			c.finish(false)
 		}
@@ -99,6 +102,13 @@
 			}
 		})
 	}
+	if c.kind != nil {
+		sim.after(openingTimeout, func() {
+			if f.server == nil {
+				f.onReset()
+			}
+		})
+	}
 }
 
 func (f *flow) sendPacket(p core.Packet) {
@@ -106,6 +116,9 @@
 	if f.client.long {
 		p.To = longRoute
 	}
+	if f.client.kind != nil {
+		p.To = f.client.route
+	}
 	p.Token = f.token
 	f.client.sim.forward(f.client.centre, p, f)
 }
@@ -155,7 +168,13 @@
 	f.token = token
 	f.seq += requestBytes
 	f.ack += responseBytes
-	f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack, Close: last || !c.long})
+	if c.kind != nil {
+		// The first bytes of the response are acknowledged before the last ones.
+		f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack})
+		c.sim.after(1, func() { f.sendPacket(closing(f)) })
+	} else {
+		f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack, Close: last || !c.long})
+	}
 	if last || !c.long {
 		f.close()
 	}
@@ -168,7 +187,7 @@
 	}
 	c.sim.result.Shed++
 	f.close()
-	c.sim.after(retryDelay, c.retry)
+	c.sim.after(c.sim.scenario.retryDelay(), c.retry)
 }
 
 // closing returns the packet that ends the flow.
@@ -188,7 +207,7 @@
 	}
 	f.close()
 	if f.client.flow == f {
-		f.client.sim.after(retryDelay, f.client.retry)
+		f.client.sim.after(f.client.sim.scenario.retryDelay(), f.client.retry)
 	}
 }
 
@@ -203,7 +222,11 @@
 func (c *client) finish(served bool) {
 	sim := c.sim
 	c.waiting = false
-	sim.record(c.startedAt, served, sim.scenario.target(c.long))
+	if c.kind != nil {
+		sim.recordKind(c.kind, c.startedAt, served)
+	} else {
+		sim.record(c.startedAt, served, sim.scenario.target(c.long))
+	}
 	if !served && c.flow != nil {
 		c.flow.close()
 	}
--- a/internal/lab/simnet/scenario.go
+++ b/internal/lab/simnet/scenario.go
@@ -81,6 +81,16 @@
 	Off tune.Off
 	// ExchangeDelay is the age of the loads when an exchange delivers them.
 	ExchangeDelay clock.Millis
+	// Kinds, if not empty, are the only requests. The loads then reach the entry hosts
+	// at different times of the exchange interval.
+	Kinds []Kind
+	// Failures are the faults of a scenario with Kinds.
+	Failures Failures
+	// RetryDelay is the wait before the next attempt of a shed or reset request, or 0 for
+	// retryDelay. RequestTimeout is the time after which a client gives up a request, or
+	// 0 for requestTimeout.
+	RetryDelay     clock.Millis
+	RequestTimeout clock.Millis
 }
 
 // Scenarios returns the scenarios to compare: one without faults (calm), and one
@@ -146,6 +156,10 @@
 	Shed int
 	// Refused counts attempts that were reset before they reached a server.
 	Refused int
+	// Arrivals counts the requests that reached a server.
+	Arrivals int
+	// Kinds are the outcomes by kind, in the order of Scenario.Kinds.
+	Kinds []KindResult
 	// Burst counts the requests that started during the burst.
 	Burst Outcomes
 	// Latency holds the latencies of the served requests, in milliseconds.
@@ -230,3 +244,17 @@
 		_ = r.Latency.RecordValue(int64(max(latency, 1)))
 	}
 }
+
+func (s *Scenario) requestTimeout() clock.Millis {
+	if s.RequestTimeout > 0 {
+		return s.RequestTimeout
+	}
+	return requestTimeout
+}
+
+func (s *Scenario) retryDelay() clock.Millis {
+	if s.RetryDelay > 0 {
+		return s.RetryDelay
+	}
+	return retryDelay
+}
--- a/internal/lab/simnet/server.go
+++ b/internal/lab/simnet/server.go
@@ -19,9 +19,11 @@
 	coldUntil clock.Millis
 	draining  bool
 	crashed   bool
-	inFlight  int
-	queue     []*queued
-	flows     map[*flow]bool
+	// slowFactor multiplies the service times.
+	slowFactor float64
+	inFlight   int
+	queue      []*queued
+	flows      map[*flow]bool
 }
 
 // queued is a request that waits for a slot.
@@ -33,7 +35,7 @@
 func (sim *simulation) addServer(centre int) *server {
 	sim.lastServer++
 	n := sim.lastServer
-	s := &server{sim: sim, centre: centre, flows: map[*flow]bool{}}
+	s := &server{sim: sim, centre: centre, flows: map[*flow]bool{}, slowFactor: 1}
 	s.record = fleet.Record{
 		ID: fmt.Sprintf("i-%x", n), Number: n, Started: clock.Millis(n), Seq: 1, Service: "x", Centre: centreName(centre),
 		Slots: sim.scenario.Slots, State: fleet.Ready,
@@ -62,6 +64,7 @@
 	case p.Length > 0 && f.receivedSeq != p.Seq:
 		// A retransmission has the same sequence number and is not served again.
 		f.receivedSeq = p.Seq
+		sim.result.Arrivals++
 		s.serve(f, token)
 	}
 }
@@ -83,7 +86,7 @@
 		return
 	}
 	s.inFlight++
-	serviceTime := sim.serviceTime()
+	serviceTime := clock.Millis(float64(sim.serviceTime(f.client.kind)) * s.slowFactor)
 	if sim.now < s.coldUntil {
 		serviceTime = clock.Millis(float64(serviceTime) * coldFactor)
 	}
--- a/internal/lab/simnet/simulation.go
+++ b/internal/lab/simnet/simulation.go
@@ -7,7 +7,6 @@
 	"net/netip"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
-	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/base/timers"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
@@ -58,6 +57,11 @@
 type host struct {
 	centre int
 	core   *core.Core
+	name   string
+	// killed is set once the host has ended, and unrouted once the router knows. They are
+	// used in scenarios with kinds only, and killedAt is when the host ended.
+	killed, unrouted bool
+	killedAt         clock.Millis
 }
 
 // Run simulates a scenario with a flow placement strategy. The same seed gives the
@@ -66,10 +70,12 @@
 	sim := &simulation{
 		scenario: scenario, rand: rand.New(rand.NewPCG(seed, 7)), now: 1, serverByNumber: map[uint64]*server{}, result: newResult(),
 	}
+	sim.result.Kinds = make([]KindResult, len(scenario.Kinds))
 	for c := range scenario.DataCentres {
-		for range scenario.Hosts {
-			sim.hosts = append(sim.hosts, &host{c, core.New(core.Options{
-				Centre: centreName(c), Choice: strategy, DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: scenario.Off,
+		for i := range scenario.Hosts {
+			name := entryHostName(c, i)
+			sim.hosts = append(sim.hosts, &host{centre: c, name: name, core: core.New(core.Options{
+				Name: name, Centre: centreName(c), Choice: strategy, DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: scenario.Off,
 				// Silence is reported by announceServers only.
 				Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
 			}, rand.New(rand.NewPCG(sim.rand.Uint64(), 1)))})
@@ -111,6 +117,7 @@
 		}
 		table.Routes = append(table.Routes, r)
 	}
+	table.Routes = append(table.Routes, sim.kindRoutes()...)
 	for _, h := range sim.hosts {
 		h.core.Configure(sim.now, table)
 		sim.tick(h)
@@ -118,6 +125,16 @@
 	if sim.scenario.ExchangeInterval > 0 {
 		sim.exchangeLoads()
 	}
+	if len(sim.scenario.Kinds) > 0 {
+		sim.startKinds()
+	} else {
+		sim.startClients()
+	}
+	sim.scheduleFaults()
+}
+
+// startClients schedules the clients.
+func (sim *simulation) startClients() {
 	for c := range sim.scenario.DataCentres {
 		longFlows := sim.scenario.LongFlows
 		if c == 0 {
@@ -132,7 +149,6 @@
 			(&pool{sim: sim, centre: c}).scheduleRequest()
 		}
 	}
-	sim.scheduleFaults()
 }
 
 func (sim *simulation) tick(h *host) {
@@ -143,6 +159,10 @@
 // exchangeLoads collects the loads of all hosts and delivers to each the sum of the
 // others, as the control hosts do.
 func (sim *simulation) exchangeLoads() {
+	if len(sim.scenario.Kinds) > 0 {
+		sim.exchangeKindLoads()
+		return
+	}
 	byHost := make([]choose.Loads, len(sim.hosts))
 	total := choose.Loads{}
 	for i, h := range sim.hosts {
@@ -156,13 +176,18 @@
 // deliverLoads gives each host the sum of the loads that the other hosts reported.
 func (sim *simulation) deliverLoads(byHost []choose.Loads, total choose.Loads) {
 	for i, h := range sim.hosts {
-		others := choose.Loads{}
-		for token, load := range total {
-			own := byHost[i][token]
-			others[token] = choose.Load{InFlight: load.InFlight - own.InFlight, Flows: load.Flows - own.Flows}
-		}
-		h.core.Learn(sim.now, &core.Update{Loads: others})
+		sim.deliverLoad(h, byHost[i], total)
+	}
+}
+
+// deliverLoad gives a host the sum of all loads without its own report.
+func (sim *simulation) deliverLoad(h *host, report, total choose.Loads) {
+	others := choose.Loads{}
+	for token, load := range total {
+		own := report[token]
+		others[token] = choose.Load{InFlight: load.InFlight - own.InFlight, Flows: load.Flows - own.Flows}
 	}
+	h.core.Learn(sim.now, &core.Update{Loads: others})
 }
 
 // scheduleFaults schedules the crashes and replacements of the scenario. The
@@ -211,8 +236,10 @@
 // the router selects by a hash of the client's address.
 func (sim *simulation) forward(centre int, p core.Packet, f *flow) {
 	sim.after(clientDelay, func() {
-		index := int(hash.String(p.From.String()) % uint64(sim.scenario.Hosts))
-		h := sim.hosts[centre*sim.scenario.Hosts+index]
+		h := sim.routeOf(centre, p.From)
+		if h.killed {
+			return
+		}
 		const upToDate = true
 		action := h.core.HandlePacket(sim.now, &p, upToDate)
 		switch action.Verdict {
@@ -232,9 +259,12 @@
 }
 
 // serviceTime draws the service time of a request from a log-normal distribution
-// whose mean is the scenario's ServiceTime.
-func (sim *simulation) serviceTime() clock.Millis {
+// whose mean is that of the kind, or the scenario's ServiceTime.
+func (sim *simulation) serviceTime(k *Kind) clock.Millis {
 	mean := float64(sim.scenario.ServiceTime)
+	if k != nil {
+		mean = float64(k.ServiceTime)
+	}
 	millis := mean * math.Exp(serviceTimeSigma*sim.rand.NormFloat64()-serviceTimeSigma*serviceTimeSigma/2)
 	return clock.Millis(max(1, math.Round(millis)))
 }
