token/core: split the slots of services with long flows too

Change: the split applies to services with long flows from eight entry hosts of a data centre on, where an own place counts as free only if the reported load of its server leaves room, too. Such services take no new long flow above a mean utilization of 2, and the most urgent kind has four places a slot.

Run: go test ./internal/token/core ./internal/lab/simnet.

--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -89,6 +89,9 @@
 			o.MeanLoad = c.policy.MeanUtilization(now, list, backendOf)
 		}
 		o.Load = s.backend.Load(choose.Short)
+		if kind == choose.Long && o.Goal > 0 && c.refusesLong(o.MeanLoad) {
+			return s, load, false
+		}
 		if service.Admit(&o) {
 			return s, load, true
 		}
--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -16,7 +16,7 @@
 	// never idles. urgentPlacesPerSlot is the same with the most urgent requests, which
 	// find room on a server that others fill. Servers reject what waits for long.
 	placesPerSlot       = 2.0
-	urgentPlacesPerSlot = 3.0
+	urgentPlacesPerSlot = 4.0
 	// busyUtilization is the mean utilization of the servers from which the places are
 	// used. Below it, a server with a free slot is found by the reported loads.
 	busyUtilization = 0.65
@@ -26,6 +26,13 @@
 	// overflowShare bounds the requests in flight on places of other hosts, as a share of
 	// the slots that this host owns. Reported loads are up to a second old.
 	overflowShare = 0.5
+	// minHostsWithLongFlows is the number of entry hosts of a data centre from which the
+	// slots of services with long flows are split. Fewer hosts each see enough of a
+	// service to decide by the reported loads.
+	minHostsWithLongFlows = 8
+	// maxLongMean is the mean utilization above which such a service takes no new long
+	// flows. Their requests cannot be refused later, and take the places of urgent ones.
+	maxLongMean = 2.0
 )
 
 // share is the part of the slots of a service in this data centre that this host owns.
@@ -95,10 +102,13 @@
 		return nil, false, false
 	}
 	usage := c.usageOf(list)
-	if usage.longFlows || usage.mean < busyUtilization && float64(usage.own) < share.slots {
+	if usage.longFlows && len(c.sharing) < minHostsWithLongFlows || usage.mean < busyUtilization && float64(usage.own) < share.slots {
 		return nil, false, false
 	}
-	urgent := a.MostUrgent(o.Priority)
+	urgent, maxLoad := a.MostUrgent(o.Priority), placesPerSlot
+	if urgent {
+		maxLoad = urgentPlacesPerSlot
+	}
 	best, bestUse, ownInFlight := (*server)(nil), 1.0, 0
 	for i := range share.places {
 		p := &share.places[i]
@@ -108,7 +118,7 @@
 		if urgent {
 			places = p.urgent
 		}
-		if places == 0 || b.Avoided(now) {
+		if places == 0 || b.Avoided(now) || usage.longFlows && b.Load(choose.Short) > maxLoad {
 			continue
 		}
 		if use := float64(b.InFlight()) / float64(places); use < bestUse {
@@ -124,14 +134,20 @@
 	return s, overflow && s.backend.Utilization() <= overflowUtilization, true
 }
 
+// refusesLong reports whether a service takes no new long flow, by the mean utilization of
+// the servers that it could go to.
+func (c *Core) refusesLong(mean float64) bool {
+	return mean > maxLongMean && len(c.sharing) >= minHostsWithLongFlows && !c.options.Off.Has(tune.Subsets)
+}
+
 // usage describes how busy the servers of a service are.
 type usage struct {
 	// mean is the mean utilization of the servers in this data centre.
 	mean float64
 	// own is the number of requests in flight through this host.
 	own int
-	// longFlows reports whether long flows are active on the servers. Their requests move
-	// between hosts, so a host's own counts don't show them.
+	// longFlows reports whether long flows are active on the servers. They go to servers
+	// of other hosts too, so a host's own counts don't show their requests.
 	longFlows bool
 }
 
