token/core: bound new long flows by the host's own requests in flight

Under overload, hosts opened long flows until the reported loads, which are averaged over a second, showed that the slots were full.

Change: a host whose requests in flight are two per slot of its own share opens long flows only on servers reported to be at most 80% used, and none from three on.

Run: go test ./internal/token/core ./internal/lab/simnet.

--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"math"
+
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
@@ -79,6 +81,10 @@
 			return s, s.backend.Load(kind), admitted
 		}
 	}
+	longLimit := math.Inf(1)
+	if mayRefuse && kind == choose.Long && o.Goal > 0 {
+		longLimit = c.longFlowLimit(list)
+	}
 	for attempt := 0; attempt <= refusalAttempts; attempt++ {
 		s = list[c.policy.Pick(now, kind, list, backendOf)]
 		load = s.backend.Load(kind)
@@ -89,7 +95,7 @@
 			o.MeanLoad = c.policy.MeanUtilization(now, list, backendOf)
 		}
 		o.Load = s.backend.Load(choose.Short)
-		if kind == choose.Long && o.Goal > 0 && c.refusesLong(o.MeanLoad) {
+		if s.backend.Utilization() > longLimit {
 			return s, load, false
 		}
 		if service.Admit(&o) {
--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -30,9 +30,12 @@
 	// slots of services with long flows are split. Fewer hosts each see enough of a
 	// service to decide by the reported loads.
 	minHostsWithLongFlows = 8
-	// maxLongMean is the mean utilization above which such a service takes no new long
-	// flows. Their requests cannot be refused later, and take the places of urgent ones.
-	maxLongMean = 2.0
+	// longFlowsPerSlot is the number of requests in flight per slot of this host's share
+	// from which it opens long flows only on servers that are reported to have room, and
+	// maxLongFlowsPerSlot that from which it opens none. Requests on long flows cannot be
+	// refused later, and take the places of urgent ones.
+	longFlowsPerSlot    = 2.0
+	maxLongFlowsPerSlot = 3.0
 )
 
 // share is the part of the slots of a service in this data centre that this host owns.
@@ -134,10 +137,22 @@
 	return s, overflow && s.backend.Utilization() <= overflowUtilization, true
 }
 
-// refusesLong reports whether a service takes no new long flow, by the mean utilization of
-// the servers that it could go to.
-func (c *Core) refusesLong(mean float64) bool {
-	return mean > maxLongMean && len(c.sharing) >= minHostsWithLongFlows && !c.options.Off.Has(tune.Subsets)
+// longFlowLimit returns the reported utilization of a server up to which a service takes
+// another long flow there. It falls as the requests in flight through this host fill its
+// share of the slots.
+func (c *Core) longFlowLimit(list []*server) float64 {
+	share := c.shareOf(list[0].entry.Service, list)
+	if share == nil || len(share.places) == 0 || len(c.sharing) < minHostsWithLongFlows {
+		return math.Inf(1)
+	}
+	switch own := float64(c.usageOf(list).own); {
+	case own < longFlowsPerSlot*share.slots:
+		return math.Inf(1)
+	case own < maxLongFlowsPerSlot*share.slots:
+		return overflowUtilization
+	default:
+		return -1
+	}
 }
 
 // usage describes how busy the servers of a service are.
