--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -122,10 +122,9 @@
 	// lastRunID is the run ID of the latest start of any host.
 	lastRunID uint64
 
-	// fetches holds the entry hosts that wait for replies.
-	fetches    map[core.ReplyHandle]func(*msgs.FetchReply)
-	lastHandle core.ReplyHandle
-	orders     orders
+	// fetches holds the entry host of each fetch, by its reply handle less 1.
+	fetches []*entryHost
+	order   order
 
 	// leaders holds the leader of each term, votes the candidate that got the vote
 	// of a host, by its address, in a term, and committed the term of each committed
@@ -243,7 +242,9 @@
 	}
 	sim.deliver(out.Answers)
 	for _, r := range out.Replies {
-		sim.reply(r)
+		if r.To > 0 {
+			sim.events.Add(sim.now+1, func() { sim.fetches[r.To-1].receive(r.Body) })
+		}
 	}
 	if !out.NeedsDisk() {
 		return
