--- a/internal/dir/core/fuzz_test.go
+++ b/internal/dir/core/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/dir/evac"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
@@ -19,6 +20,7 @@
 		{Raft: &raft.Message{From: "10.0.0.2:7000/x", To: "10.0.0.1:7000/founder", Term: 5}},
 		{JoinRequest: &msgs.JoinRequest{ID: "10.0.0.2:7000/x", Former: []raft.ID{"10.0.0.2:7000/y"}}},
 		{ProposeRequest: &msgs.ProposeRequest{From: "10.0.0.2:7000/x", RequestID: 3, Data: []byte{1}}},
+		{ProposeRequest: &msgs.ProposeRequest{From: "10.0.0.2:7000/x", RequestID: 4, Data: evac.EncodeEntry(&evac.Order{Centre: "hall-0", Start: true})}},
 		{ProposeReply: &msgs.ProposeReply{RequestID: 1, Committed: true, Data: []byte{0xc0}}},
 		{ReplicateRequest: &msgs.ReplicateRequest{From: "10.0.0.2:7000/x", Record: fleet.Record{ID: "i-1"}}},
 		{ResignRequest: &msgs.ResignRequest{ID: "10.0.0.1:7000/founder"}},
--- a/internal/dir/evac/evac.go
+++ b/internal/dir/evac/evac.go
@@ -10,6 +10,7 @@
 package evac
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -239,8 +240,8 @@
 	if len(encoded) == 0 {
 		return nil
 	}
-	var records []record
-	if err := msgpack.Unmarshal(encoded, &records); err != nil {
+	records, err := decodeRecords(encoded)
+	if err != nil {
 		return err
 	}
 	next := New()
@@ -263,3 +264,25 @@
 	}
 	return nil
 }
+
+// decodeRecords decodes a list of records. The decoder would allocate memory for the
+// length that the list claims.
+func decodeRecords(encoded []byte) ([]record, error) {
+	d := msgpack.NewDecoder(bytes.NewReader(encoded))
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return nil, err
+	}
+	if n > len(encoded) {
+		return nil, fmt.Errorf("%w: list of %d records in %d bytes", ErrInvalid, n, len(encoded))
+	}
+	var out []record
+	for range n {
+		var r record
+		if err := d.Decode(&r); err != nil {
+			return nil, err
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
