proof/dirsim: explore evacuations beside publications

Each publication of a history now comes with an order that starts or ends an evacuation. After each step all live hosts must list the latest acknowledged order, and at the end an order must be acknowledged.

--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -151,6 +151,7 @@
 	case "publish":
 		e.version++
 		e.publish(e.liveHosts()[0], e.version, nil)
+		e.evacuate(e.liveHosts()[0], !e.order.start, nil)
 	case "add":
 		if e.added == maxAdded || e.spare {
 			return false
@@ -222,6 +223,7 @@
 	}
 	for _, addr := range e.liveHosts() {
 		e.verifyRead(addr, nil)
+		e.verifyOrder(addr)
 	}
 	e.checkLogs()
 	return true
@@ -308,8 +310,10 @@
 	e.awaitConvergence(recoverTimeout)
 	e.version++
 	e.publishWithRetry(e.version, ackTimeout)
+	e.evacuateWithRetry(true, ackTimeout)
 	for _, addr := range e.liveHosts() {
 		e.verifyRead(addr, nil)
+		e.verifyOrder(addr)
 	}
 	e.run(1500)
 	e.checkLogs()
@@ -434,8 +438,8 @@
 }
 
 // TestExploreFaultOrders plays all orders of a few faults, replacements and
-// publications, up to a length, and random longer ones. After each, an acknowledged
-// version must be read back, the logs must agree, and the hosts must elect a leader.
+// publications, with evacuations beside these, up to a length, and random longer ones.
+// After each, an acknowledged version and order must be read back, the logs must agree, and the hosts must elect a leader.
 func TestExploreFaultOrders(t *testing.T) {
 	if *exploreHistory != "" {
 		e := begin(t, parseHistory(qt.New(t), *exploreHistory))
