token/daemon: test that a ready host has the evacuations

They come with the first routing table, in the same reply. The test guards against a host that reports ready before it knows which data centres are evacuated.

--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"monsooncleat.example/monsooncleat/internal/base/admin"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/logs"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
@@ -62,11 +63,11 @@
 	return netip.MustParseAddrPort(conn.LocalAddr().String())
 }
 
-// serveControl runs a control host that answers fetches with one route and one
-// server.
+// serveControl runs a control host that answers fetches with one route, one server and
+// the evacuation of a data centre without servers.
 func serveControl(ctx context.Context, c *qt.C, address, server netip.AddrPort) {
 	reply := msgs.FetchReply{
-		Current: true, RunID: 1, Position: 1,
+		Current: true, RunID: 1, Position: 1, EvacuationsVersion: 9, Evacuations: []msgs.Evacuation{{Centre: "b", Active: true}},
 		Servers: []msgs.ServerStatus{{Record: fleet.Record{
 			ID: "i-1", Number: 1, Seq: 1, Service: "x", Address: server, Centre: "a", Slots: 2, State: fleet.Ready,
 		}}},
@@ -164,6 +165,10 @@
 	settings.Peer = netip.MustParseAddrPort(taken.LocalAddr().String())
 	serveControl(ctx, c, settings.Seeds[0], freeAddress(c))
 	_, stopped := startReady(ctx, c, settings)
+	// A host that is ready must have the evacuations, too.
+	dump, err := admin.FetchDump(ctx, settings.Admin.String())
+	c.Assert(err, qt.IsNil)
+	c.Check(string(dump), qt.Contains, `"evacuationsVersion": 9`)
 	// A task that keeps failing ends the process within this time.
 	select {
 	case err := <-stopped:
