token/core: open on an unused share whatever the reports say

A trace of the refusals showed hosts with no request in flight and all places free, and reported loads of 12 requests a slot: while routers change their hash, flows move between hosts and are counted by both, and hosts that change their control host report to both; adopted flows also counted as long ones. Ruled out: servers in backoff, own counts that stay.

Change: a host whose requests in flight don't fill its share of the slots opens on its own places, or beyond them where those servers are avoided, without regard to the reported loads.

--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -112,6 +112,9 @@
 	if urgent {
 		maxLoad = urgentPlacesPerSlot
 	}
+	// A host that doesn't use its share needs no reports to open. After a restart of all
+	// hosts they count many requests twice, and flows as long that aren't.
+	unused := float64(usage.own) < share.slots
 	best, bestUse, ownInFlight := (*server)(nil), 1.0, 0
 	for i := range share.places {
 		p := &share.places[i]
@@ -121,7 +124,7 @@
 		if urgent {
 			places = p.urgent
 		}
-		if places == 0 || b.Avoided(now) || usage.longFlows && b.Load(choose.Short) > maxLoad {
+		if places == 0 || b.Avoided(now) || usage.longFlows && !unused && b.Load(choose.Short) > maxLoad {
 			continue
 		}
 		if use := float64(b.InFlight()) / float64(places); use < bestUse {
@@ -134,7 +137,7 @@
 	index := c.policy.Pick(now, choose.Short, list, backendOf)
 	s = list[index]
 	overflow := float64(usage.own-ownInFlight) < max(overflowShare*share.slots, 1)
-	return s, overflow && s.backend.Utilization() <= overflowUtilization, true
+	return s, unused || overflow && s.backend.Utilization() <= overflowUtilization, true
 }
 
 // longFlowLimit returns the reported utilization of a server up to which a service takes
