--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -85,8 +85,8 @@
 
 // KindResult holds the outcomes of one kind of requests.
 type KindResult struct {
-	// Rest, Burst and After count the requests that started before the burst, during it,
-	// and from settleTime after it on.
+	// Rest, Burst and After count the requests that started before the burst, during it
+	// from Scenario.CountFrom on, and from settleTime after it on.
 	Rest, Burst, After Outcomes
 	// Work is the work of the requests of Burst that were answered within the goal, in
 	// milliseconds of a slot.
@@ -96,8 +96,9 @@
 // Share returns the share of the requests that were answered within the goal.
 func (o *Outcomes) Share() float64 { return float64(o.OnTime) / float64(max(o.Requests, 1)) }
 
-// UseOfSlots returns the work of the requests that started during the burst and were
-// answered within the goal, as a share of what the slots bear in that time.
+// UseOfSlots returns the work of the requests that started during the burst, from
+// Scenario.CountFrom on, and were answered within the goal, as a share of what the slots
+// bear in that time.
 func (r *Result) UseOfSlots(s *Scenario) float64 {
 	slots := float64(s.DataCentres * s.Servers * s.Slots)
 	if f := s.Failures.SlowFactor; f > 1 {
@@ -107,13 +108,15 @@
 	for i := range r.Kinds {
 		work += r.Kinds[i].Work
 	}
-	return work / (slots * float64(s.BurstTo-s.BurstFrom))
+	return work / (slots * float64(s.BurstTo-max(s.BurstFrom, s.CountFrom)))
 }
 
 // kindOutcomes returns the counts for a request that started at a time, or nil.
 func (sim *simulation) kindOutcomes(k *Kind, startedAt clock.Millis) *Outcomes {
 	r := &sim.result.Kinds[slices.IndexFunc(sim.scenario.Kinds, func(o Kind) bool { return o.Name == k.Name })]
 	switch {
+	case sim.inBurst(startedAt) && startedAt < sim.scenario.CountFrom:
+		return nil
 	case sim.inBurst(startedAt):
 		return &r.Burst
 	// The hosts know nothing of the servers in the first seconds, and the last requests
--- a/internal/lab/simnet/scenario.go
+++ b/internal/lab/simnet/scenario.go
@@ -86,6 +86,8 @@
 	Kinds []Kind
 	// Failures are the faults of a scenario with Kinds.
 	Failures Failures
+	// CountFrom is when the counts of the burst begin, if that is later than BurstFrom.
+	CountFrom clock.Millis
 	// RetryDelay is the wait before the next attempt of a shed or reset request, or 0 for
 	// retryDelay. RequestTimeout is the time after which a client gives up a request, or
 	// 0 for requestTimeout.
