--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -31,6 +31,9 @@
 	At clock.Millis
 	// Killed is the share of the entry hosts of each data centre that end without notice.
 	Killed float64
+	// PausedFor is the time after which the killed hosts go on where they were, or 0 if
+	// they don't.
+	PausedFor clock.Millis
 	// Differing is the share of the entry hosts that are missing, for a second, in the
 	// lists of half of the entry hosts.
 	Differing float64
@@ -271,6 +274,16 @@
 			sim.after(f.At+delistDelay+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
 		}
 	}
+	if f.PausedFor > 0 {
+		sim.after(f.At+f.PausedFor, func() {
+			for _, h := range sim.hosts {
+				h.killed, h.unrouted = false, false
+			}
+		})
+		for _, h := range sim.hosts {
+			sim.after(f.At+f.PausedFor+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
+		}
+	}
 	if f.Differing > 0 {
 		for i, h := range sim.hosts {
 			if i%2 == 0 {
--- a/internal/lab/simnet/goal_test.go
+++ b/internal/lab/simnet/goal_test.go
@@ -144,6 +144,18 @@
 	checkAtLeast(t, after, "urgent requests after the list changed", goalUrgent, urgentInTime)
 }
 
+// TestFloodWithPausedHosts pauses a tenth of the entry hosts for 3 s. They go on with the
+// list from before, while the others have split their places.
+func TestFloodWithPausedHosts(t *testing.T) {
+	s := simnet.Flood(84, 6, 6)
+	s.BurstTo, s.Duration = 18_000, 23_000
+	s.Failures = simnet.Failures{At: failureAt, Killed: 0.1, PausedFor: 3 * clock.Second}
+	s.CountFrom = failureAt + s.Failures.PausedFor
+	results := runFlood(t, &s, 2)
+	checkAtLeast(t, results, "use of the slots", goalInTime, useOfSlots(&s))
+	checkAtLeast(t, results, "urgent requests in time", goalUrgent, urgentInTime)
+}
+
 // TestFloodWithCutDataCentre cuts a data centre off for 3 s of the burst.
 func TestFloodWithCutDataCentre(t *testing.T) {
 	s := simnet.Flood(84, 6, 6)
