--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -31,6 +31,9 @@
 	At clock.Millis
 	// Killed is the share of the entry hosts of each data centre that end without notice.
 	Killed float64
+	// PausedFor is the time after which the killed hosts go on where they were, or 0 if
+	// they don't.
+	PausedFor clock.Millis
 	// Differing is the share of the entry hosts that are missing, for a second, in the
 	// lists of half of the entry hosts.
 	Differing float64
@@ -85,8 +88,8 @@
 
 // KindResult holds the outcomes of one kind of requests.
 type KindResult struct {
-	// Rest, Burst and After count the requests that started before the burst, during it,
-	// and from settleTime after it on.
+	// Rest, Burst and After count the requests that started before the burst, during it
+	// from Scenario.CountFrom on, and from settleTime after it on.
 	Rest, Burst, After Outcomes
 	// Work is the work of the requests of Burst that were answered within the goal, in
 	// milliseconds of a slot.
@@ -96,8 +99,9 @@
 // Share returns the share of the requests that were answered within the goal.
 func (o *Outcomes) Share() float64 { return float64(o.OnTime) / float64(max(o.Requests, 1)) }
 
-// UseOfSlots returns the work of the requests that started during the burst and were
-// answered within the goal, as a share of what the slots bear in that time.
+// UseOfSlots returns the work of the requests that started during the burst, from
+// Scenario.CountFrom on, and were answered within the goal, as a share of what the slots
+// bear in that time.
 func (r *Result) UseOfSlots(s *Scenario) float64 {
 	slots := float64(s.DataCentres * s.Servers * s.Slots)
 	if f := s.Failures.SlowFactor; f > 1 {
@@ -107,13 +111,15 @@
 	for i := range r.Kinds {
 		work += r.Kinds[i].Work
 	}
-	return work / (slots * float64(s.BurstTo-s.BurstFrom))
+	return work / (slots * float64(s.BurstTo-max(s.BurstFrom, s.CountFrom)))
 }
 
 // kindOutcomes returns the counts for a request that started at a time, or nil.
 func (sim *simulation) kindOutcomes(k *Kind, startedAt clock.Millis) *Outcomes {
 	r := &sim.result.Kinds[slices.IndexFunc(sim.scenario.Kinds, func(o Kind) bool { return o.Name == k.Name })]
 	switch {
+	case sim.inBurst(startedAt) && startedAt < sim.scenario.CountFrom:
+		return nil
 	case sim.inBurst(startedAt):
 		return &r.Burst
 	// The hosts know nothing of the servers in the first seconds, and the last requests
@@ -268,6 +274,16 @@
 			sim.after(f.At+delistDelay+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
 		}
 	}
+	if f.PausedFor > 0 {
+		sim.after(f.At+f.PausedFor, func() {
+			for _, h := range sim.hosts {
+				h.killed, h.unrouted = false, false
+			}
+		})
+		for _, h := range sim.hosts {
+			sim.after(f.At+f.PausedFor+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
+		}
+	}
 	if f.Differing > 0 {
 		for i, h := range sim.hosts {
 			if i%2 == 0 {
