Share the places of all data centres while one is evacuated

Cause: the entry hosts of an evacuated data centre own no places, since places are split among the entry hosts of the data centre of the servers. They decide by reported loads, which are the same for all of them, and open flows on the same servers as the hosts that own them.

While a data centre is evacuated, control hosts add the entry hosts of the other data centres to the list in their replies (SharingElsewhere). Entry hosts then form one line over the servers of all data centres, ordered by data centre and ID, and own segments of it in the order of data centre and hash. Without an evacuation the replies are unchanged.

--- a/internal/dir/core/peers_test.go
+++ b/internal/dir/core/peers_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/dir/core"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 )
@@ -55,3 +56,40 @@
 	qt.Check(t, r.Sharing, qt.HasLen, 2)
 	qt.Check(t, b.SharingHosts(), qt.Equals, 2)
 }
+
+// TestEvacuationListsAllEntryHosts guards against entry hosts of an evacuated data centre
+// that own no places, and against a change on the wire without an evacuation.
+func TestEvacuationListsAllEntryHosts(t *testing.T) {
+	c := newControlHost(t, 12)
+	pollSharing(t, c, 3000, 1, 0)
+	c.HandleMessage(3010, 1, &msgs.Envelope{Fetch: &msgs.Fetch{
+		Name: "other", Centre: centreName(1), Form: msgs.BlockForm, RequestID: 1, RunID: 7, Since: 12, Version: 1, Sharing: true,
+	}})
+	c.Take()
+	before, _ := pollSharing(t, c, 3020, 1, 0)
+	qt.Check(t, before.Sharing, qt.HasLen, 1)
+	qt.Check(t, before.SharingElsewhere, qt.IsNil)
+	order := func(now clock.Millis, start bool) {
+		c.Evacuate(now, core.CallID(now), centreName(1), start)
+		for range 3 {
+			now += 20
+			if out := c.Take(); len(out.Entries) > 0 {
+				last := out.Entries[len(out.Entries)-1]
+				c.Persisted(now, last.Index, last.Term)
+			}
+			c.Tick(now)
+		}
+	}
+	order(3100, true)
+	qt.Assert(t, c.Evacuated(), qt.Equals, 1)
+	during, _ := pollSharing(t, c, 3200, 1, before.SharingVersion)
+	qt.Check(t, during.Sharing, qt.DeepEquals, before.Sharing)
+	qt.Check(t, during.SharingElsewhere, qt.DeepEquals, map[string][]uint64{centreName(1): {hash.String("other")}})
+	same, _ := pollSharing(t, c, 3300, 1, during.SharingVersion)
+	qt.Check(t, same.SharingVersion, qt.Equals, uint64(0))
+	order(3400, false)
+	qt.Assert(t, c.Evacuated(), qt.Equals, 0)
+	after, _ := pollSharing(t, c, 3500, 1, during.SharingVersion)
+	qt.Check(t, after.SharingVersion, qt.Equals, before.SharingVersion)
+	qt.Check(t, after.SharingElsewhere, qt.IsNil)
+}
--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -183,6 +183,10 @@
 	// does not know the list yet.
 	Sharing        []uint64 `msgpack:"sharing,omitempty"`
 	SharingVersion uint64   `msgpack:"sharingVersion,omitempty"`
+	// SharingElsewhere maps each other data centre to such a list of its entry hosts. It
+	// is sent with Sharing, and only while a data centre is evacuated. SharingVersion is
+	// then a hash of the lists of all data centres.
+	SharingElsewhere map[string][]uint64 `msgpack:"sharingElsewhere,omitempty"`
 	// Grants are the requests that the entry host may open on cold servers.
 	Grants []Grant `msgpack:"grants,omitempty"`
 }
--- a/internal/dir/peers/peers.go
+++ b/internal/dir/peers/peers.go
@@ -158,19 +158,49 @@
 	return l.hosts, l.version
 }
 
+// AllHosts returns the same as Hosts and also, for a host that uses the servers of all
+// data centres, the lists of the other data centres. The version is a hash of all lists.
+func (p *Peers) AllHosts(now clock.Millis, centre string, known uint64) (hosts []uint64, elsewhere map[string][]uint64, version uint64) {
+	p.expire(now)
+	if now < p.settledAt {
+		return nil, nil, 0
+	}
+	version = 1
+	centres := p.centres()
+	for _, other := range centres {
+		version = hash.Mix(version, hash.Mix(hash.String(other), p.listOf(other).version))
+	}
+	version = max(version, 1)
+	if version == known {
+		return nil, nil, 0
+	}
+	elsewhere = map[string][]uint64{}
+	for _, other := range centres {
+		if l := p.listOf(other); other != centre && len(l.hosts) > 0 {
+			elsewhere[other] = l.hosts
+		}
+	}
+	return p.listOf(centre).hosts, elsewhere, version
+}
+
+// centres returns the sorted names of the data centres that have lists.
+func (p *Peers) centres() []string {
+	p.updateOwn()
+	centres := slices.Collect(maps.Keys(p.own))
+	for _, c := range p.controlHosts {
+		centres = slices.AppendSeq(centres, maps.Keys(c.byCentre))
+	}
+	slices.Sort(centres)
+	return slices.Compact(centres)
+}
+
 // Counts returns the number of entry hosts that take new flows by data centre.
 func (p *Peers) Counts(now clock.Millis) map[string]int {
 	p.expire(now)
-	p.updateOwn()
 	counts := map[string]int{}
-	for centre := range p.own {
+	for _, centre := range p.centres() {
 		counts[centre] = len(p.listOf(centre).hosts)
 	}
-	for _, c := range p.controlHosts {
-		for centre := range c.byCentre {
-			counts[centre] = len(p.listOf(centre).hosts)
-		}
-	}
 	return counts
 }
 
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -101,6 +101,9 @@
 	// Sharing are the hashes of the entry hosts of the data centre that take new flows,
 	// or nil if they have not changed. An empty list is not nil.
 	Sharing []uint64
+	// SharingElsewhere maps each other data centre to such a list, while a data centre is
+	// evacuated. It comes with Sharing.
+	SharingElsewhere map[string][]uint64
 	// Grants are the requests that may be opened on cold servers, and GrantedAt when the
 	// request that they answer was sent. They are set only by a reply from the primary.
 	Grants    []msgs.Grant
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -41,7 +41,7 @@
 	a.Next = p.choosePrimary(now, address, r, version)
 	if address == p.primary {
 		p.primaryRepliedAt = now
-		a.Sharing = p.acceptSharing(r)
+		a.Sharing, a.SharingElsewhere = p.acceptSharing(r)
 		a.Grants, a.GrantedAt = p.grants(r)
 		a.Loads, a.LoadCentres, err = p.loads(r)
 		if err != nil {
--- a/internal/dir/poll/sharing.go
+++ b/internal/dir/poll/sharing.go
@@ -48,13 +48,13 @@
 	return requests
 }
 
-// acceptSharing returns the list in a reply from the primary, or nil if it has not
+// acceptSharing returns the lists in a reply from the primary, or nil if they have not
 // changed. It needs no quorum: in a partition, each side goes by the entry hosts that it
 // is in contact with.
-func (p *Poller) acceptSharing(r *msgs.FetchReply) []uint64 {
+func (p *Poller) acceptSharing(r *msgs.FetchReply) (hosts []uint64, elsewhere map[string][]uint64) {
 	if r.SharingVersion == 0 || r.SharingVersion == p.sharing.version {
-		return nil
+		return nil, nil
 	}
 	p.sharing.version = r.SharingVersion
-	return append([]uint64{}, r.Sharing...)
+	return append([]uint64{}, r.Sharing...), r.SharingElsewhere
 }
--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -41,6 +41,9 @@
 	// the end of the burst.
 	Slow       float64
 	SlowFactor float64
+	// Evacuated is set if the first data centre is evacuated. Its clients stay with its
+	// entry hosts.
+	Evacuated bool
 }
 
 const (
@@ -55,6 +58,9 @@
 	delistSpread = 600 * clock.Millis(1)
 	// reportTTL is how long the control hosts use the load reported by an entry host.
 	reportTTL = 2 * clock.Second
+	// orderSpread is the time from the order of an evacuation until all entry hosts have
+	// polled.
+	orderSpread = 500 * clock.Millis(1)
 	// settleTime is the time after the burst from which requests count as after it.
 	settleTime = clock.Second
 	// unbounded is a length that no queue reaches.
@@ -107,6 +113,9 @@
 	if f := s.Failures.SlowFactor; f > 1 {
 		slots *= 1 - s.Failures.Slow*(1-1/f)
 	}
+	if s.Failures.Evacuated {
+		slots *= 1 - 1/float64(s.DataCentres)
+	}
 	work := 0.0
 	for i := range r.Kinds {
 		work += r.Kinds[i].Work
@@ -238,16 +247,28 @@
 func entryHostName(centre, index int) string { return fmt.Sprintf("entry-%d-%d", centre, index) }
 
 // shareList gives an entry host the sorted hashes of the entry hosts of its data centre
-// for which listed is true.
+// for which listed is true and, while a data centre is evacuated, of the others.
 func (sim *simulation) shareList(h *host, listed func(*host) bool) {
-	list := []uint64{}
+	lists := make([][]uint64, sim.scenario.DataCentres)
 	for _, o := range sim.hosts {
-		if o.centre == h.centre && listed(o) {
-			list = append(list, hash.String(o.name))
+		if listed(o) {
+			lists[o.centre] = append(lists[o.centre], hash.String(o.name))
+		}
+	}
+	u := core.Update{Sharing: []uint64{}}
+	for c, list := range lists {
+		slices.Sort(list)
+		switch {
+		case c == h.centre:
+			u.Sharing = append(u.Sharing, list...)
+		case sim.scenario.Failures.Evacuated && sim.now >= sim.scenario.Failures.At:
+			if u.SharingElsewhere == nil {
+				u.SharingElsewhere = map[string][]uint64{}
+			}
+			u.SharingElsewhere[centreName(c)] = list
 		}
 	}
-	slices.Sort(list)
-	h.core.Learn(sim.now, &core.Update{Sharing: list})
+	h.core.Learn(sim.now, &u)
 }
 
 // scheduleFailures gives the entry hosts their list and schedules the failures.
@@ -284,6 +305,16 @@
 			sim.after(f.At+f.PausedFor+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
 		}
 	}
+	if f.Evacuated {
+		for _, h := range sim.hosts {
+			sim.after(f.At+clock.Millis(sim.rand.IntN(int(orderSpread))), func() {
+				sim.shareList(h, alive)
+				h.core.Learn(sim.now, &core.Update{
+					EvacuationsVersion: 1, Evacuations: []core.EvacuationUpdate{{Centre: centreName(0), Active: true}},
+				})
+			})
+		}
+	}
 	if f.Differing > 0 {
 		for i, h := range sim.hosts {
 			if i%2 == 0 {
--- a/internal/serve/subset/subset.go
+++ b/internal/serve/subset/subset.go
@@ -18,11 +18,17 @@
 	if !found {
 		return nil
 	}
+	return Segment(rank, len(hosts), places)
+}
+
+// Segment returns how many places of each server the host with a rank owns, of a number
+// of hosts.
+func Segment(rank, hosts int, places []int) []int {
 	total := 0
 	for _, p := range places {
 		total += p
 	}
-	first, end := rank*total/len(hosts), (rank+1)*total/len(hosts)
+	first, end := rank*total/hosts, (rank+1)*total/hosts
 	owned := make([]int, len(places))
 	at := 0
 	for i, p := range places {
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -124,16 +124,22 @@
 	refusals    *admit.Refusals[refusal]
 	nextSweepAt clock.Millis
 	smoothedAt  clock.Millis
-	// loadsAt is when the loads of other hosts on the servers of each data centre were
-	// received. Those that are too old are removed.
 	// self is the hash of this host's name. Sharing holds the sorted hashes of the hosts
 	// of this data centre that take new flows, and shares this host's part by service.
-	self           uint64
-	sharing        []uint64
+	self    uint64
+	sharing []uint64
+	// sharers is the number of hosts that split the slots, and rank the position of this
+	// host among them, or -1 if it is not one of them. They are the hosts of all data
+	// centres if sharesAll is set, which is while a data centre is evacuated.
+	sharers        int
+	rank           int
+	sharesAll      bool
 	sharingVersion uint64
 	shares         map[string]*share
 	// listVersion counts the changes of services.
 	listVersion uint64
+	// loadsAt is when the loads of other hosts on the servers of each data centre were
+	// received. Those that are too old are removed.
 	loadsAt     map[string]clock.Millis
 	evacuations evacuations
 	cold        coldState
@@ -244,7 +250,7 @@
 	changed := c.fleet.ChangedSince(position)
 	c.updateServers(now, changed)
 	if u.Sharing != nil {
-		c.setSharing(u.Sharing)
+		c.setSharing(u.Sharing, u.SharingElsewhere)
 	}
 	c.learnCold(now, u, len(changed) > 0)
 	if u.Loads != nil && !c.options.Off.Has(tune.LoadExchange) {
--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
@@ -35,7 +37,8 @@
 	maxLongMean = 2.0
 )
 
-// share is the part of the slots of a service in this data centre that this host owns.
+// share is the part of the slots of a service that this host owns. The slots are those in
+// this data centre or, while a data centre is evacuated, in all.
 type share struct {
 	// listVersion and sharingVersion are the versions of the servers and of the list of
 	// hosts for which the share was computed.
@@ -52,16 +55,35 @@
 	usual, urgent int
 }
 
-// setSharing sets the sorted list of the entry hosts of this data centre.
-func (c *Core) setSharing(hosts []uint64) {
-	c.sharing = hosts
-	c.sharingVersion++
+// setSharing sets the sorted lists of the entry hosts of this data centre and, while a
+// data centre is evacuated, of the others. The entry hosts of an evacuated data centre
+// own places in the others, as they have as many clients as before. The hosts are ordered
+// by data centre, as the servers are, so that many places are local.
+func (c *Core) setSharing(hosts []uint64, elsewhere map[string][]uint64) {
+	c.sharing, c.sharingVersion = hosts, c.sharingVersion+1
+	c.sharers, c.sharesAll = len(hosts), len(elsewhere) > 0
+	rank, found := slices.BinarySearch(hosts, c.self)
+	for centre, others := range elsewhere {
+		c.sharers += len(others)
+		if centre < c.options.Centre {
+			rank += len(others)
+		}
+	}
+	c.rank = rank
+	if !found {
+		c.rank = -1
+	}
+}
+
+// sharedServer reports whether the slots of a server are split among the hosts.
+func (c *Core) sharedServer(s *server) bool {
+	return c.sharesAll || s.entry.Centre == c.options.Centre
 }
 
 // shareOf returns this host's share of a service whose servers are in list, or nil if the
 // slots are not split.
 func (c *Core) shareOf(service string, list []*server) *share {
-	if len(c.sharing) < 2 || c.options.Off.Has(tune.Subsets) {
+	if c.sharers < 2 || c.rank < 0 || c.options.Off.Has(tune.Subsets) {
 		return nil
 	}
 	s := c.shares[service]
@@ -70,24 +92,27 @@
 	}
 	s = &share{listVersion: c.listVersion, sharingVersion: c.sharingVersion}
 	c.shares[service] = s
-	var local []*server
+	var shared []*server
 	var usual, urgent, slots []int
 	for _, b := range list {
-		if b.entry.Centre == c.options.Centre {
-			local = append(local, b)
-			slots = append(slots, b.entry.Slots)
-			usual = append(usual, int(math.Round(placesPerSlot*float64(b.entry.Slots))))
-			urgent = append(urgent, int(math.Round(urgentPlacesPerSlot*float64(b.entry.Slots))))
+		if c.sharedServer(b) {
+			shared = append(shared, b)
 		}
 	}
-	ownUsual, ownUrgent := subset.Split(c.sharing, c.self, usual), subset.Split(c.sharing, c.self, urgent)
+	slices.SortStableFunc(shared, func(a, b *server) int { return strings.Compare(a.entry.Centre, b.entry.Centre) })
+	for _, b := range shared {
+		slots = append(slots, b.entry.Slots)
+		usual = append(usual, int(math.Round(placesPerSlot*float64(b.entry.Slots))))
+		urgent = append(urgent, int(math.Round(urgentPlacesPerSlot*float64(b.entry.Slots))))
+	}
+	ownUsual, ownUrgent := subset.Segment(c.rank, c.sharers, usual), subset.Segment(c.rank, c.sharers, urgent)
 	for i := range ownUrgent {
 		if ownUrgent[i] > 0 {
-			s.places = append(s.places, place{local[i], ownUsual[i], ownUrgent[i]})
+			s.places = append(s.places, place{shared[i], ownUsual[i], ownUrgent[i]})
 		}
 		s.slots += float64(slots[i])
 	}
-	s.slots /= float64(len(c.sharing))
+	s.slots /= float64(c.sharers)
 	return s
 }
 
@@ -142,7 +167,7 @@
 
 // usage describes how busy the servers of a service are.
 type usage struct {
-	// mean is the mean utilization of the servers in this data centre.
+	// mean is the mean utilization of the servers whose slots are split.
 	mean float64
 	// own is the number of requests in flight through this host.
 	own int
@@ -152,15 +177,15 @@
 }
 
 func (c *Core) usageOf(list []*server) usage {
-	u, local := usage{}, 0
+	u, shared := usage{}, 0
 	for _, s := range list {
 		u.own += s.backend.InFlight()
-		if s.entry.Centre == c.options.Centre {
+		if c.sharedServer(s) {
 			u.mean += s.backend.Utilization()
 			u.longFlows = u.longFlows || s.backend.TotalFlows() > 0
-			local++
+			shared++
 		}
 	}
-	u.mean /= float64(max(local, 1))
+	u.mean /= float64(max(shared, 1))
 	return u
 }
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -165,6 +165,9 @@
 	// Sharing are the sorted hashes of the entry hosts of this data centre that take new
 	// flows, this host included. If it is nil, the previous list stays.
 	Sharing []uint64
+	// SharingElsewhere maps each other data centre to such a list, while a data centre is
+	// evacuated. It replaces the previous lists if Sharing is not nil.
+	SharingElsewhere map[string][]uint64
 	// Grants replace the previous grants if GrantedAt is not 0, which is when the request
 	// that they answer was sent.
 	Grants    []GrantUpdate
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -271,7 +271,7 @@
 		d.sendFetches()
 	}
 	d.noteSharing(a.Sharing)
-	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing}}
+	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing, SharingElsewhere: a.SharingElsewhere}}
 	addEvacuations(&u.changes, &a)
 	addGrants(&u.changes, &a)
 	if d.poller.HasQuorum(now) {
