token/core: compute the split from all servers, and keep cold ones to their grants

Cause: the share of a host was computed from the servers that one flow could go to, and kept until the list of the service changed. While servers are cold, that list has only those with a grant left, the warm ones first. Hosts therefore split different lines, and a host opened flows on its places of a cold server without a grant: 5 of 10 within 100 ms at a rate of 10 a second, where 2 are allowed (TestSplitKeepsToTheGrantsOfColdServers, fails before).

The share is now computed from all servers of the service that take new flows, and places on a cold server are used only while the host has a grant. If the flow can go to cold servers only, the reported loads decide.

Also tests the split itself: own places first, a full host refuses, the urgent kind has more places, when slots are split, and the line over the servers of all data centres during an evacuation.

--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -80,9 +80,8 @@
 	return c.sharesAll || s.entry.Centre == c.options.Centre
 }
 
-// shareOf returns this host's share of a service whose servers are in list, or nil if the
-// slots are not split.
-func (c *Core) shareOf(service string, list []*server) *share {
+// shareOf returns this host's share of a service, or nil if the slots are not split.
+func (c *Core) shareOf(service string) *share {
 	if c.sharers < 2 || c.rank < 0 || c.options.Off.Has(tune.Subsets) {
 		return nil
 	}
@@ -94,7 +93,7 @@
 	c.shares[service] = s
 	var shared []*server
 	var usual, urgent, slots []int
-	for _, b := range list {
+	for _, b := range c.services[service] {
 		if c.sharedServer(b) {
 			shared = append(shared, b)
 		}
@@ -117,12 +116,13 @@
 }
 
 // pickShared selects the server of a short flow by this host's own places, while the
-// service is busy. Decided is false if it is not, so that the reported loads decide.
+// service is busy. List holds the servers that the flow may go to. Decided is false if the
+// service is not busy or only cold servers are left, so that the reported loads decide.
 func (c *Core) pickShared(now clock.Millis, list []*server, a *admit.Service, o *admit.Opening) (s *server, admitted, decided bool) {
-	if o.Kind != choose.Short || o.Goal == 0 {
+	if o.Kind != choose.Short || o.Goal == 0 || now < list[0].coldUntil {
 		return nil, false, false
 	}
-	share := c.shareOf(list[0].entry.Service, list)
+	share := c.shareOf(list[0].entry.Service)
 	if share == nil || len(share.places) == 0 {
 		return nil, false, false
 	}
@@ -138,6 +138,9 @@
 	for i := range share.places {
 		p := &share.places[i]
 		b := p.server.backend
+		if now < p.server.coldUntil && !p.server.budget.Available(now) {
+			continue
+		}
 		ownInFlight += b.InFlight()
 		places := p.usual
 		if urgent {
