token/core: keep urgent places from requests that come again

Cause: a kind of requests counted as urgent unless 5% of the recent openings were more urgent. At 10 times the reads, each refused read comes again twice, so that reports are 2% of the openings, and reads took the urgent places too. Ruled out: the number of places (urgent 3 or 4 a slot gave the same), queues of the servers (none rejected more than 0.1%).

The split now counts any more urgent request among the recent openings (up to 256). Rare probes may therefore limit others to the usual places, which keep all slots busy. Admission without the split is unchanged.

--- a/internal/serve/admit/admit.go
+++ b/internal/serve/admit/admit.go
@@ -102,7 +102,7 @@
 		return true
 	case o.Kind == choose.Long && o.MeanLoad > s.limit(o.Goal, longShare):
 		return false
-	case s.MostUrgent(o.Priority):
+	case s.mostUrgent(o.Priority):
 		return o.Load <= s.limit(o.Goal, urgentShare)
 	default:
 		return o.Load <= s.limit(o.Goal, otherShare)
@@ -119,8 +119,18 @@
 	return 1 + share*slack/work
 }
 
-// MostUrgent reports whether hardly any of the recent openings were more urgent.
-func (s *Service) MostUrgent(priority int) bool {
+// AnyMoreUrgent reports whether any of the recent openings was more urgent.
+func (s *Service) AnyMoreUrgent(priority int) bool {
+	for p, n := range s.openings {
+		if p < priority && n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// mostUrgent reports whether hardly any of the recent openings were more urgent.
+func (s *Service) mostUrgent(priority int) bool {
 	moreUrgent := 0
 	for p, n := range s.openings {
 		if p < priority {
--- a/internal/token/core/share_test.go
+++ b/internal/token/core/share_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// TestRareUrgentRequestsKeepTheirPlaces guards against usual requests that come again
+// after each refusal, which makes urgent ones rare, and then take their places.
+func TestRareUrgentRequestsKeepTheirPlaces(t *testing.T) {
+	names, hashes := hostsOf("a", 2)
+	h := newSharingCore(names[0], "a", 0, "a")
+	h.Learn(5, &core.Update{Sharing: hashes})
+	report(h, 10, choose.Load{InFlight: 2}, 1, 4, choose.Loads{})
+	port := uint16(0)
+	for range 3 {
+		open(h, 20, routeY, &port)
+	}
+	opened := 3
+	for range 200 {
+		if open(h, 20, routeX, &port) > 0 {
+			opened++
+		}
+	}
+	qt.Check(t, opened, qt.Equals, 8)
+	qt.Check(t, openUntilRefused(t, h, 20, routeY, &port), qt.HasLen, 8)
+}
+
 // TestFullHostUsesFewPlacesOfOthers guards against requests that are refused while other
 // servers are idle, and against hosts that all fill these at once.
 func TestFullHostUsesFewPlacesOfOthers(t *testing.T) {
