token/core: open on own places of cold servers only with a grant

Cause: pickShared chose among the places that this host owns without regard to coldUntil and the budget, and the split was computed from the servers that could be opened on at that moment but kept until the list of servers changed. So a host under load opened 12 flows on two cold servers with a grant of one flow each, and after the servers were warm it still left their places out (opened 1 and 4 on servers 2 and 3, against 1, 4 and 8 on servers 1 to 3).

Result: the split is computed from all servers of the service. A choice that the grants don't allow is left to the reported loads, among the servers that may be opened on.

Run: go test ./internal/token/core.

--- a/internal/token/core/cold_test.go
+++ b/internal/token/core/cold_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/base/timers"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
@@ -100,6 +101,52 @@
 	}
 }
 
+// newSharingCore returns a Core like newColdCore that shares three busy servers with
+// another host.
+func newSharingCore(cold int) (*core.Core, *core.Update) {
+	c := newColdCore(cold, 10, 0)
+	u := &core.Update{Loads: choose.Loads{}, Sharing: []uint64{hash.String(""), hash.String("other")}}
+	slices.Sort(u.Sharing)
+	for n := 1; n <= 3; n++ {
+		u.Loads[uint32(tokens.Candidate(record(n, "x", 1).ID, 1, 0))] = choose.Load{InFlight: 1.5}
+	}
+	return c, u
+}
+
+// TestOwnPlacesOnColdServersNeedAGrant has a host that owns places of all servers under
+// load. It guards against flows beyond the grant on a cold server that is nearly empty.
+func TestOwnPlacesOnColdServersNeedAGrant(t *testing.T) {
+	c, busy := newSharingCore(2)
+	c.Learn(1000, grants(1000, 1, 2))
+	c.Learn(1100, busy)
+	onCold := 0
+	for port := range uint16(20) {
+		if a := c.HandlePacket(1110, opening(port+1), true); a.Verdict == core.Forward && a.Number != 3 {
+			onCold++
+		}
+	}
+	qt.Check(t, onCold <= 2, qt.IsTrue, qt.Commentf("opened %d on cold servers with grants for 2", onCold))
+}
+
+// TestOwnPlacesOnWarmedServersAreUsed guards against a split of slots that was computed
+// while servers were cold and still leaves them out once they are warm.
+func TestOwnPlacesOnWarmedServersAreUsed(t *testing.T) {
+	var opened [2][4]int
+	for i, cold := range []int{0, 2} {
+		c, busy := newSharingCore(cold)
+		c.Learn(1100, busy)
+		c.HandlePacket(1110, opening(99), true)
+		c.Tick(7000)
+		c.Learn(7000, &core.Update{Loads: busy.Loads})
+		for port := range uint16(20) {
+			if a := c.HandlePacket(7010, opening(port+1), true); a.Verdict == core.Forward {
+				opened[i][a.Number]++
+			}
+		}
+	}
+	qt.Check(t, opened[1], qt.Equals, opened[0])
+}
+
 // TestReturnOfADataCentreUnderLoad has 84 entry hosts, and the 40 servers of a data centre
 // that return in a burst of twice what the slots of the other 80 bear. It guards against
 // hosts that all open on the idle servers at once, as they do with the limits switched off.
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -59,7 +59,8 @@
 // reports the load of that server, and whether the flow is admitted. Only the first
 // transmission of an opening packet is refused: an earlier one may have opened the flow.
 func (c *Core) pickAdmitted(now clock.Millis, route *routes.Route, kind choose.Kind, p *Packet) (s *server, load float64, admitted bool) {
-	list := c.openable(now, kind, c.candidates(route, nil))
+	all := c.candidates(route, nil)
+	list := c.openable(now, kind, all)
 	if len(list) == 0 {
 		return nil, 0, false
 	}
@@ -75,7 +76,9 @@
 	}
 	o := admit.Opening{Kind: kind, Goal: class.Goal, Priority: class.Priority}
 	if mayRefuse {
-		if s, admitted, decided := c.pickShared(now, list, service, &o); decided {
+		// The split of slots is kept while it is valid for all servers. It doesn't tell
+		// which of them take a flow while they are cold.
+		if s, admitted, decided := c.pickShared(now, all, service, &o); decided && (now >= s.coldUntil || s.budget.Available(now)) {
 			return s, s.backend.Load(kind), admitted
 		}
 	}
