token/core, dir: count the end of an evacuation once

Cause: the reply to a poll gives the time since the last change of each data centre as the control host knows it, which a restart sets back to the time of the restart. Entry hosts took the end of an evacuation anew with each order for any data centre. After a restart of the control hosts, an order to evacuate one data centre thus put the limits for cold servers on another one that had returned long before, just when it was needed.

Result: the reply names the log index of the last change, and an entry host takes each change once. An entry host that starts still takes the age as the control host knows it.

--- a/internal/dir/evac/evac.go
+++ b/internal/dir/evac/evac.go
@@ -205,7 +205,7 @@
 	var out []msgs.Evacuation
 	for _, c := range s.sorted() {
 		if c.Changed > 0 {
-			out = append(out, msgs.Evacuation{Centre: c.Centre, Active: c.active(), Age: now - c.changedAt})
+			out = append(out, msgs.Evacuation{Centre: c.Centre, Active: c.active(), Age: now - c.changedAt, Changed: c.Changed})
 		}
 	}
 	return out
--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -194,8 +194,11 @@
 	Centre string
 	// Active reports whether the data centre is evacuated now.
 	Active bool
-	// Age is the time since the last change, as the sending host knows it.
+	// Age is the time since the last change, as the sending host knows it. A host that
+	// was restarted counts it from then.
 	Age clock.Millis
+	// Changed is the log index of the last change.
+	Changed uint64
 }
 
 // Grant allows an entry host to open flows on a cold server for a limited time.
--- a/internal/proof/dirsim/evacuate_test.go
+++ b/internal/proof/dirsim/evacuate_test.go
@@ -169,7 +169,7 @@
 		u.Servers = append(u.Servers, token.ServerUpdate{Record: s.Record, Age: s.Age, Ended: s.Ended})
 	}
 	for _, v := range a.Evacuations {
-		u.Evacuations = append(u.Evacuations, token.EvacuationUpdate{Centre: v.Centre, Active: v.Active, Age: v.Age})
+		u.Evacuations = append(u.Evacuations, token.EvacuationUpdate{Centre: v.Centre, Active: v.Active, Age: v.Age, Changed: v.Changed})
 	}
 	e.core.Learn(e.sim.now, u)
 	if a.Delta != nil {
--- a/internal/token/core/cold.go
+++ b/internal/token/core/cold.go
@@ -13,8 +13,10 @@
 // coldState is what a host knows of cold servers. See docs/design/cold-servers.md.
 type coldState struct {
 	centres *warm.Centres
-	// evacuationsVersion is that of the evacuations in centres.
+	// evacuationsVersion is that of the evacuations in centres, and changes holds the
+	// number of the latest known change of each data centre.
 	evacuationsVersion uint64
+	changes            map[string]uint64
 	// count is the number of cold servers. While it is 0, new flows are placed without
 	// regard to this state.
 	count int
@@ -48,9 +50,10 @@
 	if u.EvacuationsVersion > c.cold.evacuationsVersion {
 		c.cold.evacuationsVersion, changed = u.EvacuationsVersion, true
 		for _, e := range u.Evacuations {
-			if !e.Active {
+			if !e.Active && e.Changed > c.cold.changes[e.Centre] {
 				c.cold.centres.Evacuated(e.Centre, now-e.Age)
 			}
+			c.cold.changes[e.Centre] = e.Changed
 		}
 	}
 	if changed {
--- a/internal/token/core/cold_test.go
+++ b/internal/token/core/cold_test.go
@@ -147,6 +147,22 @@
 	qt.Check(t, opened[1], qt.Equals, opened[0])
 }
 
+// TestEndOfAnEvacuationCountsOnce has a control host that was restarted, and so takes the
+// last changes for recent, tell of an order for another data centre. It guards against
+// limits on a data centre that returned long before, when the other one is evacuated.
+func TestEndOfAnEvacuationCountsOnce(t *testing.T) {
+	c := newColdCore(0, 10, 0)
+	c.Learn(1000, &core.Update{EvacuationsVersion: 8, Evacuations: []core.EvacuationUpdate{{Centre: "a", Changed: 8}}})
+	qt.Check(t, c.ColdCount(), qt.Equals, 3)
+	c.Tick(60_000)
+	c.Learn(60_000, &core.Update{EvacuationsVersion: 9, Evacuations: []core.EvacuationUpdate{
+		{Centre: "a", Changed: 8, Age: 500}, {Centre: "b", Active: true, Changed: 9, Age: 10},
+	}})
+	qt.Check(t, c.ColdCount(), qt.Equals, 0)
+	c.Learn(61_000, &core.Update{EvacuationsVersion: 11, Evacuations: []core.EvacuationUpdate{{Centre: "a", Changed: 11}}})
+	qt.Check(t, c.ColdCount(), qt.Equals, 3)
+}
+
 // TestReturnOfADataCentreUnderLoad has 84 entry hosts, and the 40 servers of a data centre
 // that return in a burst of twice what the slots of the other 80 bear. It guards against
 // hosts that all open on the idle servers at once, as they do with the limits switched off.
@@ -180,7 +196,7 @@
 			k.Polled(now, grant.Host{Instance: uint64(i + 1), Centre: string(rune('a' + i%3))})
 			if now >= back {
 				k.Update(now, returned[:40])
-				u.Servers, u.EvacuationsVersion, u.Evacuations = servers[:40], 1, []core.EvacuationUpdate{{Centre: "a", Age: now - back}}
+				u.Servers, u.EvacuationsVersion, u.Evacuations = servers[:40], 1, []core.EvacuationUpdate{{Centre: "a", Changed: 1, Age: now - back}}
 			}
 			for _, g := range k.Grants(now, uint64(i+1)) {
 				u.Grants = append(u.Grants, core.GrantUpdate{Token: tokens.Token(g.Token), Rate: float64(g.Rate), Term: g.Term})
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -161,7 +161,7 @@
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
 		loadsAt: map[string]clock.Millis{}, admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
-		cold: coldState{centres: warm.NewCentres()},
+		cold: coldState{centres: warm.NewCentres(), changes: map[string]uint64{}},
 	}
 }
 
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -177,6 +177,10 @@
 	Centre string
 	Active bool
 	Age    clock.Millis
+	// Changed is the number of the order that changed it last. It tells a change that is
+	// already known from a new one, since a control host that was restarted gives its Age
+	// as the time since then.
+	Changed uint64
 }
 
 // GrantUpdate allows this host to open flows on a cold server.
--- a/internal/token/daemon/evacuate.go
+++ b/internal/token/daemon/evacuate.go
@@ -9,7 +9,7 @@
 func addEvacuations(u *core.Update, a *poll.Accepted) {
 	u.EvacuationsVersion = a.EvacuationsVersion
 	for _, e := range a.Evacuations {
-		u.Evacuations = append(u.Evacuations, core.EvacuationUpdate{Centre: e.Centre, Active: e.Active, Age: e.Age})
+		u.Evacuations = append(u.Evacuations, core.EvacuationUpdate{Centre: e.Centre, Active: e.Active, Age: e.Age, Changed: e.Changed})
 	}
 }
 
