dir/peers: request lists again after a late answer

Cause: a control host drops the lists of another one that has not answered for 2 s. An answer to a request from before that, delivered late, leaves the lists out because the request named their version. The receiver then stored that version with empty lists, and never got them until they changed. The entry hosts of the other control host were missing from the lists, so the remaining ones took their slots too.

Result: an answer without lists counts only if the version is known or that of no entry hosts, and the lists are requested again.

Run: go test ./internal/dir/peers ./internal/dir/core.

--- a/internal/dir/peers/peers.go
+++ b/internal/dir/peers/peers.go
@@ -30,6 +30,8 @@
 	settleTime = 2 * clock.Second
 	// maxHosts bounds the entry hosts that are listed.
 	maxHosts = 4096
+	// emptyVersion is the version of the lists of a control host without entry hosts.
+	emptyVersion = 1
 )
 
 // entryHost is an entry host that polls this control host.
@@ -112,7 +114,9 @@
 	// A control host that was restarted without losing its entry hosts does not know them
 	// for settleTime. Its earlier lists hold until then.
 	c.answeredAt = now
-	if version == 0 || version == c.version {
+	// Without lists, another version than the present one answers a request from before
+	// the lists were dropped. They are requested again.
+	if version == 0 || version == c.version || len(byCentre) == 0 && version != emptyVersion {
 		return
 	}
 	c.version, c.byCentre = version, byCentre
@@ -214,7 +218,7 @@
 	if p.own != nil {
 		return
 	}
-	p.own, p.ownVersion = map[string][]uint64{}, 1
+	p.own, p.ownVersion = map[string][]uint64{}, emptyVersion
 	for key, e := range p.entryHosts {
 		p.own[e.centre] = append(p.own[e.centre], key)
 	}
--- a/internal/dir/peers/peers_test.go
+++ b/internal/dir/peers/peers_test.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// TestLateAnswerKeepsTheList has a link that delivers a request after 2.2 s, when the list
+// that the request names has been dropped. It guards against a list that stays empty
+// because the other control host was told that its lists are known.
+func TestLateAnswerKeepsTheList(t *testing.T) {
+	a, b := peers.New(0), peers.New(0)
+	b.Polled(2900, "e1", "hall", false, true)
+	lists, version := b.Own(3000, 0)
+	a.Learned(3000, "b", version, lists)
+	qt.Assert(t, a.Counts(3000)["hall"], qt.Equals, 1)
+	sent := a.Version("b")
+	qt.Assert(t, a.Counts(5100)["hall"], qt.Equals, 0)
+	for now := clock.Millis(3200); now <= 5200; now += 300 {
+		b.Polled(now, "e1", "hall", false, true)
+	}
+	lists, version = b.Own(5200, sent)
+	a.Learned(5200, "b", version, lists)
+	lists, version = b.Own(5300, a.Version("b"))
+	a.Learned(5300, "b", version, lists)
+	qt.Check(t, a.Counts(5300)["hall"], qt.Equals, 1)
+}
+
 // want checks the lists that the control hosts give out.
 func (s *system) want(t *testing.T, names ...string) {
 	t.Helper()
