token/daemon: take test addresses that are free for TCP, too

TestSendsWaitingPacketsAtAStop failed in 4 of 9 runs on a busy machine: the stand-in for a control host could not listen ("bind: address already in use"), as freeAddress looked for a free UDP port and the port was in use for TCP. It now checks both. The tests check as much as before.

--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -55,11 +55,18 @@
 
 func (plainCodec) Reset(dst []byte, _ *core.Packet) []byte { return append(dst, 'r') }
 
+// freeAddress returns an address whose port is free for UDP and TCP. With one that is
+// free for UDP only, a listener for TCP may find a connection of another test there.
 func freeAddress(c *qt.C) netip.AddrPort {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	return netip.MustParseAddrPort(conn.LocalAddr().String())
+	for {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer listener.Close()
+		if conn, err := net.ListenPacket("udp4", listener.Addr().String()); err == nil {
+			defer conn.Close()
+			return netip.MustParseAddrPort(conn.LocalAddr().String())
+		}
+	}
 }
 
 // serveControl runs a control host that answers fetches with one route and one
