--- a/internal/bundle/routes/routes.go
+++ b/internal/bundle/routes/routes.go
@@ -5,7 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"math"
 	"net/netip"
+	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 )
@@ -23,6 +26,8 @@
 	ErrNoTarget = errors.New("route has no service with a positive weight")
 	// ErrNoVersion is returned for a table of version zero.
 	ErrNoVersion = errors.New("version must be positive")
+	// ErrWarmup is returned for a warm-up whose rate or duration cannot be kept to.
+	ErrWarmup = errors.New("warm-up needs a finite rate and a duration of at most a day, neither below 0")
 )
 
 // Target is a service that takes new flows of a route in proportion to its
@@ -76,6 +81,13 @@
 	Rate float64
 }
 
+// maxWarmup is the longest Warmup.Duration. Times derived from it don't overflow.
+const maxWarmup = 24 * 60 * clock.Minute
+
+func (w Warmup) valid() bool {
+	return w.Duration >= 0 && w.Duration <= maxWarmup && w.Rate >= 0 && !math.IsInf(w.Rate, 0)
+}
+
 // Check validates the table and returns the first error that it finds.
 func (t *Table) Check() error {
 	if t.Version == 0 {
@@ -85,6 +97,11 @@
 	for _, s := range t.Services {
 		services[s] = true
 	}
+	for _, service := range slices.Sorted(maps.Keys(t.Warmups)) {
+		if !t.Warmups[service].valid() {
+			return fmt.Errorf("%w: %s", ErrWarmup, service)
+		}
+	}
 	routeNames := make(map[netip.AddrPort]string, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
--- a/internal/bundle/routes/routes_test.go
+++ b/internal/bundle/routes/routes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -37,13 +38,23 @@
 		{"two routes with one address", func(t *routes.Table) { t.Routes[1].Address = t.Routes[0].Address }, routes.ErrDuplicateRoute},
 		{"unknown service", func(t *routes.Table) { t.Services = []string{"y"} }, routes.ErrUnknownService},
 		{"all weights are zero", func(t *routes.Table) { t.Routes[0].Targets[0].Weight = 0 }, routes.ErrNoTarget},
+		{"warm-up", func(t *routes.Table) { t.Warmups = map[string]routes.Warmup{"x": {Duration: 30_000, Rate: 2.5}} }, nil},
+		{"warm-up of a rate below 0", func(t *routes.Table) { t.Warmups = map[string]routes.Warmup{"x": {Duration: 30_000, Rate: -1}} }, routes.ErrWarmup},
+		{"warm-up of an infinite rate", func(t *routes.Table) { t.Warmups = map[string]routes.Warmup{"x": {Rate: math.Inf(1)}} }, routes.ErrWarmup},
+		{"warm-up of a rate that is no number", func(t *routes.Table) { t.Warmups = map[string]routes.Warmup{"x": {Rate: math.NaN()}} }, routes.ErrWarmup},
+		{"warm-up of a time below 0", func(t *routes.Table) { t.Warmups = map[string]routes.Warmup{"x": {Duration: -1, Rate: 1}} }, routes.ErrWarmup},
+		{"warm-up of a time that overflows", func(t *routes.Table) { t.Warmups = map[string]routes.Warmup{"x": {Duration: math.MaxInt64, Rate: 1}} }, routes.ErrWarmup},
 		{"no targets", func(t *routes.Table) { t.Routes[0].Targets = nil }, routes.ErrNoTarget},
 	}
 	for _, test := range tests {
 		c := qt.New(t)
 		table := validTable()
 		test.modify(table)
-		c.Check(table.Check(), qt.ErrorIs, test.wantErr, qt.Commentf(test.name))
+		err := table.Check()
+		c.Check(err, qt.ErrorIs, test.wantErr, qt.Commentf(test.name))
+		if test.wantErr == routes.ErrWarmup {
+			c.Check(err, qt.ErrorMatches, ".*: x", qt.Commentf("the error names the service"))
+		}
 	}
 }
 
