dir/core: notice a pause with the first message after it

Cause: a control host noticed that it had been suspended only if a tick came before all messages. A poll that was handled first expired the entry hosts that had not polled meanwhile, and its reply said that the polling host takes new flows alone, so that it would use the slots of all. A later tick didn't notice the pause any more.

Result: each step notices it. No list is given out for 2 s, and servers that did not announce themselves in the pause aren't silent.

Run: go test ./internal/dir/core.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -65,8 +65,7 @@
 	// retryInterval is the time after which a request is resent to the leader.
 	retryInterval = 300 * clock.Millis(1)
 	// stallThreshold is the time since the previous tick, message, call or
-	// completed disk write above which a tick assumes that the process was
-	// suspended.
+	// completed disk write above which the process is taken to have been suspended.
 	stallThreshold = clock.Second
 )
 
@@ -238,15 +237,21 @@
 	c.out.Answers = append(c.out.Answers, Answer{CallID: callID, Code: code, Data: data})
 }
 
-// Tick advances the time. Call it several times per heartbeat interval.
-func (c *Core) Tick(now clock.Millis) {
-	c.resumeEvacuations(now)
-	c.tickedAt = now
+// advance sets the time. The first step after the process was suspended must not expire
+// what was renewed meanwhile: the messages that tell of it wait to be handled.
+func (c *Core) advance(now clock.Millis) {
 	if now-c.now > stallThreshold {
 		c.list.Resume(now)
 		c.peers.Resume(now)
 	}
 	c.now = now
+}
+
+// Tick advances the time. Call it several times per heartbeat interval.
+func (c *Core) Tick(now clock.Millis) {
+	c.resumeEvacuations(now)
+	c.tickedAt = now
+	c.advance(now)
 	if !c.diskFailed {
 		c.node.Tick(now)
 		c.requestJoin()
@@ -262,7 +267,7 @@
 
 // HandleMessage handles one message from another host.
 func (c *Core) HandleMessage(now clock.Millis, from ReplyHandle, e *msgs.Envelope) {
-	c.now = now
+	c.advance(now)
 	if sender := e.Sender(); sender != "" {
 		c.contacts.Heard(now, sender)
 	}
@@ -299,7 +304,7 @@
 // Persisted records that the log entries up to index, the last of them of the
 // given term, are synced to disk.
 func (c *Core) Persisted(now clock.Millis, index, term uint64) {
-	c.now = now
+	c.advance(now)
 	if !c.diskFailed {
 		c.node.Persisted(index, term)
 	}
--- a/internal/dir/core/evacuate.go
+++ b/internal/dir/core/evacuate.go
@@ -26,7 +26,7 @@
 // because no quorum confirmed it or it may contradict a newer one.
 func (c *Core) Evacuate(now clock.Millis, callID CallID, centre string, start bool) {
 	c.resumeEvacuations(now)
-	c.now = now
+	c.advance(now)
 	known, certain := c.knowsCentre(centre)
 	switch {
 	case !known && certain:
@@ -50,7 +50,7 @@
 // ListEvacuations requests the use of all data centres, with the evacuations as
 // confirmed by a quorum.
 func (c *Core) ListEvacuations(now clock.Millis, callID CallID) {
-	c.now = now
+	c.advance(now)
 	c.submit(&request{callID: callID, list: true})
 }
 
--- a/internal/dir/core/peers_test.go
+++ b/internal/dir/core/peers_test.go
@@ -41,6 +41,27 @@
 	qt.Check(t, with, qt.Equals, without)
 }
 
+// TestNoListAfterAPause has a control host that was suspended handle a poll before a tick.
+// It guards against a list of one entry host, which would take the slots of all.
+func TestNoListAfterAPause(t *testing.T) {
+	c := newControlHost(t, 12)
+	for host := range 3 {
+		pollSharing(t, c, 3000, host, 0)
+	}
+	r, _ := pollSharing(t, c, 3100, 0, 0)
+	qt.Assert(t, r.Sharing, qt.HasLen, 3)
+	r, _ = pollSharing(t, c, 8000, 0, 0)
+	qt.Check(t, r.Sharing, qt.IsNil)
+	c.Tick(8010)
+	for now := clock.Millis(8300); now < 10_300; now += 300 {
+		for host := range 3 {
+			c.Tick(now)
+			r, _ = pollSharing(t, c, now, host, 0)
+		}
+	}
+	qt.Check(t, r.Sharing, qt.HasLen, 3)
+}
+
 // TestControlHostsExchangeLists guards against lists that hold only the entry hosts of
 // one control host, which would give each slot to several entry hosts.
 func TestControlHostsExchangeLists(t *testing.T) {
--- a/internal/dir/core/requests.go
+++ b/internal/dir/core/requests.go
@@ -37,7 +37,7 @@
 // Publish proposes a routing table. A table that is not newer than the one in
 // force is acknowledged without effect.
 func (c *Core) Publish(now clock.Millis, callID CallID, p *msgs.Publication) {
-	c.now = now
+	c.advance(now)
 	if p.Table.Version <= c.tables.Version() {
 		c.answer(callID, Done, nil)
 		return
@@ -53,7 +53,7 @@
 
 // Read requests the newest routing table, as confirmed by a quorum.
 func (c *Core) Read(now clock.Millis, callID CallID) {
-	c.now = now
+	c.advance(now)
 	c.submit(&request{callID: callID})
 }
 
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -19,7 +19,7 @@
 // acknowledged at once if this host is in contact with a quorum, as servers
 // repeat their announcements anyway.
 func (c *Core) Announce(now clock.Millis, callID CallID, r fleet.Record) {
-	c.now = now
+	c.advance(now)
 	r.Warmup = c.warmupOf(&r)
 	outcome := c.list.Fleet().Apply(now, now, r, true)
 	if outcome == fleet.Changed {
@@ -61,7 +61,7 @@
 // Leave marks a server as left, on the server's own request. It is acknowledged
 // once a quorum knows it.
 func (c *Core) Leave(now clock.Millis, callID CallID, id string) {
-	c.now = now
+	c.advance(now)
 	r, known := c.list.Fleet().Leave(now, id)
 	if !known {
 		r = fleet.Record{ID: id, State: fleet.Left}
