dir/poll: request all again after malformed loads

Cause: the loads of a reply were decoded after the position in the list of servers and the version of the list of entry hosts had been recorded. If they were malformed, the caller got nothing of the reply, and the next request left out what it held.

Result: the next request asks for all.

Run: go test ./internal/dir/poll.

--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -11,7 +11,7 @@
 
 // HandleReply handles a reply and returns what the entry host accepts of it.
 // Version is the version of the entry host's routing table. After an error, which
-// means that the reply is malformed, all servers are requested again.
+// means that the reply is malformed, all that it held is requested again.
 func (p *Poller) HandleReply(now clock.Millis, r *msgs.FetchReply, version uint64) (Accepted, error) {
 	address, ok := p.pending[r.RequestID]
 	if !ok {
@@ -45,6 +45,7 @@
 		a.Grants, a.GrantedAt = p.grants(r)
 		a.Loads, a.LoadCentres, err = p.loads(r)
 		if err != nil {
+			p.RefetchAll()
 			return Accepted{}, eris.Wrapf(err, "loads of control host %s", address)
 		}
 	}
--- a/internal/dir/poll/sharing_test.go
+++ b/internal/dir/poll/sharing_test.go
@@ -34,6 +34,22 @@
 	qt.Check(t, told, qt.DeepEquals, map[string]bool{hostA: true, hostB: true})
 }
 
+// TestListOfAMalformedReplyIsRequestedAgain guards against a list and servers that the
+// control host takes to be known, while the caller never got them.
+func TestListOfAMalformedReplyIsRequestedAgain(t *testing.T) {
+	p := newPoller(false, hostA)
+	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: {runID: 1, current: true}})
+	requests := p.Tick(2400, 1, nil)
+	_, err := p.HandleReply(2410, &msgs.FetchReply{
+		RequestID: requests[0].Fetch.RequestID, Current: true, RunID: 1, Position: 9, Form: msgs.BlockForm,
+		Sharing: []uint64{3, 4}, SharingVersion: 7, Totals: []msgs.CentreLoads{{Centre: "a", Loads: []byte{1}}},
+	}, 1)
+	qt.Assert(t, err, qt.IsNotNil)
+	requests = p.Tick(2800, 1, nil)
+	qt.Check(t, requests[0].Fetch.SharingVersion, qt.Equals, uint64(0))
+	qt.Check(t, requests[0].Fetch.Since, qt.Equals, uint64(0))
+}
+
 // TestEmptyListIsNotTheAbsenceOfOne replies with a list, without one and with an empty
 // one, which the encoding leaves out.
 func TestEmptyListIsNotTheAbsenceOfOne(t *testing.T) {
