--- a/internal/dir/core/grants_test.go
+++ b/internal/dir/core/grants_test.go
@@ -13,6 +13,52 @@
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
+// TestGrantsFollowTheEndOfAnEvacuation evacuates a data centre and takes it back. It guards
+// against control hosts that grant nothing for servers which entry hosts take to be cold,
+// so that these would get no flows at all.
+func TestGrantsFollowTheEndOfAnEvacuation(t *testing.T) {
+	c := newControlHost(t, 12)
+	persist := func(now clock.Millis) core.Output {
+		out := c.Take()
+		if len(out.Entries) > 0 {
+			last := out.Entries[len(out.Entries)-1]
+			c.Persisted(now, last.Index, last.Term)
+		}
+		return c.Take()
+	}
+	c.Publish(3100, 90, &msgs.Publication{Table: routes.Table{
+		Version: 2, Services: []string{"weigh-a7"}, Warmups: map[string]routes.Warmup{"weigh-a7": {Duration: 4000, Rate: 6}},
+	}})
+	persist(3100)
+	granted := func(now clock.Millis) int {
+		c.Tick(now)
+		c.Take()
+		c.HandleMessage(now, 1, &msgs.Envelope{Fetch: &msgs.Fetch{Name: "e", Form: msgs.BlockForm, Instance: 5}})
+		m, err := msgs.Decode(c.Take().Replies[0].Body)
+		qt.Assert(t, err, qt.IsNil)
+		return len(m.FetchReply.Grants)
+	}
+	order := func(now clock.Millis, start bool) {
+		c.Evacuate(now, 91, centreName(0), start)
+		answers := persist(now).Answers
+		qt.Assert(t, answers, qt.HasLen, 1)
+		qt.Assert(t, answers[0].Code, qt.Equals, core.Done)
+	}
+	qt.Check(t, granted(3200), qt.Equals, 0)
+	order(3300, true)
+	qt.Check(t, granted(3500), qt.Equals, 0)
+	order(3600, false)
+	inCentre := 0
+	c.Fleet().Each(func(s *fleet.Server) {
+		if s.Centre == centreName(0) {
+			inCentre++
+		}
+	})
+	qt.Check(t, granted(3800), qt.Equals, inCentre)
+	qt.Check(t, granted(7500), qt.Equals, inCentre)
+	qt.Check(t, granted(7700), qt.Equals, 0)
+}
+
 // TestGrantsAreForServicesWithARate has cold servers of a service with a rate, and of one
 // without, which is served as before.
 func TestGrantsAreForServicesWithARate(t *testing.T) {
