token/core: don't count cold refusals as evacuated

Cause: an opening that was refused because all servers left are cold was also counted in evacuatedNoServer if another server is evacuated. That metric is a part of those for openings without a server, which such an opening isn't counted in.

Run: go test ./internal/token/core.

--- a/internal/token/core/cold_test.go
+++ b/internal/token/core/cold_test.go
@@ -66,6 +66,26 @@
 	qt.Check(t, off.HandlePacket(100, opening(1), true).Verdict, qt.Equals, core.Forward)
 }
 
+// TestColdRefusalsAreNotCountedAsEvacuated has cold servers beside an evacuated one. It
+// guards against a metric that blames the evacuation, and exceeds the refusals for want of
+// servers that it is a part of.
+func TestColdRefusalsAreNotCountedAsEvacuated(t *testing.T) {
+	c := newColdCore(3, 10, 0)
+	other := record(4, "x", 1)
+	other.Centre = "b"
+	c.Learn(50, &core.Update{
+		Servers: []core.ServerUpdate{{Record: other}}, EvacuationsVersion: 1,
+		Evacuations: []core.EvacuationUpdate{{Centre: "b", Active: true, Changed: 1}},
+	})
+	qt.Check(t, c.HandlePacket(100, opening(1), true).Reason, qt.Equals, core.ColdServers)
+	qt.Check(t, c.Stats().EvacuatedNoServer, qt.Equals, uint64(0))
+	c.Learn(200, &core.Update{EvacuationsVersion: 2, Evacuations: []core.EvacuationUpdate{
+		{Centre: "a", Active: true, Changed: 2}, {Centre: "b", Active: true, Changed: 1},
+	}})
+	qt.Check(t, c.HandlePacket(250, opening(2), true).Reason, qt.Equals, core.NoServer)
+	qt.Check(t, c.Stats().EvacuatedNoServer, qt.Equals, uint64(1))
+}
+
 // TestGrantCountsOpeningsOnce retransmits an opening, and moves it to another cold server.
 func TestGrantCountsOpeningsOnce(t *testing.T) {
 	c := newColdCore(3, 10, 0)
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -44,12 +44,12 @@
 	}
 	kind := c.requestMix[key.route].kind()
 	s, load, admitted := c.pickAdmitted(now, route, kind, p)
-	if s == nil && c.hasEvacuatedServer(route) {
-		c.stats.EvacuatedNoServer++
-	}
 	if s == nil && c.allCold(route) {
 		return c.refuseCold(p)
 	}
+	if s == nil && c.hasEvacuatedServer(route) {
+		c.stats.EvacuatedNoServer++
+	}
 	if s == nil && upToDate {
 		// A retransmission could not be served either, so don't make the client wait.
 		c.stats.ResetNoServer++
