token/shape: bound the estimated queue of the link

Cause: packets without data are never dropped, and each raised the estimate of what waits in the queue of the link, which falls only as fast as the link sends. After 5 s of four times what the link carries, requests at 80 % of its rate were dropped for seconds: 2376 of 4000 were sent.

Result: the estimate is at most 500 ms of the link's rate, and at least 3000 of the 4000 are sent.

Run: go test ./internal/token/shape.

--- a/internal/token/shape/shape.go
+++ b/internal/token/shape/shape.go
@@ -45,6 +45,9 @@
 	// dropped instead of sent at once. Their senders send them again after 200 ms, so with
 	// a longer queue the link would carry most packets twice.
 	maxLinkWait = 150 * clock.Millis(1)
+	// maxLinkQueue bounds the estimated wait in that queue, which a flood of packets without
+	// data would raise without end. Requests pass again 350 ms after such a flood.
+	maxLinkQueue = 500 * clock.Millis(1)
 	// fullWait is the wait of a packet from which new large flows are refused. Senders send
 	// a packet again after this time, and the copies fill the link in front of the host.
 	fullWait = 200 * clock.Millis(1)
@@ -348,7 +351,7 @@
 
 func (s *Shaper) spend(size int) {
 	s.used += uint64(size)
-	s.linkQueue += float64(size)
+	s.linkQueue = min(s.linkQueue+float64(size), s.linkRate*float64(maxLinkQueue))
 	s.credit = max(s.credit-float64(size), -s.rate*float64(maxDebt))
 	s.excess = min(s.excess+float64(size), max(s.linkRate*calmFraction*float64(calmAfter), 2*calmBurst))
 	if s.excess > calmBurst {
--- a/internal/token/shape/shape_test.go
+++ b/internal/token/shape/shape_test.go
@@ -1,6 +1,7 @@
 package shape_test
 
 import (
+	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -260,3 +261,23 @@
 		}
 	})
 }
+
+// TestRequestsPassAfterAFloodOfPacketsWithoutData guards against requests that are dropped
+// for many seconds, because the queue of the link is taken to have no end.
+func TestRequestsPassAfterAFloodOfPacketsWithoutData(t *testing.T) {
+	s, datagram, sent := shape.New(shape.Options{LinkRate: 8_000_000}), make([]byte, 972), 0
+	flow := shape.Flow{Route: netip.MustParseAddrPort("198.18.0.1:443")}
+	for now := clock.Millis(1); now <= 10_000; now++ {
+		// The link carries a packet in a millisecond.
+		for i := range uint16(4) {
+			flow.Client = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(now >> 8), byte(now)}), i+1)
+			if now <= 5000 {
+				s.Offer(now, &flow, &shape.Packet{Datagram: datagram})
+			}
+		}
+		if now > 5000 && now%5 != 0 && s.Offer(now, &flow, &shape.Packet{Length: 900, Datagram: datagram}) == shape.Send {
+			sent++
+		}
+	}
+	qt.Check(t, sent >= 3000, qt.IsTrue, qt.Commentf("sent %d of 4000", sent))
+}
