dir: take the base of an evacuation order when its call comes in

Cause: the base was read when the order's turn came on the goroutine of the core. A start that waited there, as after a pause, was proposed with the number of orders that came in after it, since messages between control hosts go first.

Result: the daemon reads the base when the call comes in, and such a copy is answered 503.

Run: go test ./internal/dir/core.

--- a/internal/dir/core/evacuate.go
+++ b/internal/dir/core/evacuate.go
@@ -23,8 +23,9 @@
 // Evacuate takes a data centre out of service or, if start is false, puts it back. The
 // answer is Done once a quorum has the order on disk, also for a repeat, UnknownCentre
 // if the data centre does not exist, and Unavailable if the caller must repeat the order
-// because no quorum confirmed it or it may contradict a newer one.
-func (c *Core) Evacuate(now clock.Millis, callID CallID, centre string, start bool) {
+// because no quorum confirmed it or it may contradict a newer one. Base is the value of
+// EvacuationBase when the call came in: it may have waited for its turn since.
+func (c *Core) Evacuate(now clock.Millis, callID CallID, centre string, start bool, base uint64) {
 	c.resumeEvacuations(now)
 	c.advance(now)
 	known, certain := c.knowsCentre(centre)
@@ -40,13 +41,16 @@
 		c.answer(callID, Unavailable, nil)
 		return
 	}
-	o := &evacuationOrder{Order: evac.Order{Centre: centre, Start: start, Base: c.evacuations.Base()}}
+	o := &evacuationOrder{Order: evac.Order{Centre: centre, Start: start, Base: base}}
 	if start {
 		o.shortages = c.shortagesWithout(centre)
 	}
 	c.submit(&request{callID: callID, data: evac.EncodeEntry(&o.Order), order: o})
 }
 
+// EvacuationBase returns the log index of the last order that this host knows.
+func (c *Core) EvacuationBase() uint64 { return c.evacuations.Base() }
+
 // ListEvacuations requests the use of all data centres, with the evacuations as
 // confirmed by a quorum.
 func (c *Core) ListEvacuations(now clock.Millis, callID CallID) {
--- a/internal/dir/core/grants_test.go
+++ b/internal/dir/core/grants_test.go
@@ -18,18 +18,10 @@
 // so that these would get no flows at all.
 func TestGrantsFollowTheEndOfAnEvacuation(t *testing.T) {
 	c := newControlHost(t, 12)
-	persist := func(now clock.Millis) core.Output {
-		out := c.Take()
-		if len(out.Entries) > 0 {
-			last := out.Entries[len(out.Entries)-1]
-			c.Persisted(now, last.Index, last.Term)
-		}
-		return c.Take()
-	}
 	c.Publish(3100, 90, &msgs.Publication{Table: routes.Table{
 		Version: 2, Services: []string{"weigh-a7"}, Warmups: map[string]routes.Warmup{"weigh-a7": {Duration: 4000, Rate: 6}},
 	}})
-	persist(3100)
+	persist(c, 3100)
 	granted := func(now clock.Millis) int {
 		c.Tick(now)
 		c.Take()
@@ -38,16 +30,10 @@
 		qt.Assert(t, err, qt.IsNil)
 		return len(m.FetchReply.Grants)
 	}
-	order := func(now clock.Millis, start bool) {
-		c.Evacuate(now, 91, centreName(0), start)
-		answers := persist(now).Answers
-		qt.Assert(t, answers, qt.HasLen, 1)
-		qt.Assert(t, answers[0].Code, qt.Equals, core.Done)
-	}
 	qt.Check(t, granted(3200), qt.Equals, 0)
-	order(3300, true)
+	qt.Assert(t, evacuate(t, c, 3300, true, c.EvacuationBase()), qt.Equals, core.Done)
 	qt.Check(t, granted(3500), qt.Equals, 0)
-	order(3600, false)
+	qt.Assert(t, evacuate(t, c, 3600, false, c.EvacuationBase()), qt.Equals, core.Done)
 	inCentre := 0
 	c.Fleet().Each(func(s *fleet.Server) {
 		if s.Centre == centreName(0) {
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -149,6 +149,8 @@
 	shortOfRoom  atomic.Int64
 	coldServers  atomic.Int64
 	grants       atomic.Int64
+	// evacuationBase is core.EvacuationBase as of the latest step, for calls that come in.
+	evacuationBase atomic.Uint64
 
 	// The fields below belong to the core goroutine. The map calls holds the
 	// channels for the results of pending calls, and the map repliers the
@@ -300,7 +302,10 @@
 		case <-d.inbox.Ready():
 			d.handleNext()
 		}
-		d.execute(d.core.Take())
+		out := d.core.Take()
+		// Callers that are answered next may call again at once.
+		d.evacuationBase.Store(d.core.EvacuationBase())
+		d.execute(out)
 		if d.resigned != nil && d.core.Resigned() {
 			close(d.resigned)
 			d.resigned = nil
--- a/internal/dir/daemon/evacuate.go
+++ b/internal/dir/daemon/evacuate.go
@@ -18,8 +18,8 @@
 }
 
 func (d *Daemon) evacuate(ctx context.Context, centre string, start bool) core.Answer {
-	began := d.clock.Now()
-	a := d.call(ctx, func(now clock.Millis, callID core.CallID) { d.core.Evacuate(now, callID, centre, start) })
+	began, base := d.clock.Now(), d.evacuationBase.Load()
+	a := d.call(ctx, func(now clock.Millis, callID core.CallID) { d.core.Evacuate(now, callID, centre, start, base) })
 	took := d.clock.Now() - began
 	d.evacuationTime.Record(took.Duration())
 	d.log.Info("Evacuation order decided.", "centre", centre, "start", start, "outcome", a.Code.String(), "short", len(a.Shortages), "took", int64(took))
--- a/internal/proof/dirsim/evacuate_test.go
+++ b/internal/proof/dirsim/evacuate_test.go
@@ -46,7 +46,7 @@
 		sim.orders = orders{}
 	}
 	sim.orders[centre] = order{}
-	sim.call(addr, func(h *host, id core.CallID) { h.core.Evacuate(sim.now, id, centre, start) }, func(a core.Answer) {
+	sim.call(addr, func(h *host, id core.CallID) { h.core.Evacuate(sim.now, id, centre, start, h.core.EvacuationBase()) }, func(a core.Answer) {
 		if a.Code == core.Done {
 			sim.orders[centre] = order{true, start}
 		}
