--- a/internal/dir/daemon/evacuate.go
+++ b/internal/dir/daemon/evacuate.go
@@ -22,7 +22,7 @@
 	a := d.call(ctx, func(now clock.Millis, callID core.CallID) { d.core.Evacuate(now, callID, centre, start, base) })
 	took := d.clock.Now() - began
 	d.evacuationTime.Record(took.Duration())
-	d.log.Info("Evacuation order decided.", "centre", centre, "start", start, "outcome", a.Code.String(), "short", len(a.Shortages), "took", int64(took))
+	d.log.Info("Evacuation order decided.", "centre", centre[:min(len(centre), evac.MaxName)], "start", start, "outcome", a.Code.String(), "short", len(a.Shortages), "took", int64(took))
 	return a
 }
 
