--- a/internal/token/core/bench_test.go
+++ b/internal/token/core/bench_test.go
@@ -4,9 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
+	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
@@ -138,6 +142,41 @@
 	}
 }
 
+// benchmarkOpening measures the choice of a server by a host that shares 600 busy servers
+// with 83 others. Cold is the number of those that are cold, without a grant.
+func benchmarkOpening(b *testing.B, sharing bool, cold int) {
+	c := newEmptyCore()
+	servers := manyServers(600)
+	u, loads := &core.Update{Servers: servers, Loads: choose.Loads{}}, choose.Loads{}
+	for i := range servers {
+		loads[uint32(tokens.Candidate(servers[i].Record.ID, 0, 0))] = choose.Load{InFlight: 1.5}
+		if i < cold {
+			servers[i].Record.Warmup = clock.Minute
+		}
+	}
+	if u.Loads = loads; sharing {
+		for i := range 84 {
+			u.Sharing = append(u.Sharing, hash.String(strings.Repeat("e", i)))
+		}
+		slices.Sort(u.Sharing)
+	}
+	t := table(1, routeX)
+	t.Routes[0].LatencyGoal, t.Warmups = 600, map[string]routes.Warmup{"x": {Duration: 1, Rate: 1}}
+	c.Configure(1, t)
+	c.Learn(1, u)
+	p := syn(0)
+	for i := 0; b.Loop(); i++ {
+		p.From = netip.AddrPortFrom(client.Addr(), uint16(1000+i%60_000))
+		p.Seq = uint32(i)
+		c.HandlePacket(60, p, true)
+	}
+}
+
+func BenchmarkOpeningAmong600BusyServers(b *testing.B)          { benchmarkOpening(b, false, 0) }
+func BenchmarkOpeningAmong600SharedServers(b *testing.B)        { benchmarkOpening(b, true, 0) }
+func BenchmarkOpeningAmong600Servers200Cold(b *testing.B)       { benchmarkOpening(b, false, 200) }
+func BenchmarkOpeningAmong600SharedServers200Cold(b *testing.B) { benchmarkOpening(b, true, 200) }
+
 // BenchmarkTickOf600Servers measures the periodic work.
 func BenchmarkTickOf600Servers(b *testing.B) {
 	c := newEmptyCore()
