token/core: don't reset copies of openings for an evacuation

Cause: while all servers of a route are evacuated, each opening was reset, also a retransmission. The transmission before may have opened the flow through another host just before the evacuation, and the reset then says of an open flow that it was refused.

Result: such a retransmission is dropped, as it is while all servers are cold. First transmissions are refused at once as before.

Run: go test ./internal/token/core.

--- a/internal/token/core/cold_test.go
+++ b/internal/token/core/cold_test.go
@@ -86,6 +86,18 @@
 	qt.Check(t, c.Stats().EvacuatedNoServer, qt.Equals, uint64(1))
 }
 
+// TestCopyOfAnOpeningIsNotRefusedForAnEvacuation evacuates all servers between the copies
+// of an opening. The first one may have opened the flow through another host.
+func TestCopyOfAnOpeningIsNotRefusedForAnEvacuation(t *testing.T) {
+	c := newColdCore(0, 10, 0)
+	c.Learn(50, &core.Update{EvacuationsVersion: 1, Evacuations: []core.EvacuationUpdate{{Centre: "a", Active: true, Changed: 1}}})
+	again := opening(1)
+	qt.Check(t, c.HandlePacket(100, again, true).Verdict, qt.Equals, core.Reset)
+	again.Ack = 1
+	qt.Check(t, c.HandlePacket(300, again, true).Verdict, qt.Equals, core.Drop)
+	qt.Check(t, c.Stats().DroppedNoServer, qt.Equals, uint64(1))
+}
+
 // TestGrantCountsOpeningsOnce retransmits an opening, and moves it to another cold server.
 func TestGrantCountsOpeningsOnce(t *testing.T) {
 	c := newColdCore(3, 10, 0)
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
@@ -47,17 +48,8 @@
 	if s == nil && c.allCold(route) {
 		return c.refuseCold(p)
 	}
-	if s == nil && c.hasEvacuatedServer(route) {
-		c.stats.EvacuatedNoServer++
-	}
-	if s == nil && upToDate {
-		// A retransmission could not be served either, so don't make the client wait.
-		c.stats.ResetNoServer++
-		return Action{Verdict: Reset, Reason: NoServer}
-	}
 	if s == nil {
-		c.stats.DroppedNoServer++
-		return Action{Verdict: Drop, Reason: NoServer}
+		return c.refuseWithoutServer(route, p, upToDate)
 	}
 	if !admitted {
 		c.stats.ResetOverloaded++
@@ -76,6 +68,23 @@
 	return a
 }
 
+// refuseWithoutServer decides on an opening of a route without a server for new flows.
+func (c *Core) refuseWithoutServer(route *routes.Route, p *Packet, upToDate bool) Action {
+	evacuated := c.hasEvacuatedServer(route)
+	if evacuated {
+		c.stats.EvacuatedNoServer++
+	}
+	// A retransmission could not be served either, so don't make the client wait. But if
+	// only an evacuation takes the servers away, the transmission before may have opened
+	// the flow through another host, and an open flow must not be reset.
+	if upToDate && (!evacuated || p.Ack == 0) {
+		c.stats.ResetNoServer++
+		return Action{Verdict: Reset, Reason: NoServer}
+	}
+	c.stats.DroppedNoServer++
+	return Action{Verdict: Drop, Reason: NoServer}
+}
+
 // handleRetransmittedOpening decides on the retransmission of an opening packet.
 // The packet goes to the same server, which gives the same answer to each
 // transmission. It goes to another server only if the first one has almost
