--- a/internal/proof/dirsim/evacuate_test.go
+++ b/internal/proof/dirsim/evacuate_test.go
@@ -249,3 +249,79 @@
 		sim.c.Check(sim.violations, qt.HasLen, 0)
 	}
 }
+
+// faults are what happens to the control hosts around an order. Each returns the function
+// that ends the fault once the order is acknowledged.
+var faults = map[string]func(sim *simulation) func(){
+	"none": func(*simulation) func() { return func() {} },
+	"leader killed after the order came in": func(sim *simulation) func() {
+		leader := sim.leader()
+		sim.events.Add(sim.now+clock.Millis(1+sim.rand.IntN(8)), func() { sim.powerOff(leader) })
+		return func() { sim.powerOn(leader) }
+	},
+	"leader paused": func(sim *simulation) func() {
+		leader := sim.leader()
+		sim.freeze(leader)
+		return func() { sim.unfreeze(leader) }
+	},
+	"leader cut off": func(sim *simulation) func() {
+		leader := sim.leader()
+		sim.isolate(leader, true)
+		return func() { sim.isolate(leader, false) }
+	},
+	"follower far behind": func(sim *simulation) func() {
+		follower := hostAddress(1)
+		if follower == sim.leader() {
+			follower = hostAddress(2)
+		}
+		sim.powerOff(follower)
+		return func() {
+			// So many entries follow the order that the host gets it in a snapshot.
+			for range 70 {
+				sim.publishWithRetry(sim.acked+2, ackTimeout)
+			}
+			sim.powerOn(follower)
+		}
+	},
+	"all lose power after the order": func(sim *simulation) func() {
+		return func() {
+			sim.powerOffAll(3, "")
+			sim.powerOnAll(3, "")
+		}
+	},
+}
+
+// TestOrdersSurviveFaults starts and ends an evacuation under each fault. It guards against
+// acknowledged orders that are lost, undone or listed in an older state, and against entry
+// hosts that go back to one.
+func TestOrdersSurviveFaults(t *testing.T) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				sim := newServingSimulation(t, seed)
+				entry := sim.addEntryHost("e1")
+				sim.run(1000)
+				for round := range 4 {
+					start := round%2 == 0
+					end := fault(sim)
+					took := sim.evacuateWithRetry("b", start, 10_000)
+					sim.c.Check(took <= newLeaderLimit, qt.IsTrue, qt.Commentf("seed %d, order %d: acknowledged after %d ms", seed, round, took))
+					end()
+					for range 60 {
+						for _, addr := range sim.liveHosts() {
+							sim.verifyOrders(addr, nil)
+						}
+						sim.run(50)
+					}
+					for _, addr := range sim.liveHosts() {
+						sim.c.Check(sim.hosts[addr].core.Evacuated() == 1, qt.Equals, start, qt.Commentf("seed %d, order %d at %s", seed, round, addr))
+					}
+					sim.c.Check(len(entry.core.Evacuated()) == 1, qt.Equals, start, qt.Commentf("seed %d, order %d", seed, round))
+					// A restarted host counts the window for repeats from its start.
+					sim.run(repeatWindow + 4000)
+				}
+				sim.c.Check(sim.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+			}
+		})
+	}
+}
