dir/msgs: refuse lengths beyond the input before decoding

Result: msgs.Unmarshal checks in one pass, without allocations, that all elements and bytes are there. Messages between hosts, evacuations, published tables and deltas are decoded with it.

--- a/internal/dir/core/evacuate.go
+++ b/internal/dir/core/evacuate.go
@@ -186,7 +186,7 @@
 	}
 	s := snapshot{}
 	if len(data) > 0 {
-		if err := msgpack.Unmarshal(data, &s); err != nil {
+		if err := msgs.Unmarshal(data, &s); err != nil {
 			return nil, err
 		}
 	}
@@ -197,7 +197,7 @@
 // restoreEvacuations puts the evacuations of a snapshot in force, if it has any.
 func (c *Core) restoreEvacuations(data []byte) {
 	var s snapshot
-	err := msgpack.Unmarshal(data, &s)
+	err := msgs.Unmarshal(data, &s)
 	if err == nil {
 		err = c.evacuations.Restore(c.now, s.Evacuations)
 	}
--- a/internal/dir/evac/evac.go
+++ b/internal/dir/evac/evac.go
@@ -56,7 +56,7 @@
 // the decoder.
 func DecodeEntry(data []byte) (*Order, error) {
 	var e entry
-	if err := msgpack.Unmarshal(data, &e); err != nil {
+	if err := msgs.Unmarshal(data, &e); err != nil {
 		return nil, err
 	}
 	return &e.Evacuation, checkName(e.Evacuation.Centre)
@@ -240,7 +240,7 @@
 		return nil
 	}
 	var records []record
-	if err := msgpack.Unmarshal(encoded, &records); err != nil {
+	if err := msgs.Unmarshal(encoded, &records); err != nil {
 		return err
 	}
 	next := New()
--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -119,7 +119,7 @@
 		return nil, nil
 	}
 	var d routes.Delta
-	if err := msgpack.Unmarshal(r.Delta, &d); err != nil {
+	if err := Unmarshal(r.Delta, &d); err != nil {
 		return nil, err
 	}
 	return &d, nil
--- a/internal/dir/msgs/msgs.go
+++ b/internal/dir/msgs/msgs.go
@@ -72,7 +72,7 @@
 // Decode decodes an envelope.
 func Decode(b []byte) (*Envelope, error) {
 	var e Envelope
-	if err := msgpack.Unmarshal(b, &e); err != nil {
+	if err := Unmarshal(b, &e); err != nil {
 		return nil, err
 	}
 	return &e, nil
--- a/internal/dir/tables/tables.go
+++ b/internal/dir/tables/tables.go
@@ -3,8 +3,6 @@
 package tables
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 )
@@ -37,7 +35,7 @@
 // publication, it becomes the newest one and Adopt returns true.
 func (t *Tables) Adopt(encoded []byte) (bool, error) {
 	var p msgs.Publication
-	if err := msgpack.Unmarshal(encoded, &p); err != nil {
+	if err := msgs.Unmarshal(encoded, &p); err != nil {
 		return false, err
 	}
 	if p.Table.Version <= t.Version() {
