token, dir: shorten the queues of package shape and mend comments

push is split into the steps that have names of their own, and the comments of loadsAt, services, RefetchAll and completeProposal stand where and say what they should. Behaviour is unchanged.

Run: go test ./internal/token/shape ./internal/token/core.

--- a/internal/dir/core/evacuate.go
+++ b/internal/dir/core/evacuate.go
@@ -228,7 +228,7 @@
 // them.
 func (c *Core) Evacuations(now clock.Millis) []msgs.Evacuation { return c.evacuations.List(now) }
 
-// Evacuated returns the number of evacuated data centres, as this host knows them.
+// Evacuated returns the number of evacuated data centres that this host knows of.
 func (c *Core) Evacuated() int { return c.evacuations.Evacuated() }
 
 // ShortOfRoom returns the number of acknowledged starts of evacuations that left a
--- a/internal/dir/core/requests.go
+++ b/internal/dir/core/requests.go
@@ -116,8 +116,8 @@
 }
 
 // completeProposal replies to the request whose entry was committed. Superseded is set if
-// the entry held an evacuation order without effect. If the
-// committed entry has another term, the proposal was overwritten and is dropped.
+// the entry held an evacuation order without effect. If the committed entry has another
+// term, the proposal was overwritten and is dropped.
 func (c *Core) completeProposal(index, term uint64, superseded bool) {
 	p, ok := c.proposals[index]
 	if !ok {
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -191,8 +191,8 @@
 // SetSeeds replaces the control host addresses from the settings.
 func (p *Poller) SetSeeds(seeds []string) { p.options.Seeds = slices.Clone(seeds) }
 
-// RefetchAll makes the next requests ask for all servers and evacuations again, after the caller
-// lost accepted changes.
+// RefetchAll makes the next requests ask again for all servers, the evacuations and the
+// list of entry hosts, after the caller lost accepted changes.
 func (p *Poller) RefetchAll() {
 	p.evacuationsVersion = 0
 	for _, h := range p.hosts {
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -115,7 +115,8 @@
 	// replaced holds the previous incarnations of restarted servers. Clients may
 	// still send their tokens.
 	replaced []replacedServer
-	// services maps each service to its usable servers, sorted by ID.
+	// services maps each service to its usable servers outside the evacuated data centres,
+	// sorted by ID.
 	services   map[string][]*server
 	flows      map[flowKey]*flow
 	requestMix map[netip.AddrPort]*requestMix
@@ -124,8 +125,6 @@
 	refusals    *admit.Refusals[refusal]
 	nextSweepAt clock.Millis
 	smoothedAt  clock.Millis
-	// loadsAt is when the loads of other hosts on the servers of each data centre were
-	// received. Those that are too old are removed.
 	// self is the hash of this host's name. Sharing holds the sorted hashes of the hosts
 	// of this data centre that take new flows, and shares this host's part by service.
 	self           uint64
@@ -134,6 +133,8 @@
 	shares         map[string]*share
 	// listVersion counts the changes of services.
 	listVersion uint64
+	// loadsAt is when the loads of other hosts on the servers of each data centre were
+	// received. Those that are too old are removed.
 	loadsAt     map[string]clock.Millis
 	evacuations evacuations
 	cold        coldState
--- a/internal/token/shape/queues.go
+++ b/internal/token/shape/queues.go
@@ -260,14 +260,8 @@
 	if f.packets == maxPerFlow || len(p.Datagram) > slotSize {
 		return false
 	}
-	i := q.free
-	switch {
-	case i != none:
-		q.free = q.slots[i].next
-	case len(q.slots) < maxSlots:
-		i = int32(len(q.slots))
-		q.slots = append(q.slots, slot{datagram: make([]byte, 0, slotSize)})
-	default:
+	i := q.takeSlot()
+	if i == none {
 		return false
 	}
 	s := &q.slots[i]
@@ -281,28 +275,51 @@
 		q.slots[q.newest].newer = i
 	}
 	q.newest = i
+	q.appendTo(f, i, p.Seq)
+	q.waiting++
+	q.bytes += len(p.Datagram)
+	if f.place == none {
+		q.schedule(f)
+	}
+	return true
+}
+
+// takeSlot returns a free slot, or none.
+func (q *queues) takeSlot() int32 {
+	if i := q.free; i != none {
+		q.free = q.slots[i].next
+		return i
+	}
+	if len(q.slots) == maxSlots {
+		return none
+	}
+	q.slots = append(q.slots, slot{datagram: make([]byte, 0, slotSize)})
+	return int32(len(q.slots) - 1)
+}
+
+// appendTo makes a slot the last one of a flow.
+func (q *queues) appendTo(f *flow, i int32, seq uint32) {
 	if f.first == none {
-		f.first, f.highest = i, p.Seq
+		f.first, f.highest = i, seq
 	} else {
-		if int32(p.Seq-f.highest) > 0 {
-			f.highest = p.Seq
+		if int32(seq-f.highest) > 0 {
+			f.highest = seq
 		}
 		q.slots[f.last].next = i
 	}
 	f.last = i
 	f.packets++
-	q.waiting++
-	q.bytes += len(p.Datagram)
-	if f.place == none {
-		// A flow that has used up its turn in this round gets the next one in the next round.
-		if f.round < q.round {
-			f.round, f.deficit = q.round, quantum
-		}
-		f.place = int32(len(q.heap))
-		q.heap = append(q.heap, q.latest)
-		q.up(f.place)
-	}
-	return true
+}
+
+// schedule adds the latest flow found to the heap.
+func (q *queues) schedule(f *flow) {
+	// A flow that has used up its turn in this round gets the next one in the next round.
+	if f.round < q.round {
+		f.round, f.deficit = q.round, quantum
+	}
+	f.place = int32(len(q.heap))
+	q.heap = append(q.heap, q.latest)
+	q.up(f.place)
 }
 
 // pop removes the first packet of a flow.
@@ -314,16 +331,7 @@
 	if f.first == none {
 		f.last = none
 	}
-	if s.older == none {
-		q.oldest = s.newer
-	} else {
-		q.slots[s.older].newer = s.newer
-	}
-	if s.newer == none {
-		q.newest = s.older
-	} else {
-		q.slots[s.newer].older = s.older
-	}
+	q.unlinkSlot(s)
 	f.packets--
 	q.waiting--
 	q.bytes -= len(s.datagram)
@@ -336,6 +344,20 @@
 	}
 }
 
+// unlinkSlot removes a slot from the list of waiting packets.
+func (q *queues) unlinkSlot(s *slot) {
+	if s.older == none {
+		q.oldest = s.newer
+	} else {
+		q.slots[s.older].newer = s.newer
+	}
+	if s.newer == none {
+		q.newest = s.older
+	} else {
+		q.slots[s.newer].older = s.older
+	}
+}
+
 // next returns the flow whose first packet is sent next. A packet must wait.
 func (q *queues) next() int32 {
 	for {
