--- a/internal/dir/core/evacuate_test.go
+++ b/internal/dir/core/evacuate_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -9,24 +10,42 @@
 	"monsooncleat.example/monsooncleat/internal/dir/core"
 )
 
-// persist takes the output of a control host whose disk is fast.
-func persist(c *core.Core, now clock.Millis) core.Output {
-	if out := c.Take(); len(out.Entries) > 0 {
+// persist writes the output of a control host to disk and returns the answers.
+func persist(c *core.Core, now clock.Millis) []core.Answer {
+	out := c.Take()
+	if len(out.Entries) > 0 {
 		last := out.Entries[len(out.Entries)-1]
 		c.Persisted(now, last.Index, last.Term)
 	}
-	return c.Take()
+	return append(out.Answers, c.Take().Answers...)
 }
 
 // evacuate gives an order that came in when base was known.
 func evacuate(t *testing.T, c *core.Core, now clock.Millis, start bool, base uint64) core.Code {
 	t.Helper()
 	c.Evacuate(now, 91, centreName(0), start, base)
-	answers := persist(c, now).Answers
+	answers := persist(c, now)
 	qt.Assert(t, answers, qt.HasLen, 1)
 	return answers[0].Code
 }
 
+// TestUnknownCentresLeaveNoState guards against a state that grows with the names that
+// callers send.
+func TestUnknownCentresLeaveNoState(t *testing.T) {
+	c := newControlHost(t, 12)
+	for _, name := range []string{"", "hall-x", "hall-0/", "..", strings.Repeat("x", 1<<20), "\xff\x00"} {
+		for _, start := range []bool{true, false} {
+			c.Evacuate(3100, 91, name, start, 0)
+			answers := persist(c, 3100)
+			qt.Assert(t, answers, qt.HasLen, 1)
+			qt.Check(t, answers[0].Code, qt.Equals, core.UnknownCentre)
+		}
+	}
+	qt.Check(t, c.EvacuationBase(), qt.Equals, uint64(0))
+	qt.Check(t, evacuate(t, c, 3200, false, 0), qt.Equals, core.Done, qt.Commentf("an end without a start"))
+	qt.Check(t, c.Evacuations(3300), qt.HasLen, 0)
+}
+
 // TestOrderThatWaitedUndoesNoNewerOne has an order wait on its host while the caller's
 // repeat of it, and then the opposite one, are acknowledged. It guards against a late order
 // that counts as newer than what came in after it.
