dir/grant: keep to the rule while members differ

Cause: with a rate of a few flows a second, so many members have a part that the parts and the flow that each may have saved add up to the whole of 1.5 times the rate and 5. While control hosts differ about one member, the part of one more comes on top: the new test found 2.4 flows in 6 parts at a rate of 2, and a search of 2 to 12 members up to 1.1 flows a second more than the rule allows.

Result: each share beyond 4 needs 4 flows a second, not 2.

Run: go test ./internal/dir/grant (25 cases), and TestPartsWhileMembersDiffer with -rapid.checks 20000.

--- a/internal/dir/grant/grant.go
+++ b/internal/dir/grant/grant.go
@@ -35,17 +35,21 @@
 	// them may have saved one flow, and 5 more than 1.5 times the rate may be opened in
 	// a second. One is left for control hosts that differ about the members.
 	slackShares = 4
+	// ratePerShare is the rate for each further share, in flows a second. Half of the rate
+	// is for what shares have saved, and up to a quarter of it for the part of one share
+	// more, while control hosts differ about the members.
+	ratePerShare = 4
 )
 
 // Part returns the rate, in flows a second, that one control host may grant of a cold
-// server: an equal part of rate for each member of the log. If the rate is lower than
-// about one flow a second for each member, only some members have a part, which they all
-// compute alike. Part returns 0 for other members and for a host that is none.
+// server: an equal part of rate for each member of the log. If the rate is low for the
+// number of members, only some of them have a part, which they all compute alike. Part
+// returns 0 for other members and for a host that is none.
 func Part(rate float64, token uint32, self string, members []string) float64 {
 	if !slices.Contains(members, self) {
 		return 0
 	}
-	parts := min(slackShares+int(min(rate/2, float64(len(members)))), len(members))
+	parts := min(slackShares+int(min(rate/ratePerShare, float64(len(members)))), len(members))
 	if parts < len(members) {
 		rank, own := 0, weight(token, hash.String(self))
 		for _, m := range members {
--- a/internal/dir/grant/grant_test.go
+++ b/internal/dir/grant/grant_test.go
@@ -192,6 +192,38 @@
 	})
 }
 
+// TestPartsWhileMembersDiffer has some control hosts know of the last change of the members
+// and others not. It guards against parts that together exceed 1.5 times the rate and 5
+// flows, where each may have saved one flow.
+func TestPartsWhileMembersDiffer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(0.05, 40).Draw(rt, "rate")
+		token := rapid.Uint32().Draw(rt, "token")
+		var before []string
+		for i := range rapid.IntRange(2, 12).Draw(rt, "members") {
+			before = append(before, fmt.Sprint("10.0.0.", i, ":7000"))
+		}
+		after := append(slices.Clone(before), "10.0.1.1:7000")
+		if rapid.Bool().Draw(rt, "removed") {
+			before, after = after, before
+		}
+		sum, parts := 0.0, 0
+		for _, member := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(before, after)))) {
+			members := before
+			if rapid.Bool().Draw(rt, "knows") {
+				members = after
+			}
+			if part := grant.Part(rate, token, member, members); part > 0 {
+				sum += part
+				parts++
+			}
+		}
+		if sum+float64(parts) > 1.5*rate+5 {
+			rt.Errorf("rate %g: %d parts with %g in all", rate, parts, sum)
+		}
+	})
+}
+
 // TestShareOfALostHostMovesOn starts a process with the name of the holder of a share, which
 // must not get it before the term is over. A control host grants nothing right after its
 // start, or without a quorum for long.
