--- a/internal/cli/cmds/evacuations.go
+++ b/internal/cli/cmds/evacuations.go
@@ -25,8 +25,12 @@
 	maxEvacuationBody = 1 << 20 // bytes
 )
 
-// errNotConfirmed is returned if a control host could not be sure that an order holds.
-var errNotConfirmed = errors.New("not confirmed; if the order still stands, repeat it, also to another control host")
+var (
+	// errNotConfirmed is returned if a control host could not be sure that an order holds.
+	errNotConfirmed = errors.New("not confirmed; if the order still stands, repeat it, also to another control host")
+	// errNoList is returned if a control host could not be sure of the list.
+	errNoList = errors.New("no list that a quorum confirmed; try another control host")
+)
 
 func runEvacuations(ctx context.Context, e *env, args []string) error {
 	if len(args) == 0 {
@@ -80,7 +84,12 @@
 	return s.Admin.String(), nil
 }
 
+// callAdmin calls the admin address of a control host and returns the body of its answer.
 func callAdmin(ctx context.Context, method, address string) ([]byte, error) {
+	unsure := errNotConfirmed
+	if method == http.MethodGet {
+		unsure = errNoList
+	}
 	ctx, cancel := context.WithTimeout(ctx, evacuationTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, address, nil)
@@ -89,13 +98,13 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errNotConfirmed, err)
+		return nil, fmt.Errorf("%w: %w", unsure, err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxEvacuationBody))
 	switch {
 	case response.StatusCode == http.StatusServiceUnavailable || err != nil:
-		return nil, errNotConfirmed
+		return nil, unsure
 	case response.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("%s: %s", response.Status, strings.TrimSpace(string(body)))
 	}
