--- a/internal/dir/core/evacuate.go
+++ b/internal/dir/core/evacuate.go
@@ -23,10 +23,11 @@
 // Evacuate takes a data centre out of service or, if start is false, puts it back. The
 // answer is Done once a quorum has the order on disk, also for a repeat, UnknownCentre
 // if the data centre does not exist, and Unavailable if the caller must repeat the order
-// because no quorum confirmed it or it may contradict a newer one.
-func (c *Core) Evacuate(now clock.Millis, callID CallID, centre string, start bool) {
+// because no quorum confirmed it or it may contradict a newer one. Base is the value of
+// EvacuationBase when the call came in: it may have waited for its turn since.
+func (c *Core) Evacuate(now clock.Millis, callID CallID, centre string, start bool, base uint64) {
 	c.resumeEvacuations(now)
-	c.now = now
+	c.advance(now)
 	known, certain := c.knowsCentre(centre)
 	switch {
 	case !known && certain:
@@ -40,17 +41,20 @@
 		c.answer(callID, Unavailable, nil)
 		return
 	}
-	o := &evacuationOrder{Order: evac.Order{Centre: centre, Start: start, Base: c.evacuations.Base()}}
+	o := &evacuationOrder{Order: evac.Order{Centre: centre, Start: start, Base: base}}
 	if start {
 		o.shortages = c.shortagesWithout(centre)
 	}
 	c.submit(&request{callID: callID, data: evac.EncodeEntry(&o.Order), order: o})
 }
 
+// EvacuationBase returns the log index of the last order that this host knows.
+func (c *Core) EvacuationBase() uint64 { return c.evacuations.Base() }
+
 // ListEvacuations requests the use of all data centres, with the evacuations as
 // confirmed by a quorum.
 func (c *Core) ListEvacuations(now clock.Millis, callID CallID) {
-	c.now = now
+	c.advance(now)
 	c.submit(&request{callID: callID, list: true})
 }
 
@@ -182,7 +186,7 @@
 	}
 	s := snapshot{}
 	if len(data) > 0 {
-		if err := msgpack.Unmarshal(data, &s); err != nil {
+		if err := msgs.Unmarshal(data, &s); err != nil {
 			return nil, err
 		}
 	}
@@ -193,7 +197,7 @@
 // restoreEvacuations puts the evacuations of a snapshot in force, if it has any.
 func (c *Core) restoreEvacuations(data []byte) {
 	var s snapshot
-	err := msgpack.Unmarshal(data, &s)
+	err := msgs.Unmarshal(data, &s)
 	if err == nil {
 		err = c.evacuations.Restore(c.now, s.Evacuations)
 	}
@@ -224,7 +228,7 @@
 // them.
 func (c *Core) Evacuations(now clock.Millis) []msgs.Evacuation { return c.evacuations.List(now) }
 
-// Evacuated returns the number of evacuated data centres, as this host knows them.
+// Evacuated returns the number of evacuated data centres that this host knows of.
 func (c *Core) Evacuated() int { return c.evacuations.Evacuated() }
 
 // ShortOfRoom returns the number of acknowledged starts of evacuations that left a
--- a/internal/dir/core/requests.go
+++ b/internal/dir/core/requests.go
@@ -37,7 +37,7 @@
 // Publish proposes a routing table. A table that is not newer than the one in
 // force is acknowledged without effect.
 func (c *Core) Publish(now clock.Millis, callID CallID, p *msgs.Publication) {
-	c.now = now
+	c.advance(now)
 	if p.Table.Version <= c.tables.Version() {
 		c.answer(callID, Done, nil)
 		return
@@ -53,7 +53,7 @@
 
 // Read requests the newest routing table, as confirmed by a quorum.
 func (c *Core) Read(now clock.Millis, callID CallID) {
-	c.now = now
+	c.advance(now)
 	c.submit(&request{callID: callID})
 }
 
@@ -116,8 +116,8 @@
 }
 
 // completeProposal replies to the request whose entry was committed. Superseded is set if
-// the entry held an evacuation order without effect. If the
-// committed entry has another term, the proposal was overwritten and is dropped.
+// the entry held an evacuation order without effect. If the committed entry has another
+// term, the proposal was overwritten and is dropped.
 func (c *Core) completeProposal(index, term uint64, superseded bool) {
 	p, ok := c.proposals[index]
 	if !ok {
--- a/internal/dir/evac/evac.go
+++ b/internal/dir/evac/evac.go
@@ -10,7 +10,6 @@
 package evac
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -57,7 +56,7 @@
 // the decoder.
 func DecodeEntry(data []byte) (*Order, error) {
 	var e entry
-	if err := msgpack.Unmarshal(data, &e); err != nil {
+	if err := msgs.Unmarshal(data, &e); err != nil {
 		return nil, err
 	}
 	return &e.Evacuation, checkName(e.Evacuation.Centre)
@@ -206,7 +205,7 @@
 	var out []msgs.Evacuation
 	for _, c := range s.sorted() {
 		if c.Changed > 0 {
-			out = append(out, msgs.Evacuation{Centre: c.Centre, Active: c.active(), Age: now - c.changedAt})
+			out = append(out, msgs.Evacuation{Centre: c.Centre, Active: c.active(), Age: now - c.changedAt, Changed: c.Changed})
 		}
 	}
 	return out
@@ -240,8 +239,8 @@
 	if len(encoded) == 0 {
 		return nil
 	}
-	records, err := decodeRecords(encoded)
-	if err != nil {
+	var records []record
+	if err := msgs.Unmarshal(encoded, &records); err != nil {
 		return err
 	}
 	next := New()
@@ -264,25 +263,3 @@
 	}
 	return nil
 }
-
-// decodeRecords decodes a list of records. The decoder would allocate memory for the
-// length that the list claims.
-func decodeRecords(encoded []byte) ([]record, error) {
-	d := msgpack.NewDecoder(bytes.NewReader(encoded))
-	n, err := d.DecodeArrayLen()
-	if err != nil {
-		return nil, err
-	}
-	if n > len(encoded) {
-		return nil, fmt.Errorf("%w: list of %d records in %d bytes", ErrInvalid, n, len(encoded))
-	}
-	var out []record
-	for range n {
-		var r record
-		if err := d.Decode(&r); err != nil {
-			return nil, err
-		}
-		out = append(out, r)
-	}
-	return out, nil
-}
--- a/internal/proof/dirsim/evacuate_test.go
+++ b/internal/proof/dirsim/evacuate_test.go
@@ -41,7 +41,9 @@
 func (sim *simulation) evacuate(addr string, start bool, done func(core.Answer)) {
 	sim.order = order{number: sim.order.number + 1, start: start}
 	number := sim.order.number
-	sim.call(addr, func(h *host, id core.CallID) { h.core.Evacuate(sim.now, id, centres[1], start) }, func(a core.Answer) {
+	sim.call(addr, func(h *host, id core.CallID) {
+		h.core.Evacuate(sim.now, id, centres[1], start, h.core.EvacuationBase())
+	}, func(a core.Answer) {
 		sim.order.acked = sim.order.acked || a.Code == core.Done && sim.order.number == number
 		if done != nil {
 			done(a)
--- a/internal/token/core/cold_test.go
+++ b/internal/token/core/cold_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/base/timers"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
@@ -65,6 +66,38 @@
 	qt.Check(t, off.HandlePacket(100, opening(1), true).Verdict, qt.Equals, core.Forward)
 }
 
+// TestColdRefusalsAreNotCountedAsEvacuated has cold servers beside an evacuated one. It
+// guards against a metric that blames the evacuation, and exceeds the refusals for want of
+// servers that it is a part of.
+func TestColdRefusalsAreNotCountedAsEvacuated(t *testing.T) {
+	c := newColdCore(3, 10, 0)
+	other := record(4, "x", 1)
+	other.Centre = "b"
+	c.Learn(50, &core.Update{
+		Servers: []core.ServerUpdate{{Record: other}}, EvacuationsVersion: 1,
+		Evacuations: []core.EvacuationUpdate{{Centre: "b", Active: true, Changed: 1}},
+	})
+	qt.Check(t, c.HandlePacket(100, opening(1), true).Reason, qt.Equals, core.ColdServers)
+	qt.Check(t, c.Stats().EvacuatedNoServer, qt.Equals, uint64(0))
+	c.Learn(200, &core.Update{EvacuationsVersion: 2, Evacuations: []core.EvacuationUpdate{
+		{Centre: "a", Active: true, Changed: 2}, {Centre: "b", Active: true, Changed: 1},
+	}})
+	qt.Check(t, c.HandlePacket(250, opening(2), true).Reason, qt.Equals, core.NoServer)
+	qt.Check(t, c.Stats().EvacuatedNoServer, qt.Equals, uint64(1))
+}
+
+// TestCopyOfAnOpeningIsNotRefusedForAnEvacuation evacuates all servers between the copies
+// of an opening. The first one may have opened the flow through another host.
+func TestCopyOfAnOpeningIsNotRefusedForAnEvacuation(t *testing.T) {
+	c := newColdCore(0, 10, 0)
+	c.Learn(50, &core.Update{EvacuationsVersion: 1, Evacuations: []core.EvacuationUpdate{{Centre: "a", Active: true, Changed: 1}}})
+	again := opening(1)
+	qt.Check(t, c.HandlePacket(100, again, true).Verdict, qt.Equals, core.Reset)
+	again.Ack = 1
+	qt.Check(t, c.HandlePacket(300, again, true).Verdict, qt.Equals, core.Drop)
+	qt.Check(t, c.Stats().DroppedNoServer, qt.Equals, uint64(1))
+}
+
 // TestGrantCountsOpeningsOnce retransmits an opening, and moves it to another cold server.
 func TestGrantCountsOpeningsOnce(t *testing.T) {
 	c := newColdCore(3, 10, 0)
@@ -100,6 +133,68 @@
 	}
 }
 
+// newColdSharingCore returns a Core like newColdCore that shares three busy servers with
+// another host.
+func newColdSharingCore(cold int) (*core.Core, *core.Update) {
+	c := newColdCore(cold, 10, 0)
+	u := &core.Update{Loads: choose.Loads{}, Sharing: []uint64{hash.String(""), hash.String("other")}}
+	slices.Sort(u.Sharing)
+	for n := 1; n <= 3; n++ {
+		u.Loads[uint32(tokens.Candidate(record(n, "x", 1).ID, 1, 0))] = choose.Load{InFlight: 1.5}
+	}
+	return c, u
+}
+
+// TestOwnPlacesOnColdServersNeedAGrant has a host that owns places of all servers under
+// load. It guards against flows beyond the grant on a cold server that is nearly empty.
+func TestOwnPlacesOnColdServersNeedAGrant(t *testing.T) {
+	c, busy := newColdSharingCore(2)
+	c.Learn(1000, grants(1000, 1, 2))
+	c.Learn(1100, busy)
+	onCold := 0
+	for port := range uint16(20) {
+		if a := c.HandlePacket(1110, opening(port+1), true); a.Verdict == core.Forward && a.Number != 3 {
+			onCold++
+		}
+	}
+	qt.Check(t, onCold <= 2, qt.IsTrue, qt.Commentf("opened %d on cold servers with grants for 2", onCold))
+}
+
+// TestOwnPlacesOnWarmedServersAreUsed guards against a split of slots that was computed
+// while servers were cold and still leaves them out once they are warm.
+func TestOwnPlacesOnWarmedServersAreUsed(t *testing.T) {
+	var opened [2][4]int
+	for i, cold := range []int{0, 2} {
+		c, busy := newColdSharingCore(cold)
+		c.Learn(1100, busy)
+		c.HandlePacket(1110, opening(99), true)
+		c.Tick(7000)
+		c.Learn(7000, &core.Update{Loads: busy.Loads})
+		for port := range uint16(20) {
+			if a := c.HandlePacket(7010, opening(port+1), true); a.Verdict == core.Forward {
+				opened[i][a.Number]++
+			}
+		}
+	}
+	qt.Check(t, opened[1], qt.Equals, opened[0])
+}
+
+// TestEndOfAnEvacuationCountsOnce has a control host that was restarted, and so takes the
+// last changes for recent, tell of an order for another data centre. It guards against
+// limits on a data centre that returned long before, when the other one is evacuated.
+func TestEndOfAnEvacuationCountsOnce(t *testing.T) {
+	c := newColdCore(0, 10, 0)
+	c.Learn(1000, &core.Update{EvacuationsVersion: 8, Evacuations: []core.EvacuationUpdate{{Centre: "a", Changed: 8}}})
+	qt.Check(t, c.ColdCount(), qt.Equals, 3)
+	c.Tick(60_000)
+	c.Learn(60_000, &core.Update{EvacuationsVersion: 9, Evacuations: []core.EvacuationUpdate{
+		{Centre: "a", Changed: 8, Age: 500}, {Centre: "b", Active: true, Changed: 9, Age: 10},
+	}})
+	qt.Check(t, c.ColdCount(), qt.Equals, 0)
+	c.Learn(61_000, &core.Update{EvacuationsVersion: 11, Evacuations: []core.EvacuationUpdate{{Centre: "a", Changed: 11}}})
+	qt.Check(t, c.ColdCount(), qt.Equals, 3)
+}
+
 // TestReturnOfADataCentreUnderLoad has 84 entry hosts, and the 40 servers of a data centre
 // that return in a burst of twice what the slots of the other 80 bear. It guards against
 // hosts that all open on the idle servers at once, as they do with the limits switched off.
@@ -133,7 +228,7 @@
 			k.Polled(now, grant.Host{Instance: uint64(i + 1), Centre: string(rune('a' + i%3))})
 			if now >= back {
 				k.Update(now, returned[:40])
-				u.Servers, u.EvacuationsVersion, u.Evacuations = servers[:40], 1, []core.EvacuationUpdate{{Centre: "a", Age: now - back}}
+				u.Servers, u.EvacuationsVersion, u.Evacuations = servers[:40], 1, []core.EvacuationUpdate{{Centre: "a", Changed: 1, Age: now - back}}
 			}
 			for _, g := range k.Grants(now, uint64(i+1)) {
 				u.Grants = append(u.Grants, core.GrantUpdate{Token: tokens.Token(g.Token), Rate: float64(g.Rate), Term: g.Term})
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -115,7 +115,8 @@
 	// replaced holds the previous incarnations of restarted servers. Clients may
 	// still send their tokens.
 	replaced []replacedServer
-	// services maps each service to its usable servers, sorted by ID.
+	// services maps each service to its usable servers outside the evacuated data centres,
+	// sorted by ID.
 	services   map[string][]*server
 	flows      map[flowKey]*flow
 	requestMix map[netip.AddrPort]*requestMix
@@ -167,7 +168,7 @@
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
 		loadsAt: map[string]clock.Millis{}, admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
-		cold: coldState{centres: warm.NewCentres()},
+		cold: coldState{centres: warm.NewCentres(), changes: map[string]uint64{}},
 	}
 }
 
