token/core: let full hosts use more places of others, fewer at a time

Cause: with 294 hosts, each owns one or two places. At 3.5 times the demand, which the slots bear, half of the openings of reads meet a host without a free place, while servers reported as up to 80% busy are rare. With 84 hosts the same holds to a lesser degree.

A full host now opens flows on servers reported to have up to 1.4 requests per slot (was 0.8), but at most a quarter of its own slots at a time (was a half; at least one flow as before).

--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -23,11 +23,13 @@
 	// used. Below it, a server with a free slot is found by the reported loads.
 	busyUtilization = 0.65
 	// overflowUtilization is the reported utilization up to which a server takes flows
-	// for which this host has no place left.
-	overflowUtilization = 0.8
+	// for which this host has no place left. With few places per host, many hosts are full
+	// while the slots bear the demand. At 1.7, hosts with one place each overfill the
+	// servers at the start of a burst.
+	overflowUtilization = 1.4
 	// overflowShare bounds the requests in flight on places of other hosts, as a share of
 	// the slots that this host owns. Reported loads are up to a second old.
-	overflowShare = 0.5
+	overflowShare = 0.25
 	// minHostsWithLongFlows is the number of entry hosts of a data centre from which the
 	// slots of services with long flows are split. Fewer hosts each see enough of a
 	// service to decide by the reported loads.
