--- a/internal/dir/peers/peers_test.go
+++ b/internal/dir/peers/peers_test.go
@@ -139,3 +139,32 @@
 	})
 	qt.Check(t, s.controls[2].Counts(s.now), qt.DeepEquals, map[string]int{"hall": 3})
 }
+
+// TestAllHostsAreTheSameOnAllControlHosts guards against data centres that are missing in
+// some lists, which would give places to two entry hosts.
+func TestAllHostsAreTheSameOnAllControlHosts(t *testing.T) {
+	lists := []*peers.Peers{peers.New(0), peers.New(0)}
+	for i, p := range lists {
+		p.Polled(2500, fmt.Sprint("e", i), "hall", false, true)
+		p.Polled(2500, fmt.Sprint("f", i), "yard", false, true)
+	}
+	lists[0].Polled(2500, "g", "loft", false, true)
+	for i, p := range lists {
+		own, version := lists[1-i].Own(2500, 0)
+		p.Learned(2500, "other", version, own)
+	}
+	_, plain := lists[0].Hosts(2500, "hall", 0)
+	hosts, elsewhere, version := lists[0].AllHosts(2500, "hall", 0)
+	qt.Check(t, hosts, qt.HasLen, 2)
+	qt.Check(t, elsewhere["yard"], qt.HasLen, 2)
+	qt.Check(t, elsewhere["loft"], qt.DeepEquals, []uint64{hash.String("g")})
+	qt.Check(t, elsewhere, qt.HasLen, 2)
+	qt.Check(t, version != plain, qt.IsTrue)
+	otherHosts, otherElsewhere, otherVersion := lists[1].AllHosts(2500, "hall", plain)
+	qt.Check(t, otherHosts, qt.DeepEquals, hosts)
+	qt.Check(t, otherElsewhere, qt.DeepEquals, elsewhere)
+	qt.Check(t, otherVersion, qt.Equals, version)
+	_, unchanged, none := lists[1].AllHosts(2500, "hall", version)
+	qt.Check(t, unchanged, qt.IsNil)
+	qt.Check(t, none, qt.Equals, uint64(0))
+}
--- a/internal/dir/poll/sharing_test.go
+++ b/internal/dir/poll/sharing_test.go
@@ -60,3 +60,25 @@
 		}
 	}
 }
+
+// TestListsOfOtherDataCentresComeAndGo guards against places in other data centres that
+// stay after an evacuation, and against lists that are lost on the way.
+func TestListsOfOtherDataCentresComeAndGo(t *testing.T) {
+	p := newPoller(false, hostA)
+	a := &fakeControlHost{runID: 1, current: true}
+	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: a})
+	now := clock.Millis(2000)
+	for version, elsewhere := range []map[string][]uint64{nil, {"b": {5, 6}, "c": {7}}, nil} {
+		now += 400
+		requests := p.Tick(now, 1, nil)
+		body := msgs.Encode(&msgs.Envelope{FetchReply: &msgs.FetchReply{
+			RequestID: requests[0].Fetch.RequestID, Current: true, RunID: 1,
+			Sharing: []uint64{3}, SharingElsewhere: elsewhere, SharingVersion: uint64(version + 1),
+		}})
+		m, err := msgs.Decode(body)
+		qt.Assert(t, err, qt.IsNil)
+		accepted := handle(p, now, m.FetchReply, 1)
+		qt.Check(t, accepted.Sharing, qt.DeepEquals, []uint64{3})
+		qt.Check(t, accepted.SharingElsewhere, qt.DeepEquals, elsewhere)
+	}
+}
