token/daemon: send at a fixed pace in TestForwardsWhileItTicks

Cause: two faults of the test. freeAddress took a port that was free for UDP; hosts listen on some of these ports by TCP. And the sender slept 50 us after each datagram, which takes 2 to 3 ms on a busy machine, so that fewer than 8,000 datagrams were sent within the limit of 10 s.

Ruled out: the relay.

Change: ports are free for both protocols, differ from each other and lie below the ports of outgoing connections. Datagrams are sent by a schedule and at most 128 are in transit, so that the kernel has room for them. Each one must arrive once, and within a second; so far, any number could be lost. All transits together may take 10 s, as before.

--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,11 +56,37 @@
 
 func (plainCodec) Reset(dst []byte, _ *core.Packet) []byte { return append(dst, 'r') }
 
-func freeAddress(c *qt.C) netip.AddrPort {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	return netip.MustParseAddrPort(conn.LocalAddr().String())
+// Ports of the tests lie between those of examples/local and 32768, where Linux starts
+// the ports of outgoing connections.
+const (
+	firstPort = 29_000
+	endPort   = 32_768
+)
+
+// freeAddresses returns n addresses whose ports are free for both TCP and UDP, because
+// hosts listen on some of them by one protocol and on some by the other. All ports are
+// held until the last one is chosen, so that no two are the same.
+func freeAddresses(c *qt.C, n int) []netip.AddrPort {
+	var out []netip.AddrPort
+	for range 1000 {
+		if len(out) == n {
+			return out
+		}
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(endPort-firstPort)))
+		tcp, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		defer tcp.Close()
+		udp, err := net.ListenPacket("udp", address.String())
+		if err != nil {
+			continue
+		}
+		defer udp.Close()
+		out = append(out, address)
+	}
+	c.Fatalf("found only %d of %d free ports", len(out), n)
+	return nil
 }
 
 // serveControl runs a control host that answers fetches with one route and one
@@ -88,8 +115,9 @@
 
 // newSettings returns settings with free addresses.
 func newSettings(c *qt.C) *site.Settings {
+	free := freeAddresses(c, 4)
 	return &site.Settings{
-		Name: "entry", Centre: "a", Packets: freeAddress(c), Ready: freeAddress(c), Admin: freeAddress(c), Seeds: []netip.AddrPort{freeAddress(c)},
+		Name: "entry", Centre: "a", Packets: free[0], Ready: free[1], Admin: free[2], Seeds: free[3:],
 		AnnounceInterval: 1000, GracePeriod: 1600,
 	}
 }
@@ -107,9 +135,107 @@
 	return d, stopped
 }
 
+const (
+	// flowPackets are sent by TestForwardsWhileItTicks, one per sendInterval, so that the
+	// test lasts for more than ten ticks.
+	flowPackets  = 8000
+	sendInterval = 150 * time.Microsecond
+	// sendWindow bounds the datagrams in transit. The smallest receive buffer of the
+	// kernel holds as many, so that none is dropped there.
+	sendWindow = 128
+	// maxTransit is the longest time a datagram may take, and maxTransits the longest time
+	// all of them may take.
+	maxTransit  = time.Second
+	maxTransits = 10 * time.Second
+)
+
+// sender sends numbered datagrams through an entry host.
+type sender struct {
+	start time.Time
+	// sentAt is the time since start at which each datagram was sent, or 0.
+	sentAt   [flowPackets]atomic.Int64
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// run sends all datagrams. A datagram that is late, because the machine is busy, doesn't
+// delay the later ones, so that the number sent doesn't depend on how long a sleep takes.
+func (s *sender) run(ctx context.Context, c *qt.C, conn net.Conn) {
+	for i := range int64(flowPackets) {
+		for time.Since(s.start) < time.Duration(i)*sendInterval || i-s.received.Load() >= sendWindow {
+			if ctx.Err() != nil {
+				return
+			}
+			time.Sleep(sendInterval / 3)
+		}
+		b := binary.BigEndian.AppendUint32(nil, uint32(i+1))
+		b = binary.BigEndian.AppendUint32(b, uint32(i))
+		b = binary.BigEndian.AppendUint32(b, uint32(tokens.Candidate("i-1", 0, 0)))
+		s.sent.Add(1)
+		s.sentAt[i].Store(int64(time.Since(s.start)))
+		_, err := conn.Write(append(b, byte(i%2)))
+		c.Check(err, qt.IsNil)
+	}
+}
+
+// receiver records when the server received each datagram.
+type receiver struct {
+	*sender
+	receivedAt [flowPackets]time.Duration
+	// oldest is the first datagram that has not been received.
+	oldest int
+}
+
+// receive waits for a datagram. It returns an error if one took longer than maxTransit or
+// came twice.
+func (r *receiver) receive(c *qt.C, server *net.UDPConn) error {
+	c.Assert(server.SetReadDeadline(time.Now().Add(maxTransit/10)), qt.IsNil)
+	buf := make([]byte, 64)
+	n, err := server.Read(buf)
+	now := time.Since(r.start)
+	if err == nil {
+		c.Assert(n, qt.Equals, plainSize+4)
+		c.Assert(tokens.Token(binary.BigEndian.Uint32(buf)), qt.Equals, tokens.Candidate("i-1", 0, 0))
+		i := binary.BigEndian.Uint32(buf[8:])
+		if r.receivedAt[i] != 0 {
+			return fmt.Errorf("datagram %d was received twice", i)
+		}
+		r.receivedAt[i] = now
+		r.received.Add(1)
+		if transit := now - time.Duration(r.sentAt[i].Load()); transit > maxTransit {
+			return fmt.Errorf("datagram %d was forwarded after %s", i, transit)
+		}
+	}
+	for r.oldest < flowPackets && r.receivedAt[r.oldest] != 0 {
+		r.oldest++
+	}
+	if r.oldest < flowPackets {
+		sentAt := time.Duration(r.sentAt[r.oldest].Load())
+		if sentAt != 0 && now-sentAt > maxTransit {
+			return fmt.Errorf("datagram %d was not forwarded within %s", r.oldest, now-sentAt)
+		}
+	}
+	return nil
+}
+
+// transits returns the longest transit, and the time during which at least one datagram
+// was in transit.
+func (r *receiver) transits() (longest, total time.Duration) {
+	var end time.Duration
+	for i, receivedAt := range r.receivedAt {
+		sentAt := time.Duration(r.sentAt[i].Load())
+		longest = max(longest, receivedAt-sentAt)
+		if receivedAt > end {
+			total += receivedAt - max(sentAt, end)
+			end = receivedAt
+		}
+	}
+	return longest, total
+}
+
 // TestForwardsWhileItTicks sends packets without a pause over many ticks. It guards
 // against data races between packets and ticks, which gnet runs on different
-// goroutines.
+// goroutines, and against datagrams that are lost, duplicated or delayed by ticks.
 func TestForwardsWhileItTicks(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -125,28 +251,26 @@
 	conn, err := net.Dial("udp4", settings.Packets.String())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
-	var sent atomic.Int64
+	r := &receiver{sender: &sender{start: time.Now()}}
+	finished := make(chan struct{})
 	go func() {
-		for i := uint32(1); ctx.Err() == nil; i++ {
-			sent.Add(1)
-			b := binary.BigEndian.AppendUint32(nil, i%50_000)
-			b = binary.BigEndian.AppendUint32(b, i)
-			b = binary.BigEndian.AppendUint32(b, uint32(tokens.Candidate("i-1", 0, 0)))
-			_, _ = conn.Write(append(b, byte(i%2)))
-			time.Sleep(50 * time.Microsecond)
-		}
+		defer close(finished)
+		r.run(ctx, c, conn)
 	}()
-	c.Assert(server.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
-	buf := make([]byte, 64)
-	for i := range 8000 {
-		n, err := server.Read(buf)
-		if err != nil {
+	defer func() {
+		cancel()
+		<-finished
+	}()
+	for r.received.Load() < flowPackets {
+		if err := r.receive(c, server); err != nil {
 			t.Fatalf("after %d of %d datagrams: %s; dropped by the kernel: %s for the relay, %s for the server; %v",
-				i, sent.Load(), err, kernelDrops(settings.Packets.Port()), kernelDrops(serverAddr.Port()), d.Metrics().Values())
+				r.received.Load(), r.sent.Load(), err, kernelDrops(settings.Packets.Port()), kernelDrops(serverAddr.Port()), d.Metrics().Values())
 		}
-		c.Assert(n, qt.Equals, plainSize+4)
-		c.Assert(tokens.Token(binary.BigEndian.Uint32(buf)), qt.Equals, tokens.Candidate("i-1", 0, 0))
 	}
+	<-finished
+	longest, total := r.transits()
+	t.Logf("sent in %s; longest transit %s, all transits %s", time.Duration(r.sentAt[flowPackets-1].Load()), longest, total)
+	c.Check(total < maxTransits, qt.IsTrue, qt.Commentf("all transits took %s", total))
 	cancel()
 	c.Check(<-stopped, qt.IsNil)
 }
@@ -162,7 +286,7 @@
 	defer taken.Close()
 	settings := newSettings(c)
 	settings.Peer = netip.MustParseAddrPort(taken.LocalAddr().String())
-	serveControl(ctx, c, settings.Seeds[0], freeAddress(c))
+	serveControl(ctx, c, settings.Seeds[0], freeAddresses(c, 1)[0])
 	_, stopped := startReady(ctx, c, settings)
 	// A task that keeps failing ends the process within this time.
 	select {
