--- a/internal/ask/ledger/attempts.go
+++ b/internal/ask/ledger/attempts.go
@@ -11,6 +11,17 @@
 	return out
 }
 
+// Unanswered returns the server of the first attempt that may have run, or "" if there is
+// none.
+func (e *Entry) Unanswered() string {
+	for i := range e.Attempts {
+		if !e.Attempts[i].NotRun {
+			return e.Attempts[i].Server
+		}
+	}
+	return ""
+}
+
 // SentByAnother reports whether there is an attempt of the given try, or of a later
 // one, that is not in known. The host that knows of those in known did not send it.
 func (e *Entry) SentByAnother(try uint32, known []uint64) bool {
--- a/internal/entry/core/answers.go
+++ b/internal/entry/core/answers.go
@@ -77,7 +77,7 @@
 		if !e.MayHaveRun() {
 			reason = loss.NoMajority
 		}
-		c.out.Losses.AddUnknown(e.Key.ID, reason)
+		c.out.Losses.AddUnknown(loss.Unknown{ID: e.Key.ID, Reason: reason, Server: e.Unanswered()})
 	}
 	c.complete(s, e, a)
 }
--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -179,7 +179,7 @@
 			c.counters.Add(count.RequestsFenced, 1)
 			reason = loss.NoMajority
 		}
-		c.out.Losses.AddUnknown(req.ID, reason)
+		c.out.Losses.AddUnknown(loss.Unknown{ID: req.ID, Reason: reason})
 		c.sendAnswer(returnTo, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.Unknown})
 		return
 	}
@@ -328,7 +328,7 @@
 	}
 	e := c.ledger.Find(key)
 	if e != nil && (e.Stage != ledger.Replica || e.SentByAnother(req.Try, append(req.Prior, req.Attempt))) {
-		c.out.Losses.AddUnknown(req.ID, loss.SentByAnother)
+		c.out.Losses.AddUnknown(loss.Unknown{ID: req.ID, Reason: loss.SentByAnother})
 		c.replyForServer(p, req, envel.Unknown)
 		return
 	}
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -289,7 +289,8 @@
 func (d *Daemon) logUnknowns(unknowns []loss.Unknown) {
 	for _, u := range unknowns {
 		if omitted, ok := d.unknownLimiter.Allow(d.clock.Now()); ok {
-			d.log.Info("Request decided.", "request", u.ID, "outcome", "unknown", "why", u.Reason.String(), "omitted", omitted)
+			d.log.Info("Request decided.", "request", u.ID, "outcome", "unknown", "why", u.Reason.String(),
+				"server", u.Server, "omitted", omitted)
 		}
 	}
 }
--- a/internal/entry/loss/loss.go
+++ b/internal/entry/loss/loss.go
@@ -67,6 +67,8 @@
 	// ID is the ID that its client gave the request.
 	ID     string
 	Reason UnknownReason
+	// Server is the server whose answer is missing, or "" if the request was sent to none.
+	Server string
 }
 
 // maxKept is the maximum number of losses of each kind that a List keeps.
@@ -87,9 +89,9 @@
 }
 
 // AddUnknown adds a request that was answered as unknown.
-func (l *List) AddUnknown(id string, reason UnknownReason) {
+func (l *List) AddUnknown(u Unknown) {
 	if len(l.unknowns) < maxKept {
-		l.unknowns = append(l.unknowns, Unknown{id, reason})
+		l.unknowns = append(l.unknowns, u)
 	}
 }
 
