--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -59,8 +59,7 @@
 	LoadDelay time.Duration
 	// FalseLoad makes the load endpoint always report an idle server.
 	FalseLoad bool
-	// DrainTimeout is the longest wait for requests in flight and open streams at
-	// shutdown.
+	// DrainTimeout is the longest time for which the server drains at shutdown.
 	DrainTimeout time.Duration
 	Seed         uint64
 }
@@ -158,15 +157,20 @@
 	}
 }
 
-// drain waits until no request is in flight and no stream is open, for at most
-// the drain timeout, and then announces that the server leaves.
+// minDrain is how long a server drains at least, also without work. In that time all
+// entry hosts learn that it drains, and what they still send to it is refused. Without an
+// answer, a request that is not idempotent would end as unknown although it has not run.
+const minDrain = roster.HeartbeatTimeout
+
+// drain waits for minDrain and until no request is in flight and no stream is open, but
+// for at most the drain timeout, and then announces that the server leaves.
 func (s *Server) drain(heartbeat <-chan time.Time) {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
 	s.announce(false)
 	timeout := time.After(s.opts.DrainTimeout)
-	for s.hasWork() {
+	for began := time.Now(); s.hasWork() || time.Since(began) < minDrain.Duration(); {
 		select {
 		case <-heartbeat:
 			s.announce(false)
