entry/core: reset a flow without progress after 10 s at the earliest

An entry host resets a flow after six retransmissions of a segment in a row. And when the entry host itself stalls, the retransmissions that waited on it are counted all at once, before the server could answer.

Change: between the first of the retransmissions and the reset, 10 s must pass. The flows of a server that is gone are reset after the same time. Clients that double their interval reach six retransmissions later than that anyway.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -299,7 +299,10 @@
 	// Pure acknowledgements, and keepalive probes, which carry at most one byte,
 	// do not count as retransmissions.
 	if len(p.Payload) > 1 && nextSeq == r.Seq && p.Ack == r.Ack {
-		r.Retransmits++
+		if r.Retransmits == 0 {
+			r.StalledSince = c.now
+		}
+		r.Retransmits = min(r.Retransmits, math.MaxUint8-1) + 1
 	} else if nextSeq != r.Seq || p.Ack != r.Ack {
 		r.Retransmits = 0
 	}
@@ -318,7 +321,7 @@
 
 // forward sends p to the server of its flow. It refuses p if the server is gone
 // or now belongs to another service, and resets the flow after maxRetransmits
-// retransmissions in a row.
+// retransmissions in a row over minStallTime.
 func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival) {
 	srv := c.servers.Find(c.interner.Name(r.Server))
 	if srv == nil || srv.Ended(c.now) {
@@ -336,7 +339,7 @@
 		c.refuse(p, in, server, loss.ServerEnded)
 		return
 	}
-	if r.Retransmits >= maxRetransmits && !c.opts.Disabled.IdleProbes {
+	if r.Retransmits >= maxRetransmits && c.now-r.StalledSince >= minStallTime && !c.opts.Disabled.IdleProbes {
 		c.resetBothEnds(r, loss.NoProgress)
 		return
 	}
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -7,6 +7,7 @@
 	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/member"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
 	"monsooncleat.example/monsooncleat/internal/wire/codec"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
@@ -29,6 +30,11 @@
 	// maxRetransmits is the number of retransmissions of one segment in a row
 	// after which a flow is reset.
 	maxRetransmits = 6
+	// minStallTime is the minimum time from the first of these retransmissions to the
+	// reset, because clients that retransmit at a constant interval reach maxRetransmits
+	// within 1.5 s. It is the time after which the flows of a server that is gone are
+	// reset: a server that stalls for less keeps its flows.
+	minStallTime = roster.ResetAfter
 	// formerOwnerRetention is how long after a membership change a host keeps
 	// records of flows of which it is neither owner nor successor.
 	formerOwnerRetention = handoverPeriod + 2*clock.Second
--- a/internal/flow/table/table.go
+++ b/internal/flow/table/table.go
@@ -69,6 +69,8 @@
 	Retransmits uint8
 	// Probes counts the probes to the client since its latest packet.
 	Probes uint8
+	// StalledSince is when the first of Retransmits arrived.
+	StalledSince clock.Millis
 }
 
 // Hash returns the hash of the record's key.
--- a/internal/proof/matrix/clients_test.go
+++ b/internal/proof/matrix/clients_test.go
@@ -47,6 +47,8 @@
 	sentData bool
 	// retransmissions counts the retransmissions scheduled to a silent server.
 	retransmissions int
+	// constantInterval is set if the client retransmits without a longer and longer pause.
+	constantInterval bool
 	// receivedAt is when a segment last reached the flow's server.
 	receivedAt clock.Millis
 }
@@ -171,7 +173,7 @@
 	}
 	c.sendViaFabric(inner.BuildTCP(f.src, f.dst, seg))
 	span := segmentInterval
-	if f.silentSide == "server" {
+	if f.silentSide == "server" && !f.constantInterval {
 		f.retransmissions++
 		span = segmentInterval << min(f.retransmissions, 6)
 	}
--- a/internal/proof/matrix/load_test.go
+++ b/internal/proof/matrix/load_test.go
@@ -1,6 +1,7 @@
 package matrix_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 
@@ -186,6 +187,36 @@
 	}
 }
 
+// TestShortStallOfServerBreaksNoFlow guards against the reset of flows whose server stalls
+// for a few seconds, as on a busy machine, because their clients retransmit at a constant
+// interval and so soon reach the limit of retransmissions. Flows of a server that stays
+// silent must be reset all the same.
+func TestShortStallOfServerBreaksNoFlow(t *testing.T) {
+	for _, test := range []struct {
+		stall clock.Millis
+		want  int
+	}{{2 * clock.Second, 0}, {9 * clock.Second, 0}, {12 * clock.Second, 20}} {
+		t.Run(fmt.Sprint(test.stall), func(t *testing.T) {
+			c := qt.New(t)
+			cl := newReadyCluster(5, 4, 3, 16, core.Mechanisms{})
+			for range 20 {
+				f := cl.clients.openFlow(streamVIP)
+				f.constantInterval, f.mayBreak = true, true
+			}
+			cl.run(2 * clock.Second)
+			for _, f := range cl.clients.allFlows {
+				f.silentSide = "server"
+			}
+			cl.run(test.stall)
+			for _, f := range cl.clients.allFlows {
+				f.silentSide = ""
+			}
+			cl.run(5 * clock.Second)
+			c.Check(len(cl.clients.allFlows)-cl.clients.countNotReset(cl.clients.allFlows), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestSegmentsReachServerOfTheirFlow sends single segments: a retransmitted SYN, a
 // reset, a SYN that reuses the address pair, and a segment of an unknown flow.
 func TestSegmentsReachServerOfTheirFlow(t *testing.T) {
