entry/core: a new owner asks draining servers for outcomes too

Cause: the host that records a request for its owner looked up the server's name among those that get new work only. If it knew earlier than the owner that the server drains, it recorded no server, and after a takeover it asked none for the outcome. A request that has not run then ended as unknown.

Ruled out: another origin of an empty server; attempts get theirs only here and from the owner, which always names it.

Change: draining servers are looked up after the others.

--- a/internal/entry/core/bench_test.go
+++ b/internal/entry/core/bench_test.go
@@ -26,12 +26,20 @@
 
 const dataCentre = "oulu1"
 
-var fabricAddr = netip.MustParseAddrPort("127.0.0.1:6081")
+var (
+	fabricAddr = netip.MustParseAddrPort("127.0.0.1:6081")
+	serverAddr = netip.MustParseAddrPort("127.0.0.1:6084")
+)
 
 // newSingleHost returns the core of the only entry host, which owns all keys.
 // It has the given number of services, each with one address and the given
 // number of servers.
 func newSingleHost(tb testing.TB, services, servers int) *core.Core {
+	return newSingleHostOf(tb, bundleText(services), services, servers)
+}
+
+// newSingleHostOf returns the same with the given bundle.
+func newSingleHostOf(tb testing.TB, text string, services, servers int) *core.Core {
 	seed := sha256.Sum256([]byte("test operator"))
 	private := ed25519.NewKeyFromSeed(seed[:])
 	public, _ := private.Public().(ed25519.PublicKey)
@@ -40,7 +48,6 @@
 		Answers: netip.MustParseAddrPort("127.0.0.1:6083"), Keys: sign.Keyring{"matti": public},
 		MaxFlows: 2_000_000, MaxRequests: 1000, Timing: member.DefaultTiming,
 	}, 1, rand.New(rand.NewPCG(1, 1)))
-	text := bundleText(services)
 	release := chain.Release{Centre: dataCentre, Seq: 1, Version: 1, Digest: spec.DigestOf(text), Operator: "matti"}
 	release.Signature = ed25519.Sign(private, sign.ApprovalMessage(release.Version, release.Digest))
 	release.Hash = release.Sum()
@@ -54,7 +61,7 @@
 		for i := range servers {
 			c.HandleAnnouncement(2, &roster.Announcement{
 				Name: fmt.Sprintf("s%d-%d", s, i), Service: fmt.Sprintf("service%d", s),
-				Address: "127.0.0.1:6084", Start: 1, Weight: 1, Connections: 1_000_000,
+				Address: serverAddr.String(), Start: 1, Weight: 1, Connections: 1_000_000,
 			})
 		}
 	}
--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -10,6 +10,7 @@
 	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -355,13 +356,19 @@
 	return nil
 }
 
-// serverByAddress returns the name of the server of s at addr, or "".
+// serverByAddress returns the name of the server of s at addr, or "". It prefers servers
+// that get new work to draining ones: another host may not know yet that a server drains.
 func (c *Core) serverByAddress(s *service, addr netip.AddrPort) string {
 	for _, name := range s.places.Current().Names() {
 		if srv := c.servers.Find(name); srv != nil && c.parseAddr(srv.Info().Address) == addr {
 			return name
 		}
 	}
+	for _, info := range c.servers.All() {
+		if info.Service == s.spec.Name() && info.State == roster.Draining && c.parseAddr(info.Address) == addr {
+			return info.Name
+		}
+	}
 	return ""
 }
 
