--- a/internal/entry/core/requests.go
+++ b/internal/entry/core/requests.go
@@ -10,6 +10,7 @@
 	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/serve/lease"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
 	"monsooncleat.example/monsooncleat/internal/wire/envel"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
@@ -179,7 +180,7 @@
 			c.counters.Add(count.RequestsFenced, 1)
 			reason = loss.NoMajority
 		}
-		c.out.Losses.AddUnknown(req.ID, reason)
+		c.out.Losses.AddUnknown(loss.Unknown{ID: req.ID, Reason: reason})
 		c.sendAnswer(returnTo, &envel.Answer{ID: req.ID, Try: req.Try, Outcome: envel.Unknown})
 		return
 	}
@@ -328,7 +329,7 @@
 	}
 	e := c.ledger.Find(key)
 	if e != nil && (e.Stage != ledger.Replica || e.SentByAnother(req.Try, append(req.Prior, req.Attempt))) {
-		c.out.Losses.AddUnknown(req.ID, loss.SentByAnother)
+		c.out.Losses.AddUnknown(loss.Unknown{ID: req.ID, Reason: loss.SentByAnother})
 		c.replyForServer(p, req, envel.Unknown)
 		return
 	}
@@ -355,13 +356,19 @@
 	return nil
 }
 
-// serverByAddress returns the name of the server of s at addr, or "".
+// serverByAddress returns the name of the server of s at addr, or "". It prefers servers
+// that get new work to draining ones: another host may not know yet that a server drains.
 func (c *Core) serverByAddress(s *service, addr netip.AddrPort) string {
 	for _, name := range s.places.Current().Names() {
 		if srv := c.servers.Find(name); srv != nil && c.parseAddr(srv.Info().Address) == addr {
 			return name
 		}
 	}
+	for _, info := range c.servers.All() {
+		if info.Service == s.spec.Name() && info.State == roster.Draining && c.parseAddr(info.Address) == addr {
+			return info.Name
+		}
+	}
 	return ""
 }
 
