serve/admit: tell urgent flows by those that were opened

With the split of slots, any opening of a more urgent route in the last 256 made a flow count as less urgent.

Change: the split counts the flows that were opened, by priority, and a flow is less urgent if more than 8% of these were more urgent. Refused clients that come again don't move this. Admission by reported loads is unchanged.

Run: go test ./internal/serve/admit ./internal/token/core.

--- a/internal/serve/admit/admit.go
+++ b/internal/serve/admit/admit.go
@@ -30,6 +30,8 @@
 	// minUrgentShare is the share of the openings that must be more urgent than a
 	// flow for it to count as less urgent. Rare probes of an urgent route don't.
 	minUrgentShare = 0.05
+	// minUrgentAdmitted is the same as a share of the flows that were opened.
+	minUrgentAdmitted = 0.08
 	// maxOpenings is the number of openings at which the counts by priority are
 	// halved, so that they follow the demand.
 	maxOpenings = 256
@@ -56,14 +58,15 @@
 	// handshakes and responses are the times of handshakes, and of requests on
 	// servers with a free slot.
 	handshakes, responses minimumMean
-	// openings counts the recent openings by priority, total all of them.
-	openings map[int]int
-	total    int
+	// openings counts the recent openings, admitted the flows that were opened.
+	openings, admitted priorities
 }
 
 // NewService returns a Service without measurements. It admits all flows until the
 // first responses.
-func NewService() *Service { return &Service{openings: map[int]int{}} }
+func NewService() *Service {
+	return &Service{openings: priorities{byPriority: map[int]int{}}, admitted: priorities{byPriority: map[int]int{}}}
+}
 
 // RecordHandshake records the time from an opening packet to the client's next one.
 func (s *Service) RecordHandshake(t clock.Millis) { s.handshakes.add(t) }
@@ -77,18 +80,11 @@
 	}
 }
 
-// RecordOpening counts an opening of a flow of the given priority.
-func (s *Service) RecordOpening(priority int) {
-	if s.total >= maxOpenings {
-		s.total = 0
-		for p, n := range s.openings {
-			s.openings[p] = n / 2
-			s.total += n / 2
-		}
-	}
-	s.openings[priority]++
-	s.total++
-}
+// RecordOpening counts an opening of a flow of the given priority, admitted or not.
+func (s *Service) RecordOpening(priority int) { s.openings.add(priority) }
+
+// RecordAdmission counts a flow of the given priority that was opened.
+func (s *Service) RecordAdmission(priority int) { s.admitted.add(priority) }
 
 // Admit reports whether a new flow may open.
 func (s *Service) Admit(o *Opening) bool {
@@ -102,7 +98,7 @@
 		return true
 	case o.Kind == choose.Long && o.MeanLoad > s.limit(o.Goal, longShare):
 		return false
-	case s.mostUrgent(o.Priority):
+	case s.openings.mostUrgent(o.Priority, minUrgentShare):
 		return o.Load <= s.limit(o.Goal, urgentShare)
 	default:
 		return o.Load <= s.limit(o.Goal, otherShare)
@@ -119,23 +115,38 @@
 	return 1 + share*slack/work
 }
 
-// AnyMoreUrgent reports whether any of the recent openings was more urgent.
-func (s *Service) AnyMoreUrgent(priority int) bool {
-	for p, n := range s.openings {
-		if p < priority && n > 0 {
-			return true
+// MostUrgent reports whether hardly any of the recently opened flows were more urgent.
+// Under overload this tells more than the openings: refused clients come again at once,
+// so that the urgent ones are soon a small part of all openings.
+func (s *Service) MostUrgent(priority int) bool {
+	return s.admitted.mostUrgent(priority, minUrgentAdmitted)
+}
+
+// priorities counts recent flows by priority.
+type priorities struct {
+	byPriority map[int]int
+	total      int
+}
+
+func (c *priorities) add(priority int) {
+	if c.total >= maxOpenings {
+		c.total = 0
+		for p, n := range c.byPriority {
+			c.byPriority[p] = n / 2
+			c.total += n / 2
 		}
 	}
-	return false
+	c.byPriority[priority]++
+	c.total++
 }
 
-// mostUrgent reports whether hardly any of the recent openings were more urgent.
-func (s *Service) mostUrgent(priority int) bool {
+// mostUrgent reports whether at most a share of the flows were more urgent than a priority.
+func (c *priorities) mostUrgent(priority int, share float64) bool {
 	moreUrgent := 0
-	for p, n := range s.openings {
+	for p, n := range c.byPriority {
 		if p < priority {
 			moreUrgent += n
 		}
 	}
-	return float64(moreUrgent) <= minUrgentShare*float64(s.total)
+	return float64(moreUrgent) <= share*float64(c.total)
 }
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -62,6 +62,7 @@
 		f.markActive()
 	}
 	c.stats.Opened++
+	c.admissionOf(s.entry.Service).RecordAdmission(c.priorityOf(route))
 	c.recordOpening(now, s)
 	a := c.forward(s, NewFlow)
 	a.Load = load
@@ -69,6 +70,7 @@
 }
 
 // refuseWithoutServer decides on an opening of a route without a server for new flows.
+// refuseWithoutServer decides on an opening for which there is no server.
 func (c *Core) refuseWithoutServer(route *routes.Route, p *Packet, upToDate bool) Action {
 	evacuated := c.hasEvacuatedServer(route)
 	if evacuated {
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -65,10 +65,7 @@
 	if len(list) == 0 {
 		return nil, 0, false
 	}
-	class := admit.Class{Service: list[0].entry.Service, Kind: kind, Goal: route.LatencyGoal, Priority: route.Priority}
-	if c.options.Off.Has(tune.Priorities) {
-		class.Priority = 0
-	}
+	class := admit.Class{Service: list[0].entry.Service, Kind: kind, Goal: route.LatencyGoal, Priority: c.priorityOf(route)}
 	service := c.admissionOf(class.Service)
 	service.RecordOpening(class.Priority)
 	mayRefuse := p.Ack == 0 && !c.options.Off.Has(tune.Admission)
@@ -108,6 +105,14 @@
 	return s, load, false
 }
 
+// priorityOf returns the priority of a route, or 0 if priorities are switched off.
+func (c *Core) priorityOf(route *routes.Route) int {
+	if c.options.Off.Has(tune.Priorities) {
+		return 0
+	}
+	return route.Priority
+}
+
 // lowestLoad returns the load of the least loaded server with one more request.
 func lowestLoad(list []*server) float64 {
 	lowest := list[0].backend.Load(choose.Short)
--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -135,9 +135,7 @@
 	if usage.longFlows && len(c.sharing) < minHostsWithLongFlows || usage.mean < busyUtilization && float64(usage.own) < share.slots {
 		return nil, false, false
 	}
-	// Refused requests come again at once, so that urgent ones are soon a small part of
-	// the openings. The usual places keep all slots busy without the urgent ones.
-	urgent, maxLoad := !a.AnyMoreUrgent(o.Priority), placesPerSlot
+	urgent, maxLoad := a.MostUrgent(o.Priority), placesPerSlot
 	if urgent {
 		maxLoad = urgentPlacesPerSlot
 	}
