--- a/internal/proof/soak/endpoints_test.go
+++ b/internal/proof/soak/endpoints_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -76,7 +77,10 @@
 	number  uint64
 	service string
 	address string
+	zone    string
 	conn    *net.UDPConn
+	// warmAt is the end of the time for which the server announces that it is cold.
+	warmAt time.Time
 
 	mu sync.Mutex
 	// seq is the sequence number of the last announcement.
@@ -89,6 +93,12 @@
 	// leavingSince is when the server first requested its removal, or zero.
 	leavingSince time.Time
 	closed       bool
+	// coldOpenings are the times of the flows opened while cold, the last second only.
+	coldOpenings []time.Time
+	// uploads maps the key of a flow and the address of a relay to the number of the last
+	// packet received.
+	uploads map[string]uint32
+	slots   slots
 }
 
 func (s *server) isLeaving() bool {
@@ -101,7 +111,7 @@
 func (s *server) serve() {
 	buf := make([]byte, 2048)
 	for {
-		n, _, err := s.conn.ReadFromUDP(buf)
+		n, from, err := s.conn.ReadFromUDP(buf)
 		if err != nil {
 			return
 		}
@@ -110,13 +120,13 @@
 			continue
 		}
 		if pkt, ok := parsePacket(append([]byte(nil), buf[8:n]...)); ok {
-			s.handle(&pkt)
+			s.handle(&pkt, from.IP.String())
 		}
 	}
 }
 
-// handle replies to a packet and updates the flow that it belongs to.
-func (s *server) handle(pkt *packet) {
+// handle replies to a packet from a relay and updates the flow that it belongs to.
+func (s *server) handle(pkt *packet, relay string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	isn, open := s.flows[pkt.key()]
@@ -125,16 +135,23 @@
 		if !open {
 			isn = s.env.randUint32()
 			s.flows[pkt.key()] = isn
-			s.env.verifyNewFlow(s, pkt)
+			s.env.verifyNewFlow(s, pkt, relay)
 		}
 		s.send(pkt.reply(flagSyn|flagAck, isn, pkt.seq+1, nil))
 	case !open:
 		s.send(pkt.reply(flagReset, pkt.ack, 0, nil))
 	case pkt.flags&flagFin != 0:
 		delete(s.flows, pkt.key())
+	case pkt.dport == portUpload && len(pkt.data) > 0:
+		s.handleUpload(pkt, relay)
 	case len(pkt.data) > 0:
+		reply := pkt.reply(flagAck, pkt.ack, pkt.seq+uint32(len(pkt.data)), pkt.data)
+		if s.env.mode == overloaded && s.service == "y" {
+			s.runInSlot(pkt, reply)
+			return
+		}
 		s.env.recordRun(s, pkt)
-		s.send(pkt.reply(flagAck, pkt.ack, pkt.seq+uint32(len(pkt.data)), pkt.data))
+		s.send(reply)
 	}
 }
 
@@ -211,6 +228,9 @@
 			select {
 			case pkt := <-f.in:
 				if pkt.flags&flagReset != 0 {
+					if attempt == 0 {
+						c.env.recordRefused(f)
+					}
 					f.close()
 					return nil
 				}
@@ -251,6 +271,8 @@
 	answered requestOutcome = iota
 	timedOut
 	wasReset
+	// rejected means that the server had no room for the request, which has not run.
+	rejected
 )
 
 // request sends a request with an ID and retransmits it with exponential backoff,
@@ -267,6 +289,9 @@
 				if pkt.flags&flagReset != 0 {
 					return wasReset
 				}
+				if len(pkt.data) == len(rejection) && bytes.Equal(pkt.data, rejection) {
+					return rejected
+				}
 				if len(pkt.data) == 8 && binary.BigEndian.Uint64(pkt.data) == id {
 					f.seq += 8
 					f.ack += 8
--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -34,9 +34,11 @@
 	addrReuseDelay = 2 * time.Second
 	// heartbeatInterval is the interval between announcements of a server.
 	heartbeatInterval = 300 * time.Millisecond
-	// portX and portY are the ports of services x and y.
-	portX = 443
-	portY = 80
+	// portX and portY are the ports of services x and y, portUpload that of uploads to
+	// service x.
+	portX      = 443
+	portY      = 80
+	portUpload = 8080
 )
 
 // Groups of the addresses that testEnv.ip returns.
@@ -72,6 +74,7 @@
 	// subnet is the second byte of all addresses. It differs between test processes,
 	// so that two can run the same seed at the same time.
 	subnet int
+	mode   mode
 	// dataPort is the UDP port of clients and relays.
 	dataPort int
 	rand     *rand.Rand
@@ -91,6 +94,15 @@
 	// acked is the highest version acknowledged.
 	acked      uint64
 	violations []string
+	// published holds the versions in the order of their first call.
+	published []publication
+	zones     map[string]*zoneState
+	relays    map[string]*relayState
+	// refused holds the keys of flows whose first opening packet was reset.
+	refused map[string]bool
+	load    loadCounts
+	// calm is closed when no more faults are injected.
+	calm chan struct{}
 	// answered and failed count the requests with and without an answer. failed also
 	// counts the flows that could not be opened.
 	answered atomic.Int64
@@ -118,13 +130,16 @@
 }
 
 // verifyNewFlow checks that a server may accept a new flow.
-func (env *testEnv) verifyNewFlow(s *server, pkt *packet) {
+func (env *testEnv) verifyNewFlow(s *server, pkt *packet, relay string) {
 	if !s.drainAckedAt.IsZero() && time.Since(s.drainAckedAt) > drainGrace {
 		env.recordViolation("server %s accepted a flow %v after its drain was acknowledged", s.id, time.Since(s.drainAckedAt))
 	}
-	if want := map[uint16]string{portX: "x", portY: "y"}[pkt.dport]; s.service != want {
+	if want := map[uint16]string{portX: "x", portY: "y", portUpload: "x"}[pkt.dport]; s.service != want {
 		env.recordViolation("server %s of service %s accepted a flow to port %d", s.id, s.service, pkt.dport)
 	}
+	env.verifyEvacuated(s, relay)
+	env.verifyCold(s, relay)
+	env.verifyNotRefused(s, pkt)
 }
 
 // recordRun records the execution of a request. A retransmission on the same flow is
@@ -142,11 +157,12 @@
 }
 
 // newTestEnv starts the processes, proxies and clients, without servers.
-func newTestEnv(t *testing.T, seed uint64, bin string) *testEnv {
+func newTestEnv(t *testing.T, seed uint64, bin string, mode mode) *testEnv {
 	c := qt.New(t)
 	env := &testEnv{
 		c: c, folder: c.TempDir(), bin: bin, subnet: 10 + int((seed+uint64(os.Getpid()))%200), dataPort: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
 		servers: map[string]*server{}, extraRuns: map[uint64]int{}, lastRuns: map[uint64]string{}, stop: make(chan struct{}),
+		mode: mode, zones: map[string]*zoneState{"a": {}, "b": {}}, relays: map[string]*relayState{}, refused: map[string]bool{}, calm: make(chan struct{}),
 	}
 	for i := range controlCount {
 		ip := env.ip(controlGroup, i)
@@ -156,6 +172,7 @@
 		env.add("control", i, ip, "directory", "-bind", ip+":7001")
 	}
 	for i := range relayCount {
+		env.relays[env.ip(relayGroup, i)] = &relayState{}
 		env.add("relay", i, env.ip(relayGroup, i), "relay")
 	}
 	for i := range 3 {
@@ -181,7 +198,8 @@
 	}
 	text := fmt.Sprintf(`node_name = %q
 ip = %q
-zone = "a"
+zone = %q
+zones = {a = "r", b = "r"}
 internal_ports = [7000,7010]
 seeds = [%s]
 bootstrap = true
@@ -196,7 +214,8 @@
 sync_s = 4
 addr_reuse_s = 2
 max_flow_s = 60
-`, name, ip, strings.Join(seeds, ","), data, heartbeatInterval.Milliseconds(), ip, env.dataPort, ip, ip)
+ack_ms = %d
+%s`, name, ip, zoneOf(i), strings.Join(seeds, ","), data, heartbeatInterval.Milliseconds(), ip, env.dataPort, ip, ip, repeatWindow.Milliseconds(), env.mode.limits())
 	settings := filepath.Join(env.folder, name+".toml")
 	env.c.Assert(os.WriteFile(settings, []byte(text), 0o600), qt.IsNil)
 	log, err := os.Create(filepath.Join(env.folder, name+".log"))
@@ -211,6 +230,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stopRequested.Store(false)
+	env.forgetContact(p.ip)
 	p.cmd = exec.Command(env.bin, p.args...)
 	p.cmd.Env = append(os.Environ(), p.configVar)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -336,12 +356,7 @@
 // accepted a retransmission of the opening packet without being chosen: it holds a
 // flow of the same key, but with another initial sequence number.
 func (env *testEnv) serverOf(f *flow) *server {
-	// The lock of a server is always taken before env.mu, so env.mu must not be held
-	// below.
-	env.mu.Lock()
-	servers := slices.Collect(maps.Values(env.servers))
-	env.mu.Unlock()
-	for _, s := range servers {
+	for _, s := range env.allServers() {
 		s.mu.Lock()
 		isn, holds := s.flows[f.key()]
 		s.mu.Unlock()
@@ -353,3 +368,11 @@
 	}
 	return nil
 }
+
+// allServers returns the servers that run. The lock of a server is always taken before
+// env.mu, so env.mu must not be held while that of a server is taken.
+func (env *testEnv) allServers() []*server {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return slices.Collect(maps.Values(env.servers))
+}
--- a/internal/proof/soak/explain_test.go
+++ b/internal/proof/soak/explain_test.go
@@ -33,10 +33,10 @@
 // must then find it as the cause in the logs of all processes.
 func TestExplainNamesKilledServer(t *testing.T) {
 	c := qt.New(t)
-	env := newTestEnv(t, 7, build(t))
+	env := newTestEnv(t, 7, build(t), plain)
 	env.runInBackground(env.probeRelays)
 	for i := range 3 {
-		env.addServer(fmt.Sprintf("i-7%x", i+1), uint64(i+1), "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000))
+		env.addServer(fmt.Sprintf("i-7%x", i+1), uint64(i+1), "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
 	}
 	env.publish(1)
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -67,14 +67,14 @@
 // soak runs one seed: it injects faults for the given duration while clients send
 // requests, an operator publishes versions and servers are replaced.
 func soak(t *testing.T, seed uint64, duration time.Duration, bin, cause string) {
-	env := newTestEnv(t, seed, bin)
+	env := newTestEnv(t, seed, bin, modeOf(seed))
 	env.runInBackground(env.probeRelays)
 	for i := range 6 {
 		service := "x"
 		if i%3 == 2 {
 			service = "y"
 		}
-		env.addServer(fmt.Sprintf("i-%x%x", seed, i+1), uint64(i+1), service, fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000))
+		env.addServer(fmt.Sprintf("i-%x%x", seed, i+1), uint64(i+1), service, fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
 	}
 	env.publish(1)
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
@@ -83,7 +83,9 @@
 	}
 	env.runInBackground(env.publishAndRead)
 	env.runInBackground(env.replaceServers)
+	env.startLoads(seed)
 	env.injectFaults(duration)
+	close(env.calm)
 	env.verifyRecovery()
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -95,6 +97,7 @@
 	}
 	t.Logf("seed %d (%s): %d requests answered, %d failed, of these %d on flows that stayed open; version %d",
 		seed, cause, env.answered.Load(), env.failed.Load(), env.unansweredHeld.Load(), env.acked)
+	t.Logf("%s: %s", env.mode, env.load.String())
 	if len(env.violations) > 0 {
 		logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 		env.c.Check(err, qt.IsNil)
@@ -153,14 +156,18 @@
 }
 
 // addServer starts a stand-in that serves packets and announces itself.
-func (env *testEnv) addServer(id string, number uint64, service, address string) *server {
+// For the time of warmup, it announces that it is cold.
+func (env *testEnv) addServer(id string, number uint64, service, address string, warmup time.Duration) *server {
 	addr, err := net.ResolveUDPAddr("udp4", address)
 	env.c.Assert(err, qt.IsNil)
 	conn, err := net.ListenUDP("udp4", addr)
 	env.c.Assert(err, qt.IsNil)
 	n, err := strconv.ParseUint(strings.TrimPrefix(id, "i-"), 16, 64)
 	env.c.Assert(err, qt.IsNil)
-	s := &server{env: env, id: id, number: n, service: service, address: address, conn: conn, flows: map[string]uint32{}}
+	s := &server{
+		env: env, id: id, number: n, service: service, address: address, conn: conn, flows: map[string]uint32{},
+		zone: zoneOf(int(addr.IP.To4()[3]) / 4), warmAt: time.Now().Add(warmup), uploads: map[string]uint32{}, slots: newSlots(),
+	}
 	env.mu.Lock()
 	env.servers[id] = s
 	env.mu.Unlock()
@@ -195,8 +202,8 @@
 		state = "draining"
 	}
 	return map[string]any{
-		"service": s.service, "addr": s.address, "zone": "a", "version": "v1", "capacity": 2, "state": state,
-		"warmup_left_ms": 0, "seq": s.seq,
+		"service": s.service, "addr": s.address, "zone": s.zone, "version": "v1", "capacity": 2, "state": state,
+		"warmup_left_ms": max(time.Until(s.warmAt).Milliseconds(), 0), "seq": s.seq,
 	}
 }
 
@@ -246,7 +253,7 @@
 			return
 		}
 		other := map[string]string{"x": "y", "y": "x"}[old.service]
-		env.addServer(fmt.Sprintf("i-%x", 0xa000+n), n, other, old.address)
+		env.addServer(fmt.Sprintf("i-%x", 0xa000+n), n, other, old.address, warmup)
 	}
 }
 
@@ -255,13 +262,17 @@
 func (env *testEnv) publish(version uint64) bool {
 	config := map[string]any{
 		"version":  version,
-		"services": []map[string]any{{"name": "x"}, {"name": "y"}},
+		"services": []map[string]any{{"name": "x"}, {"name": "y", "warmup_s": warmup.Seconds(), "warmup_per_s": warmupRate}},
 		"limits":   map[string]any{"idle_timeout_ms": 15000},
 		"routes": []map[string]any{
 			{"name": "rx", "host": "198.18.0.1", "path_prefix": "/443/", "route_kind": "idempotent", "timeout_ms": 3000, "service": "x"},
-			{"name": "ry", "host": "198.18.0.1", "path_prefix": "/80/", "route_kind": "non_idempotent", "timeout_ms": 3000 + version, "service": "y"},
+			{"name": "ry", "host": "198.18.0.1", "path_prefix": "/80/", "route_kind": "non_idempotent", "timeout_ms": 3000 + version, "latency_goal_ms": env.mode.latencyGoal(), "service": "y"},
+			{"name": "rz", "host": "198.18.0.1", "path_prefix": "/8080/", "route_kind": "idempotent", "timeout_ms": 6000, "service": "x"},
 		},
 	}
+	env.mu.Lock()
+	env.published = append(env.published, publication{version, time.Now()})
+	env.mu.Unlock()
 	if !env.callControl(http.MethodPut, "/config", config, 100) {
 		return false
 	}
@@ -277,6 +288,7 @@
 	for version := uint64(2); env.sleep(300 * time.Millisecond); version += 1 + uint64(env.randN(3)) {
 		env.publish(version)
 		env.verifyRead(env.randN(controlCount))
+		env.verifyEvacuations(env.randN(controlCount))
 	}
 }
 
@@ -324,6 +336,9 @@
 			env.failed.Add(1)
 			env.verifyReset(f)
 			f.close()
+		case rejected:
+			env.failed.Add(1)
+			f.finish()
 		case timedOut:
 			env.failed.Add(1)
 			if s := env.serverOf(f); s != nil && !s.isLeaving() {
@@ -418,11 +433,20 @@
 	for i := range controlCount {
 		env.await(fmt.Sprintf("read at control host %d succeeds", i), func() bool { _, ok := env.verifyRead(i); return ok })
 	}
-	time.Sleep(2 * time.Second)
+	env.verifyOrdersAfterFaults()
+	// All servers are cold for the time of warmup after their data centre returned.
+	time.Sleep(warmup + time.Second)
+	uploads := env.load.uploads.Load()
 	answers, failures := env.answered.Load(), env.failed.Load()
 	time.Sleep(2 * time.Second)
 	answers, failures = env.answered.Load()-answers, env.failed.Load()-failures
 	if float64(answers) < minAnsweredShare*float64(answers+failures) || answers == 0 {
 		env.recordViolation("only %d of %d requests were answered after the faults ended", answers, answers+failures)
 	}
+	if env.mode == narrowLinks && env.load.uploads.Load() == uploads {
+		env.recordViolation("no upload ended after the faults")
+	}
+	if env.mode == overloaded {
+		env.verifyOverload()
+	}
 }
