--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -26,6 +26,9 @@
 const (
 	controlCount = 3
 	relayCount   = 3
+	// firstSubnet and subnetCount are the range of testEnv.subnet.
+	firstSubnet = 10
+	subnetCount = 200
 	// drainGrace is the time after which a draining server must get no new flow. It
 	// is the setting grace_s.
 	drainGrace = 3 * time.Second
@@ -160,15 +163,18 @@
 func newTestEnv(t *testing.T, seed uint64, bin string, mode mode) *testEnv {
 	c := qt.New(t)
 	env := &testEnv{
-		c: c, folder: c.TempDir(), bin: bin, subnet: 10 + int((seed+uint64(os.Getpid()))%200), dataPort: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
+		c: c, folder: c.TempDir(), bin: bin, subnet: firstSubnet + int((seed+uint64(os.Getpid()))%subnetCount), dataPort: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
 		servers: map[string]*server{}, extraRuns: map[uint64]int{}, lastRuns: map[uint64]string{}, stop: make(chan struct{}),
 		mode: mode, zones: map[string]*zoneState{"a": {}, "b": {}}, relays: map[string]*relayState{}, refused: map[string]bool{}, calm: make(chan struct{}),
 	}
+	env.proxies = []*proxy{env.claimSubnet()}
 	for i := range controlCount {
 		ip := env.ip(controlGroup, i)
-		p, err := newProxy(ip+":7000", ip+":7001")
-		c.Assert(err, qt.IsNil)
-		env.proxies = append(env.proxies, p)
+		if i > 0 {
+			p, err := newProxy(ip+":7000", ip+":7001")
+			c.Assert(err, qt.IsNil)
+			env.proxies = append(env.proxies, p)
+		}
 		env.add("control", i, ip, "directory", "-bind", ip+":7001")
 	}
 	for i := range relayCount {
@@ -182,6 +188,20 @@
 	return env
 }
 
+// claimSubnet starts the proxy of the first control host, in the next subnet that no other
+// test process uses.
+func (env *testEnv) claimSubnet() *proxy {
+	for range subnetCount {
+		ip := env.ip(controlGroup, 0)
+		if p, err := newProxy(ip+":7000", ip+":7001"); err == nil {
+			return p
+		}
+		env.subnet = firstSubnet + (env.subnet-firstSubnet+1)%subnetCount
+	}
+	env.c.Fatal("no subnet is free")
+	return nil
+}
+
 // ip returns the address of host i, counted from 0, in a group of the subnet.
 func (env *testEnv) ip(group, i int) string {
 	return fmt.Sprintf("127.%d.%d.%d", env.subnet, group, i+1)
