--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -104,6 +104,9 @@
 	// refused holds the keys of flows whose first opening packet was reset.
 	refused map[string]bool
 	load    loadCounts
+	// stall is the longest stall of the machine in nanoseconds, since the last reset, and
+	// longestStall that of the whole run.
+	stall, longestStall atomic.Int64
 	// calm is closed when no more faults are injected.
 	calm chan struct{}
 	// answered and failed count the requests with and without an answer. failed also
--- a/internal/proof/soak/evacuate_test.go
+++ b/internal/proof/soak/evacuate_test.go
@@ -282,6 +282,7 @@
 
 // startLoads starts the operators and the loads of the mode.
 func (env *testEnv) startLoads(seed uint64) {
+	env.runInBackground(env.measureStalls)
 	for i := range relayCount {
 		env.runInBackground(func() { env.watchVersions(env.ip(relayGroup, i)) })
 	}
