simnet: test an overload while a data centre is evacuated

Fails: entry hosts of the evacuated data centre own no places of the servers, so they open flows by the reported loads, and servers reject an eighth of the arrivals.

--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -38,6 +38,8 @@
 	// the end of the burst.
 	Slow       float64
 	SlowFactor float64
+	// Evacuated is the number of data centres that are evacuated. Their entry hosts go on.
+	Evacuated int
 }
 
 const (
@@ -103,6 +105,7 @@
 	if f := s.Failures.SlowFactor; f > 1 {
 		slots *= 1 - s.Failures.Slow*(1-1/f)
 	}
+	slots *= 1 - float64(s.Failures.Evacuated)/float64(s.DataCentres)
 	work := 0.0
 	for i := range r.Kinds {
 		work += r.Kinds[i].Work
@@ -251,6 +254,17 @@
 	for _, h := range sim.hosts {
 		sim.shareList(h, alive)
 	}
+	if f.Evacuated > 0 {
+		update := &core.Update{EvacuationsVersion: 1}
+		for c := range f.Evacuated {
+			update.Evacuations = append(update.Evacuations, core.EvacuationUpdate{Centre: centreName(c), Active: true})
+		}
+		sim.after(f.At, func() {
+			for _, h := range sim.hosts {
+				h.core.Learn(sim.now, update)
+			}
+		})
+	}
 	// Spread over the data centres and over the list.
 	chosen := func(i int, share float64) bool { return int(float64(i+1)*share) > int(float64(i)*share) }
 	if f.Killed > 0 {
--- a/internal/lab/simnet/flood_test.go
+++ b/internal/lab/simnet/flood_test.go
@@ -34,3 +34,26 @@
 		qt.Check(t, use > test.low && use < test.high, qt.IsTrue, qt.Commentf("%d entry hosts: %.3f of the slots", test.entryHosts, use))
 	}
 }
+
+// checkFlood checks that servers reject few arrivals and that their slots are used, with a
+// number of data centres evacuated.
+func checkFlood(t *testing.T, seeds uint64, evacuated int) {
+	t.Helper()
+	for seed := range seeds {
+		s := simnet.Flood(84, 6, 6)
+		s.Failures = simnet.Failures{At: 5000, Evacuated: evacuated}
+		r := simnet.Run(s, choose.DefaultSettings, seed)
+		logFlood(t, &s, seed, r)
+		rejected, use := float64(r.Shed)/float64(r.Arrivals), r.UseOfSlots(&s)
+		qt.Check(t, rejected < 0.01, qt.IsTrue, qt.Commentf("seed %d: servers rejected %.3f of the arrivals", seed, rejected))
+		qt.Check(t, use >= 0.95, qt.IsTrue, qt.Commentf("seed %d: %.3f of the slots", seed, use))
+	}
+}
+
+// TestFloodWithAllDataCentres shows that TestFloodWhileEvacuated fails for the evacuation
+// only.
+func TestFloodWithAllDataCentres(t *testing.T) { checkFlood(t, 1, 0) }
+
+// TestFloodWhileEvacuated guards against entry hosts of an evacuated data centre that take
+// part in no split of the slots, so that they open flows which the servers reject.
+func TestFloodWhileEvacuated(t *testing.T) { checkFlood(t, 2, 1) }
