soak: test that a paused relay does not reset an open flow

Fails: the relay refuses the first opening packet by evacuations that ended during the pause, after a copy has opened the flow through another relay.

--- /dev/null
+++ b/internal/proof/soak/paused_test.go
@@ -0,0 +1,57 @@
+package soak_test
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPausedRelayDoesNotResetOpenFlow guards against a relay that was paused while an
+// evacuation ended, and then refuses the first opening packet of a flow by what it knew
+// before. A copy of the packet has opened the flow through another relay meanwhile.
+func TestPausedRelayDoesNotResetOpenFlow(t *testing.T) {
+	c := qt.New(t)
+	env := newTestEnv(t, 8, build(t), plain)
+	env.runInBackground(env.probeRelays)
+	env.addServer("i-81", 1, "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, 0), 9000), 0)
+	env.publish(1)
+	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
+	env.await("a flow opens", func() bool { return env.clients[0].open(portX) != nil })
+	env.order("a", true)
+	time.Sleep(time.Second)
+
+	paused, client := env.procs[controlCount], env.clients[0]
+	paused.signal(syscall.SIGSTOP)
+	stoppedAt := time.Now()
+	env.order("a", false)
+	f := &flow{client: client, port: 9999, dstPort: portX, in: make(chan packet, 16), seq: 1}
+	client.mu.Lock()
+	client.inbound[f.port] = f.in
+	client.mu.Unlock()
+	send := func(relay string, transmission uint32) {
+		to := &net.UDPAddr{IP: net.ParseIP(relay), Port: env.dataPort}
+		_, _ = client.conn.WriteToUDP(f.packet(flagSyn, transmission, nil).encode(), to)
+	}
+	send(paused.ip, 0)
+	time.Sleep(2 * retransmitDelay)
+	send(env.ip(relayGroup, 1), 1)
+	select {
+	case reply := <-f.in:
+		c.Assert(reply.flags, qt.Equals, byte(flagSyn|flagAck))
+	case <-time.After(requestTimeout):
+		c.Fatal("the flow was not opened")
+	}
+	// The relay takes itself to be up to date for 1.5 s after its last news.
+	time.Sleep(time.Until(stoppedAt.Add(900 * time.Millisecond)))
+	paused.signal(syscall.SIGCONT)
+	select {
+	case pkt := <-f.in:
+		c.Check(pkt.flags&flagReset, qt.Equals, byte(0), qt.Commentf("the open flow was reset"))
+	case <-time.After(time.Second):
+	}
+	c.Check(env.violations, qt.HasLen, 0)
+}
