--- a/internal/proof/soak/paused_test.go
+++ b/internal/proof/soak/paused_test.go
@@ -1,8 +1,10 @@
 package soak_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -37,8 +39,14 @@
 		_, _ = client.conn.WriteToUDP(f.packet(flagSyn, transmission, nil).encode(), to)
 	}
 	send(paused.ip, 0)
-	time.Sleep(2 * retransmitDelay)
-	send(env.ip(relayGroup, 1), 1)
+	other := env.ip(relayGroup, 1)
+	env.await("the other relay knows of the end", func() bool {
+		_, b := callHTTP(http.MethodGet, "http://"+other+":9464/debug/vars", nil)
+		var got struct{ Evacuations *int }
+		return json.Unmarshal(b, &got) == nil && got.Evacuations != nil && *got.Evacuations == 0
+	})
+	time.Sleep(time.Until(stoppedAt.Add(2 * retransmitDelay)))
+	send(other, 1)
 	select {
 	case reply := <-f.in:
 		c.Assert(reply.flags, qt.Equals, byte(flagSyn|flagAck))
