--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -41,9 +41,9 @@
 	// the end of the burst.
 	Slow       float64
 	SlowFactor float64
-	// Evacuated is set if the first data centre is evacuated. Its clients stay with its
-	// entry hosts.
-	Evacuated bool
+	// Evacuated is the number of data centres that are evacuated. Their clients stay with
+	// their entry hosts.
+	Evacuated int
 }
 
 const (
@@ -113,9 +113,7 @@
 	if f := s.Failures.SlowFactor; f > 1 {
 		slots *= 1 - s.Failures.Slow*(1-1/f)
 	}
-	if s.Failures.Evacuated {
-		slots *= 1 - 1/float64(s.DataCentres)
-	}
+	slots *= 1 - float64(s.Failures.Evacuated)/float64(s.DataCentres)
 	work := 0.0
 	for i := range r.Kinds {
 		work += r.Kinds[i].Work
@@ -261,7 +259,7 @@
 		switch {
 		case c == h.centre:
 			u.Sharing = append(u.Sharing, list...)
-		case sim.scenario.Failures.Evacuated && sim.now >= sim.scenario.Failures.At:
+		case sim.scenario.Failures.Evacuated > 0 && sim.now >= sim.scenario.Failures.At:
 			if u.SharingElsewhere == nil {
 				u.SharingElsewhere = map[string][]uint64{}
 			}
@@ -305,13 +303,15 @@
 			sim.after(f.At+f.PausedFor+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
 		}
 	}
-	if f.Evacuated {
+	if f.Evacuated > 0 {
+		order := &core.Update{EvacuationsVersion: 1}
+		for c := range f.Evacuated {
+			order.Evacuations = append(order.Evacuations, core.EvacuationUpdate{Centre: centreName(c), Active: true})
+		}
 		for _, h := range sim.hosts {
 			sim.after(f.At+clock.Millis(sim.rand.IntN(int(orderSpread))), func() {
 				sim.shareList(h, alive)
-				h.core.Learn(sim.now, &core.Update{
-					EvacuationsVersion: 1, Evacuations: []core.EvacuationUpdate{{Centre: centreName(0), Active: true}},
-				})
+				h.core.Learn(sim.now, order)
 			})
 		}
 	}
--- a/internal/lab/simnet/goal_test.go
+++ b/internal/proof/flood/flood_test.go
@@ -1,4 +1,4 @@
-package simnet_test
+package flood_test
 
 import (
 	"flag"
@@ -197,7 +197,7 @@
 		t.Run(fmt.Sprint(factor, "Times"), func(t *testing.T) {
 			t.Parallel()
 			s := simnet.Flood(84, factor, factor)
-			s.Failures = simnet.Failures{At: failureAt - 4*clock.Second, Evacuated: true}
+			s.Failures = simnet.Failures{At: failureAt - 4*clock.Second, Evacuated: 1}
 			results := runFlood(t, &s)
 			checkAtLeast(t, results, "use of the remaining slots", 0.9, useOfSlots(&s))
 			checkAtLeast(t, results, "arrivals that servers don't reject", 1-goalRejected, notRejected)
