token: refuse nothing that may have arrived while the process was stalled

Callers got a reset on an open flow from a relay that was paused for 0.9 s. It held itself up to date for 1.5 s after its last news, and refused the first copy of an opening by an evacuation that had ended; a second copy had opened the flow through another relay. Other refusals after a pause had the same gap.

Change: intake notices when the process did not run for 500 ms. Until all that has arrived by then is decided, openings count as copies, which are never refused, and the host as not up to date. 500 ms is below the time after which routers turn to other hosts, and above the delays of a host that is short of processor time.

--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -105,6 +105,14 @@
 // Share returns the share of the requests that were answered within the goal.
 func (o *Outcomes) Share() float64 { return float64(o.OnTime) / float64(max(o.Requests, 1)) }
 
+// DescribeFlood returns the figures of a run of a scenario of Flood in one line.
+func (r *Result) DescribeFlood(s *Scenario, seed uint64) string {
+	reads, reports := &r.Kinds[0], &r.Kinds[1]
+	return fmt.Sprintf("%s, %d entry hosts, reads x%v, reports x%v, seed %d: %.3f of the slots, in time %.3f of reads and %.3f of reports, "+
+		"after the burst %.3f and %.3f; refused %d, servers rejected %d of %d", s.Name, s.DataCentres*s.Hosts, s.Kinds[0].Burst, s.Kinds[1].Burst,
+		seed, r.UseOfSlots(s), reads.Burst.Share(), reports.Burst.Share(), reads.After.Share(), reports.After.Share(), r.Refused, r.Shed, r.Arrivals)
+}
+
 // UseOfSlots returns the work of the requests that started during the burst, from
 // Scenario.CountFrom on, and were answered within the goal, as a share of what the slots
 // bear in that time.
--- a/internal/proof/flood/flood_test.go
+++ b/internal/proof/flood/flood_test.go
@@ -52,7 +52,7 @@
 	var results []*simnet.Result
 	for seed := range *goalSeeds {
 		r := simnet.Run(*s, choose.DefaultSettings, seed)
-		logFlood(t, s, seed, r)
+		t.Log(r.DescribeFlood(s, seed))
 		results = append(results, r)
 	}
 	for i, k := range s.Kinds {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -35,7 +35,7 @@
 		return c.handleRetransmittedOpening(now, f, p)
 	}
 	// A copy may follow an opening that was forwarded by another host.
-	if p.LinkFull && p.Ack == 0 {
+	if p.LinkFull && !p.mayHaveCopy() {
 		c.stats.ResetLinkFull++
 		return Action{Verdict: Reset, Reason: LinkFull}
 	}
@@ -79,7 +79,7 @@
 	// A retransmission could not be served either, so don't make the client wait. But if
 	// only an evacuation takes the servers away, the transmission before may have opened
 	// the flow through another host, and an open flow must not be reset.
-	if upToDate && (!evacuated || p.Ack == 0) {
+	if upToDate && (!evacuated || !p.mayHaveCopy()) {
 		c.stats.ResetNoServer++
 		return Action{Verdict: Reset, Reason: NoServer}
 	}
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -68,7 +68,7 @@
 	class := admit.Class{Service: list[0].entry.Service, Kind: kind, Goal: route.LatencyGoal, Priority: c.priorityOf(route)}
 	service := c.admissionOf(class.Service)
 	service.RecordOpening(class.Priority)
-	mayRefuse := p.Ack == 0 && !c.options.Off.Has(tune.Admission)
+	mayRefuse := !p.mayHaveCopy() && !c.options.Off.Has(tune.Admission)
 	if r, holds := c.refusals.Find(now, class); mayRefuse && holds {
 		return r.server, r.load, false
 	}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -37,11 +37,18 @@
 	// Waited is the longest time for which the packet may have waited on this host
 	// before it is decided.
 	Waited clock.Millis
+	// AfterStall is set if the packet may have arrived while the process was stalled.
+	// Routers may have sent copies of it to other hosts meanwhile.
+	AfterStall bool
 	// LinkFull is set on an opening packet if the link of this host has no room for the
 	// data of another flow of the route.
 	LinkFull bool
 }
 
+// mayHaveCopy reports whether another transmission of an opening packet may have opened
+// the flow through another host. Such a packet must not be refused.
+func (p *Packet) mayHaveCopy() bool { return p.Ack > 0 || p.AfterStall }
+
 // late reports whether the packet may have waited for so long that it says little about
 // when its sender sent it.
 func (p *Packet) late() bool { return p.Waited > maxMeasuredWait }
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -100,6 +100,7 @@
 func (f *forwarder) OnTick() (time.Duration, gnet.Action) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.queue.Alive(f.d.clock.Now())
 	f.queue.Resume(maxReceiveTime)
 	f.runPeriodic(f.d.clock.Now())
 	return tickInterval, gnet.None
@@ -220,7 +221,9 @@
 	}
 	f.d.codec.Decode(datagram, &f.packet)
 	f.packet.Waited, f.packet.LinkFull = f.waited(now, waited), f.linkFull(now)
-	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL
+	// After a stall, the host knows what was true before it.
+	f.packet.AfterStall = f.queue.Stalled()
+	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL && !f.packet.AfterStall
 	a := f.d.core.HandlePacket(now, &f.packet, upToDate)
 	f.recordMetrics(&a)
 	f.logDecision(now, &a)
--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -17,6 +17,10 @@
 	// maxOpenings bounds the openings that wait. When there are more, the oldest is
 	// discarded: its client is the next to send a copy or to give up.
 	maxOpenings = 1024
+	// stallThreshold is the time without a call of Alive after which the process counts
+	// as stalled. Hosts that are short of processor time call it late, too, but routers
+	// turn to other hosts only after a longer time.
+	stallThreshold = 500 * clock.Millis(1)
 )
 
 // Class tells packets apart by how urgent they are.
@@ -72,6 +76,10 @@
 	// comes when something has arrived.
 	emptyAt clock.Millis
 	drained bool
+	// aliveAt is when the process was last known to run, and stalled is set after a stall
+	// until the source is empty.
+	aliveAt clock.Millis
+	stalled bool
 	// openings is a ring: the oldest is at first.
 	openings    [maxOpenings]opening
 	first, size int
@@ -80,14 +88,32 @@
 
 // New returns an empty Queue for datagrams of up to maxDatagram bytes.
 func New(handler Handler, now func() clock.Millis, maxDatagram int) *Queue {
-	return &Queue{handler: handler, now: now, buffer: make([]byte, maxDatagram), drained: true}
+	return &Queue{handler: handler, now: now, buffer: make([]byte, maxDatagram), drained: true, aliveAt: now()}
 }
 
+// Alive must be called every 100 ms or so. It notices that the process was stalled: what
+// is read next may have arrived at any time since then, although the source was empty
+// before.
+func (q *Queue) Alive(now clock.Millis) {
+	if now-q.aliveAt > stallThreshold {
+		q.stalled = true
+		if q.drained {
+			q.emptyAt, q.drained = q.aliveAt, false
+		}
+	}
+	q.aliveAt = now
+}
+
+// Stalled reports whether the datagram that is decided may have arrived while the process
+// was stalled.
+func (q *Queue) Stalled() bool { return q.stalled }
+
 // Receive takes a datagram that was just read, then reads more from source and decides
 // until none is left or limit has passed. Openings that are left over are decided by
 // the next call of Receive or Resume.
 func (q *Queue) Receive(datagram []byte, source Source, limit clock.Millis) {
 	start := q.now()
+	q.Alive(start)
 	if q.drained {
 		q.emptyAt, q.drained = start, false
 	}
@@ -99,7 +125,7 @@
 			q.emptyAt = now
 		}
 		if empty && q.size == 0 {
-			q.drained = true
+			q.drained, q.stalled = true, false
 			return
 		}
 		if now-start >= limit {
