serve/admit: count opened flows over a longer time

Change: the last 1024 opened flows, and 6.5%.

Run: go test ./internal/serve/admit ./internal/token/core ./internal/proof/flood.

--- a/internal/serve/admit/admit.go
+++ b/internal/serve/admit/admit.go
@@ -30,11 +30,15 @@
 	// minUrgentShare is the share of the openings that must be more urgent than a
 	// flow for it to count as less urgent. Rare probes of an urgent route don't.
 	minUrgentShare = 0.05
-	// minUrgentAdmitted is the same as a share of the flows that were opened.
-	minUrgentAdmitted = 0.08
+	// minUrgentAdmitted is the same as a share of the flows that were opened. Under
+	// overload the probes are a larger share of these.
+	minUrgentAdmitted = 0.065
 	// maxOpenings is the number of openings at which the counts by priority are
 	// halved, so that they follow the demand.
 	maxOpenings = 256
+	// maxAdmissions is the same for the flows that were opened. With fewer, a share near
+	// minUrgentAdmitted is often on the wrong side of it.
+	maxAdmissions = 1024
 )
 
 // Opening describes a new flow.
@@ -81,10 +85,10 @@
 }
 
 // RecordOpening counts an opening of a flow of the given priority, admitted or not.
-func (s *Service) RecordOpening(priority int) { s.openings.add(priority) }
+func (s *Service) RecordOpening(priority int) { s.openings.add(priority, maxOpenings) }
 
 // RecordAdmission counts a flow of the given priority that was opened.
-func (s *Service) RecordAdmission(priority int) { s.admitted.add(priority) }
+func (s *Service) RecordAdmission(priority int) { s.admitted.add(priority, maxAdmissions) }
 
 // Admit reports whether a new flow may open.
 func (s *Service) Admit(o *Opening) bool {
@@ -128,8 +132,8 @@
 	total      int
 }
 
-func (c *priorities) add(priority int) {
-	if c.total >= maxOpenings {
+func (c *priorities) add(priority, limit int) {
+	if c.total >= limit {
 		c.total = 0
 		for p, n := range c.byPriority {
 			c.byPriority[p] = n / 2
