token/core: refuse fewer long flows, and use other servers for lost places

The bound of two requests in flight per slot of the host's share is below what the latency goals allow. And a host whose own places are on servers that don't answer could put only a quarter of its slots on others.

Change: long flows are bounded from three per slot on, and refused from four; a host uses as many slots of other servers as its own that are avoided.

--- a/internal/token/core/share.go
+++ b/internal/token/core/share.go
@@ -38,8 +38,8 @@
 	// from which it opens long flows only on servers that are reported to have room, and
 	// maxLongFlowsPerSlot that from which it opens none. Requests on long flows cannot be
 	// refused later, and take the places of urgent ones.
-	longFlowsPerSlot    = 2.0
-	maxLongFlowsPerSlot = 3.0
+	longFlowsPerSlot    = 3.0
+	maxLongFlowsPerSlot = 4.0
 )
 
 // share is the part of the slots of a service that this host owns. The slots are those in
@@ -143,18 +143,24 @@
 	// hosts they count many requests twice, and flows as long that aren't.
 	unused := float64(usage.own) < share.slots
 	best, bestUse, ownInFlight := (*server)(nil), 1.0, 0
+	elsewhere := max(overflowShare*share.slots, 1)
 	for i := range share.places {
 		p := &share.places[i]
 		b := p.server.backend
 		if now < p.server.coldUntil && !p.server.budget.Available(now) {
 			continue
 		}
+		if b.Avoided(now) {
+			// The host uses as many slots of other servers.
+			elsewhere += float64(p.usual) / placesPerSlot
+			continue
+		}
 		ownInFlight += b.InFlight()
 		places := p.usual
 		if urgent {
 			places = p.urgent
 		}
-		if places == 0 || b.Avoided(now) || usage.longFlows && !unused && b.Load(choose.Short) > maxLoad {
+		if places == 0 || usage.longFlows && !unused && b.Load(choose.Short) > maxLoad {
 			continue
 		}
 		if use := float64(b.InFlight()) / float64(places); use < bestUse {
@@ -166,7 +172,7 @@
 	}
 	index := c.policy.Pick(now, choose.Short, list, backendOf)
 	s = list[index]
-	overflow := float64(usage.own-ownInFlight) < max(overflowShare*share.slots, 1)
+	overflow := float64(usage.own-ownInFlight) < elsewhere
 	return s, unused || overflow && s.backend.Utilization() <= overflowUtilization, true
 }
 
