--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -70,7 +70,6 @@
 }
 
 // refuseWithoutServer decides on an opening of a route without a server for new flows.
-// refuseWithoutServer decides on an opening for which there is no server.
 func (c *Core) refuseWithoutServer(route *routes.Route, p *Packet, upToDate bool) Action {
 	evacuated := c.hasEvacuatedServer(route)
 	if evacuated {
--- a/internal/token/intake/intake_test.go
+++ b/internal/token/intake/intake_test.go
@@ -112,3 +112,26 @@
 	qt.Check(t, h.order, qt.DeepEquals, []intake.Class{intake.Opening, intake.Established, intake.Opening})
 	qt.Check(t, slices.Max(h.promised), qt.Equals, clock.Millis(0))
 }
+
+// TestArrivalsDuringAStallAreTold guards against a paused host that takes what arrived
+// during the pause for fresh, and refuses it by what it knew before.
+func TestArrivalsDuringAStallAreTold(t *testing.T) {
+	h, q := newHost(1)
+	quiet := func(end clock.Millis) {
+		for ; h.now < end; h.now += 100 {
+			q.Alive(h.now)
+		}
+	}
+	quiet(1000)
+	qt.Check(t, q.Stalled(), qt.IsFalse)
+	h.now += 900
+	// The event loop or its ticker may run first after the pause.
+	q.Alive(h.now)
+	qt.Check(t, q.Stalled(), qt.IsTrue)
+	q.Receive([]byte{byte(intake.Opening), 110}, h.read, 50)
+	qt.Check(t, h.promised[0] >= 800, qt.IsTrue, qt.Commentf("waited %d", h.promised[0]))
+	qt.Check(t, q.Stalled(), qt.IsFalse)
+	quiet(h.now + 1000)
+	q.Receive([]byte{byte(intake.Opening), byte(h.now / 10)}, h.read, 50)
+	qt.Check(t, h.promised[1] <= 100, qt.IsTrue, qt.Commentf("waited %d", h.promised[1]))
+}
