--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -151,6 +151,13 @@
 		n.replyAppend(m, true, n.log.commit)
 		return
 	}
+	if term, ok := n.log.term(m.Snapshot.Index); ok && term == m.Snapshot.Term {
+		// The log holds all that the snapshot replaces, so what follows it may match the
+		// leader's log, and may have been acknowledged.
+		n.log.commit = m.Snapshot.Index
+		n.replyAppend(m, true, n.log.commit)
+		return
+	}
 	n.log.restore(*m.Snapshot)
 	n.out.Snapshot = m.Snapshot
 	n.out.Entries = nil
@@ -169,8 +176,13 @@
 	p.ackedSentAt = max(p.ackedSentAt, m.Sent)
 	p.inFlight = false
 	if !m.Granted {
-		p.next = max(p.match+1, min(m.Index+1, p.next-1))
-		n.sendAppend(m.From)
+		next := max(p.match+1, min(m.Index+1, p.next-1))
+		// Without progress, another append at once would be rejected like this one. The
+		// next one goes with the heartbeat.
+		if next != p.next {
+			p.next = next
+			n.sendAppend(m.From)
+		}
 		return
 	}
 	p.match = max(p.match, m.Index)
--- a/internal/agree/raft/safety_test.go
+++ b/internal/agree/raft/safety_test.go
@@ -21,6 +21,9 @@
 	now    clock.Millis
 	stored raft.Stored
 	lost   bool
+	// acknowledged is the index of the last entry that the member acknowledged in
+	// acknowledgedTerm.
+	acknowledged, acknowledgedTerm uint64
 }
 
 // schedule delivers messages in any order and any number of times, changes the
@@ -81,6 +84,7 @@
 			m.stored.Entries = append(m.stored.Entries[:e.Index-m.stored.Snapshot.Index-1], e)
 		}
 		s.network = append(s.network, out.Messages...)
+		s.checkAcknowledged(m, out.Messages)
 		for _, e := range out.Committed {
 			if term, known := s.committed[e.Index]; known && term != e.Term {
 				s.failure = fmt.Sprintf("entry %d committed in terms %d and %d", e.Index, term, e.Term)
@@ -101,6 +105,30 @@
 	s.leaders[term] = m.node.ID()
 }
 
+// checkAcknowledged checks that a member holds the entries that it acknowledges, and keeps
+// them while the leader that counts on them leads.
+func (s *schedule) checkAcknowledged(m *member, sent []raft.Message) {
+	for i := range sent {
+		if r := &sent[i]; r.Kind == raft.KindAppendReply && r.Granted && r.Term >= m.acknowledgedTerm {
+			if r.Term > m.acknowledgedTerm {
+				m.acknowledged = 0
+			}
+			m.acknowledged, m.acknowledgedTerm = max(m.acknowledged, r.Index), r.Term
+		}
+	}
+	last := m.node.SnapshotIndex() + uint64(len(m.node.Entries()))
+	if m.node.Term() == m.acknowledgedTerm && last < m.acknowledged {
+		s.failure = fmt.Sprintf("%s acknowledged entry %d in term %d and holds entries up to %d", m.node.ID(), m.acknowledged, m.acknowledgedTerm, last)
+	}
+}
+
+// compact replaces what a member has committed by a snapshot.
+func (s *schedule) compact(m *member) {
+	if snap := m.node.Compact(m.node.Commit(), nil); snap != nil {
+		m.stored.Snapshot, m.stored.Entries = *snap, slices.Clone(m.node.Entries())
+	}
+}
+
 func (s *schedule) pick() (raft.ID, *member) {
 	id := s.ids[s.rand.IntN(len(s.ids))]
 	return id, s.members[id]
@@ -113,21 +141,23 @@
 	case r < 640 && len(s.network) > 0:
 		s.deliver()
 	case m.lost:
-	case r < 860:
+	case r < 830:
 		m.now += clock.Millis(s.rand.IntN(300))
 		m.node.Tick(m.now)
-	case r < 900:
+	case r < 890:
 		_, _, _ = m.node.Propose(m.now, []byte("x"))
-	case r < 950:
+	case r < 930:
 		s.changeMembership(m)
-	case r < 970:
+	case r < 950:
 		s.restart(m, id)
-	case r < 985:
+	case r < 962:
 		// Any member may learn of a loss, at any time after it.
 		if lost, other := s.pick(); other.lost {
 			m.node.MarkLost(m.now, lost)
 		}
-	case r < 990 && len(s.ids) < 8:
+	case r < 992:
+		s.compact(m)
+	case r < 997 && len(s.ids) < 8:
 		m.lost = true
 		s.add(raft.ID(fmt.Sprint("n", len(s.ids))), raft.Stored{})
 	}
@@ -187,3 +217,28 @@
 	}
 	t.Logf("%d schedules, %d entries committed", *safetySeeds, commits)
 }
+
+// TestRejectedAppendsWaitForTheHeartbeat guards against a leader that sends the same
+// append again and again, as fast as the network allows, to a member that rejects it.
+func TestRejectedAppendsWaitForTheHeartbeat(t *testing.T) {
+	s := newSchedule(1)
+	leader := s.members["n0"]
+	for leader.node.Role() != raft.Leader {
+		leader.now += 100
+		leader.node.Tick(leader.now)
+		s.take(leader)
+		for len(s.network) > 0 {
+			message := s.network[0]
+			s.network = s.network[1:]
+			to := s.members[message.To]
+			to.node.Step(to.now, message)
+			s.take(to)
+		}
+	}
+	sent := 0
+	for range 100 {
+		leader.node.Step(leader.now, raft.Message{Kind: raft.KindAppendReply, From: "n1", To: "n0", Term: leader.node.Term(), Sent: leader.now})
+		sent += len(leader.node.Take().Messages)
+	}
+	qt.Check(t, sent <= 1, qt.IsTrue, qt.Commentf("%d messages", sent))
+}
