lab/simnet: routers that rehash, hosts that restart, long flows, links

Routers that hash by modulus move nearly all flows with each host that they drop or take back, each at another time, and simnet moved only those of the host. Kinds of requests can now use pools of long flows, hosts can restart without state, be rolled in turn, or all be lost in one data centre, and their links have a rate.

--- a/internal/lab/simnet/client.go
+++ b/internal/lab/simnet/client.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// requestBytes returns the length of a request.
+func (c *client) requestBytes() int {
+	if c.kind != nil && c.kind.Bytes > 0 {
+		return c.kind.Bytes
+	}
+	return requestBytes
+}
+
 func (f *flow) sendPacket(p core.Packet) {
 	p.From, p.To = f.clientAddr, shortRoute
 	if f.client.long {
@@ -145,12 +153,12 @@
 		return
 	}
 	id := f.client.requestID
-	f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack, Length: requestBytes})
+	f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack, Length: f.client.requestBytes()})
 	var retransmitAfter func(delay clock.Millis)
 	retransmitAfter = func(delay clock.Millis) {
 		f.client.sim.after(delay, func() {
 			if f.client.requestID == id && f.client.waiting && !f.closed && f.client.flow == f {
-				f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack, Length: requestBytes})
+				f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack, Length: f.client.requestBytes()})
 				retransmitAfter(2 * delay)
 			}
 		})
@@ -166,9 +174,9 @@
 		return
 	}
 	f.token = token
-	f.seq += requestBytes
+	f.seq += uint32(c.requestBytes())
 	f.ack += responseBytes
-	if c.kind != nil {
+	if c.kind != nil && !c.long {
 		// The first bytes of the response are acknowledged before the last ones.
 		f.sendPacket(core.Packet{Seq: f.seq, Ack: f.ack})
 		c.sim.after(1, func() { f.sendPacket(closing(f)) })
--- a/internal/lab/simnet/flood.go
+++ b/internal/lab/simnet/flood.go
@@ -6,13 +6,11 @@
 	"slices"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
-	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
-	"monsooncleat.example/monsooncleat/internal/token/core"
 )
 
-// Kind is a kind of requests, each of which is a flow of its own.
+// Kind is a kind of requests, each of which is a flow of its own unless Pools is set.
 type Kind struct {
 	Name string
 	// Rate is the usual number of requests per second in all data centres, and Burst the
@@ -23,50 +21,23 @@
 	ServiceTime clock.Millis
 	Goal        clock.Millis
 	Priority    int
-}
-
-// Failures are the faults in a scenario with kinds of requests.
-type Failures struct {
-	// At is when the faults begin.
-	At clock.Millis
-	// Killed is the share of the entry hosts of each data centre that end without notice.
-	Killed float64
-	// PausedFor is the time after which the killed hosts go on where they were, or 0 if
-	// they don't.
-	PausedFor clock.Millis
-	// Differing is the share of the entry hosts that are missing, for a second, in the
-	// lists of half of the entry hosts.
-	Differing float64
-	// Slow is the share of the servers whose work takes SlowFactor times as long until
-	// the end of the burst.
-	Slow       float64
-	SlowFactor float64
-	// Evacuated is the number of data centres that are evacuated. Their clients stay with
-	// their entry hosts.
-	Evacuated int
+	// Pools is the number of pools of long flows in each data centre, and RequestsPerFlow
+	// the mean number of requests on one of these flows.
+	Pools           int
+	RequestsPerFlow float64
+	// Bytes is the length of a request, or 0 for requestBytes.
+	Bytes int
 }
 
 const (
 	// openingTimeout is the time without an answer after which a client gives up a flow.
 	openingTimeout = 1400 * clock.Millis(1)
-	// rerouteDelay is the time from the end of an entry host until its packets go to
-	// others, which takes two failed readiness probes.
-	rerouteDelay = clock.Second
-	// delistDelay is the time from the end of an entry host until the control hosts
-	// leave it out of the list, and delistSpread that until all entry hosts have polled.
-	delistDelay  = 2 * clock.Second
-	delistSpread = 600 * clock.Millis(1)
 	// reportTTL is how long the control hosts use the load reported by an entry host.
-	reportTTL = 2 * clock.Second
-	// orderSpread is the time from the order of an evacuation until all entry hosts have
-	// polled.
-	orderSpread = 500 * clock.Millis(1)
+	reportTTL = clock.Second
 	// settleTime is the time after the burst from which requests count as after it.
 	settleTime = clock.Second
 	// unbounded is a length that no queue reaches.
 	unbounded = 1 << 20
-	// differTime is how long lists of entry hosts differ.
-	differTime = clock.Second
 )
 
 // Flood returns a scenario with the demand of a flood warning office: short requests of
@@ -92,6 +63,21 @@
 	}
 }
 
+// Weighing returns a scenario with the demand of a weighbridge operator: short requests
+// on long flows, and more urgent ones on flows of their own, in four data centres. The
+// usual demand takes a fifth of the slots. During the burst it is multiplied by factor.
+func Weighing(entryHosts int, factor float64) Scenario {
+	return Scenario{
+		Name: "weighing", DataCentres: 4, Hosts: max(entryHosts/4, 1), Servers: 30, Slots: 2, Queue: 8, QueueTimeout: 160,
+		Kinds: []Kind{
+			{Name: "feeds", Rate: 986, Burst: factor, ServiceTime: 30, Goal: 300, Priority: 2, Pools: 40, RequestsPerFlow: 12},
+			{Name: "tickets", Rate: 488, Burst: factor, ServiceTime: 39, Goal: 300, Priority: 1, Bytes: 1050},
+		},
+		LinkRate: 120_000_000 / float64(entryHosts), RetryDelay: 3, RequestTimeout: 2500,
+		Duration: 20_000, BurstFrom: 8000, BurstTo: 15_000, ExchangeInterval: 300, ExchangeDelay: 250,
+	}
+}
+
 // KindResult holds the outcomes of one kind of requests.
 type KindResult struct {
 	// Rest, Burst and After count the requests that started before the burst, during it
@@ -191,13 +177,21 @@
 }
 
 // startKinds schedules the requests of the kinds and the failures.
-func (sim *simulation) startKinds() {
+func (sim *simulation) startKinds(strategy choose.Settings) {
 	for i := range sim.scenario.Kinds {
+		k := &sim.scenario.Kinds[i]
 		for c := range sim.scenario.DataCentres {
-			sim.scheduleKind(c, &sim.scenario.Kinds[i], kindRoute(i))
+			if k.Pools == 0 {
+				sim.scheduleKind(c, k, kindRoute(i))
+			}
+			for range k.Pools {
+				rate := k.Rate / float64(sim.scenario.DataCentres*k.Pools)
+				(&pool{sim: sim, centre: c, rate: rate, burst: k.Burst, requestsPerFlow: k.RequestsPerFlow, kind: k, route: kindRoute(i)}).scheduleRequest()
+			}
 		}
 	}
-	sim.scheduleFailures()
+	sim.scheduleFailures(strategy)
+	sim.after(countInterval, sim.compareCounts)
 }
 
 // exchangeKindLoads collects the loads of all hosts and delivers to each, at its own time
@@ -209,7 +203,10 @@
 		if h.killed && sim.now-h.killedAt > reportTTL {
 			continue
 		}
-		reports[i] = h.core.Loads()
+		if !h.killed {
+			h.reported = h.core.Loads()
+		}
+		reports[i] = h.reported
 		for c := range totals {
 			if totals[c] == nil {
 				totals[c] = choose.Loads{}
@@ -251,107 +248,3 @@
 
 // entryHostName returns the name of the entry host with an index in its data centre.
 func entryHostName(centre, index int) string { return fmt.Sprintf("entry-%d-%d", centre, index) }
-
-// shareList gives an entry host the sorted hashes of the entry hosts of its data centre
-// for which listed is true and, while a data centre is evacuated, of the others.
-func (sim *simulation) shareList(h *host, listed func(*host) bool) {
-	lists := make([][]uint64, sim.scenario.DataCentres)
-	for _, o := range sim.hosts {
-		if listed(o) {
-			lists[o.centre] = append(lists[o.centre], hash.String(o.name))
-		}
-	}
-	u := core.Update{Sharing: []uint64{}}
-	for c, list := range lists {
-		slices.Sort(list)
-		switch {
-		case c == h.centre:
-			u.Sharing = append(u.Sharing, list...)
-		case sim.scenario.Failures.Evacuated > 0 && sim.now >= sim.scenario.Failures.At:
-			if u.SharingElsewhere == nil {
-				u.SharingElsewhere = map[string][]uint64{}
-			}
-			u.SharingElsewhere[centreName(c)] = list
-		}
-	}
-	h.core.Learn(sim.now, &u)
-}
-
-// scheduleFailures gives the entry hosts their list and schedules the failures.
-func (sim *simulation) scheduleFailures() {
-	f := &sim.scenario.Failures
-	alive := func(h *host) bool { return !h.killed }
-	for _, h := range sim.hosts {
-		sim.shareList(h, alive)
-	}
-	// Spread over the data centres and over the list.
-	chosen := func(i int, share float64) bool { return int(float64(i+1)*share) > int(float64(i)*share) }
-	if f.Killed > 0 {
-		sim.after(f.At, func() {
-			for i, h := range sim.hosts {
-				h.killed, h.killedAt = chosen(i%sim.scenario.Hosts, f.Killed), sim.now
-			}
-		})
-		sim.after(f.At+rerouteDelay, func() {
-			for _, h := range sim.hosts {
-				h.unrouted = h.killed
-			}
-		})
-		for _, h := range sim.hosts {
-			sim.after(f.At+delistDelay+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
-		}
-	}
-	if f.PausedFor > 0 {
-		sim.after(f.At+f.PausedFor, func() {
-			for _, h := range sim.hosts {
-				h.killed, h.unrouted = false, false
-			}
-		})
-		for _, h := range sim.hosts {
-			sim.after(f.At+f.PausedFor+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
-		}
-	}
-	if f.Evacuated > 0 {
-		order := &core.Update{EvacuationsVersion: 1}
-		for c := range f.Evacuated {
-			order.Evacuations = append(order.Evacuations, core.EvacuationUpdate{Centre: centreName(c), Active: true})
-		}
-		for _, h := range sim.hosts {
-			sim.after(f.At+clock.Millis(sim.rand.IntN(int(orderSpread))), func() {
-				sim.shareList(h, alive)
-				h.core.Learn(sim.now, order)
-			})
-		}
-	}
-	if f.Differing > 0 {
-		for i, h := range sim.hosts {
-			if i%2 == 0 {
-				missing := map[*host]bool{}
-				for j, o := range sim.hosts {
-					missing[o] = chosen(j%sim.scenario.Hosts, f.Differing)
-				}
-				sim.after(f.At, func() { sim.shareList(h, func(o *host) bool { return !missing[o] }) })
-				sim.after(f.At+differTime, func() { sim.shareList(h, alive) })
-			}
-		}
-	}
-	for i, s := range sim.servers {
-		if chosen(i, f.Slow) {
-			sim.after(f.At, func() { s.slowFactor = f.SlowFactor })
-			sim.after(sim.scenario.BurstTo, func() { s.slowFactor = 1 })
-		}
-	}
-}
-
-// routeOf returns the entry host of a data centre to which the router sends the packets
-// of an address.
-func (sim *simulation) routeOf(centre int, from netip.AddrPort) *host {
-	key := hash.String(from.String())
-	hosts := sim.hosts[centre*sim.scenario.Hosts:][:sim.scenario.Hosts]
-	for n := uint64(0); ; n++ {
-		if h := hosts[key%uint64(len(hosts))]; !h.unrouted {
-			return h
-		}
-		key = hash.Mix(key, n)
-	}
-}
--- a/internal/lab/simnet/scenario.go
+++ b/internal/lab/simnet/scenario.go
@@ -93,6 +93,9 @@
 	// 0 for requestTimeout.
 	RetryDelay     clock.Millis
 	RequestTimeout clock.Millis
+	// LinkRate is the rate of the link of an entry host in each direction, in bits per
+	// second, or 0 without a bound.
+	LinkRate float64
 }
 
 // Scenarios returns the scenarios to compare: one without faults (calm), and one
@@ -160,6 +163,9 @@
 	Refused int
 	// Arrivals counts the requests that reached a server.
 	Arrivals int
+	Counts   Counts
+	// LostInFront counts the packets that were lost in front of a full link.
+	LostInFront int
 	// Kinds are the outcomes by kind, in the order of Scenario.Kinds.
 	Kinds []KindResult
 	// Burst counts the requests that started during the burst.
--- a/internal/lab/simnet/server.go
+++ b/internal/lab/simnet/server.go
@@ -23,7 +23,11 @@
 	slowFactor float64
 	inFlight   int
 	queue      []*queued
-	flows      map[*flow]bool
+	// token is the server's token, known from its first packet, and meanRequests the
+	// smoothed number of requests on it.
+	token        tokens.Token
+	meanRequests float64
+	flows        map[*flow]bool
 }
 
 // queued is a request that waits for a slot.
@@ -55,6 +59,7 @@
 // receive handles a packet of a flow.
 func (s *server) receive(p core.Packet, token tokens.Token, f *flow) {
 	sim := s.sim
+	s.token = token
 	switch {
 	case s.crashed:
 	case p.Open:
--- a/internal/lab/simnet/simulation.go
+++ b/internal/lab/simnet/simulation.go
@@ -28,7 +28,8 @@
 	// serviceTimeSigma is the standard deviation of the logarithm of the service
 	// time.
 	serviceTimeSigma = 0.5
-	// requestBytes and responseBytes are the lengths of a request and a response.
+	// requestBytes and responseBytes are the lengths of a request and a response, unless
+	// the kind of the request gives another one.
 	requestBytes  = 100
 	responseBytes = 4000
 )
@@ -58,10 +59,15 @@
 	centre int
 	core   *core.Core
 	name   string
-	// killed is set once the host has ended, and unrouted once the router knows. They are
-	// used in scenarios with kinds only, and killedAt is when the host ended.
+	// killed is set once the host has ended, and unrouted while the router sends it
+	// nothing. They are used in scenarios with kinds only, and killedAt is when the host
+	// ended.
 	killed, unrouted bool
 	killedAt         clock.Millis
+	// in and out are the directions of the host's link.
+	in, out direction
+	// reported is the latest report of loads.
+	reported choose.Loads
 }
 
 // Run simulates a scenario with a flow placement strategy. The same seed gives the
@@ -73,19 +79,16 @@
 	sim.result.Kinds = make([]KindResult, len(scenario.Kinds))
 	for c := range scenario.DataCentres {
 		for i := range scenario.Hosts {
-			name := entryHostName(c, i)
-			sim.hosts = append(sim.hosts, &host{centre: c, name: name, core: core.New(core.Options{
-				Name: name, Centre: centreName(c), Choice: strategy, DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: scenario.Off,
-				// Silence is reported by announceServers only.
-				Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
-			}, rand.New(rand.NewPCG(sim.rand.Uint64(), 1)))})
+			h := &host{centre: c, name: entryHostName(c, i)}
+			h.core = sim.newCore(h, strategy)
+			sim.hosts = append(sim.hosts, h)
 		}
 		for range scenario.Servers {
 			sim.addServer(c)
 		}
 	}
 	sim.announceServers(nil)
-	sim.start()
+	sim.start(strategy)
 	for sim.now < scenario.Duration {
 		if event, ok := sim.events.PopDue(sim.now); ok {
 			event()
@@ -96,14 +99,21 @@
 	return sim.result
 }
 
+func (sim *simulation) newCore(h *host, strategy choose.Settings) *core.Core {
+	return core.New(core.Options{
+		Name: h.name, Centre: centreName(h.centre), Choice: strategy, DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: sim.scenario.Off,
+		// Silence is reported by announceServers only.
+		Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
+	}, rand.New(rand.NewPCG(sim.rand.Uint64(), 1)))
+}
+
 func centreName(c int) string { return fmt.Sprintf("centre-%d", c) }
 
 // after schedules event after a delay.
 func (sim *simulation) after(delay clock.Millis, event func()) { sim.events.Add(sim.now+delay, event) }
 
-// start configures the hosts and schedules their periodic work, the clients and
-// the faults of the scenario.
-func (sim *simulation) start() {
+// table returns the routing table of the scenario.
+func (sim *simulation) table() *routes.Table {
 	table := &routes.Table{Version: 1, Services: []string{"x"}, IdleTimeout: 12_000}
 	for _, addr := range []netip.AddrPort{longRoute, shortRoute} {
 		r := routes.Route{
@@ -118,6 +128,13 @@
 		table.Routes = append(table.Routes, r)
 	}
 	table.Routes = append(table.Routes, sim.kindRoutes()...)
+	return table
+}
+
+// start configures the hosts and schedules their periodic work, the clients and
+// the faults of the scenario.
+func (sim *simulation) start(strategy choose.Settings) {
+	table := sim.table()
 	for _, h := range sim.hosts {
 		h.core.Configure(sim.now, table)
 		sim.tick(h)
@@ -126,7 +143,7 @@
 		sim.exchangeLoads()
 	}
 	if len(sim.scenario.Kinds) > 0 {
-		sim.startKinds()
+		sim.startKinds(strategy)
 	} else {
 		sim.startClients()
 	}
@@ -146,13 +163,18 @@
 		}
 		sim.scheduleShortFlow(c)
 		for range sim.scenario.Pools {
-			(&pool{sim: sim, centre: c}).scheduleRequest()
+			s := &sim.scenario
+			(&pool{
+				sim: sim, centre: c, rate: s.PooledRate / float64(s.Pools), burst: s.Burst, requestsPerFlow: s.RequestsPerFlow,
+			}).scheduleRequest()
 		}
 	}
 }
 
 func (sim *simulation) tick(h *host) {
-	h.core.Tick(sim.now)
+	if !h.killed {
+		h.core.Tick(sim.now)
+	}
 	sim.after(tickInterval, func() { sim.tick(h) })
 }
 
@@ -212,20 +234,26 @@
 // announceServers sends all hosts the records of all servers. The servers whose IDs
 // are in silent are reported as no longer announcing themselves.
 func (sim *simulation) announceServers(silent map[string]bool) {
-	update := core.Update{}
-	for _, s := range sim.servers {
-		update.Servers = append(update.Servers, core.ServerUpdate{Record: s.record})
-	}
+	update := sim.allServers()
 	if silent != nil {
 		// The first result is whether the server is silent, the second whether
 		// that is known.
 		update.Silence = func(id string) (bool, bool) { return silent[id], silent[id] }
 	}
 	for _, h := range sim.hosts {
-		h.core.Learn(sim.now, &update)
+		h.core.Learn(sim.now, update)
 	}
 }
 
+// allServers returns an update with the records of all servers.
+func (sim *simulation) allServers() *core.Update {
+	update := &core.Update{}
+	for _, s := range sim.servers {
+		update.Servers = append(update.Servers, core.ServerUpdate{Record: s.record})
+	}
+	return update
+}
+
 // partitioned reports whether packets between two data centres are lost now.
 func (sim *simulation) partitioned(a, b int) bool {
 	active := sim.now >= sim.scenario.CutAt && sim.now < sim.scenario.CutAt+sim.scenario.CutDuration
@@ -240,24 +268,32 @@
 		if h.killed {
 			return
 		}
-		const upToDate = true
-		action := h.core.HandlePacket(sim.now, &p, upToDate)
-		switch action.Verdict {
-		case core.Forward:
-			s := sim.serverByNumber[action.Number]
-			if !sim.partitioned(centre, s.centre) {
-				sim.after(serverDelay, func() { s.receive(p, action.Token, f) })
-			}
-		case core.Reset:
-			if p.Open {
-				sim.result.Refused++
-			}
-			sim.after(clientDelay, f.onReset)
-		case core.Drop:
-		}
+		sim.throughLink(&h.in, p.Length, func() { sim.handle(h, p, f) })
 	})
 }
 
+// handle lets an entry host decide on a packet and carries out the decision.
+func (sim *simulation) handle(h *host, p core.Packet, f *flow) {
+	if h.killed {
+		return
+	}
+	const upToDate = true
+	action := h.core.HandlePacket(sim.now, &p, upToDate)
+	switch action.Verdict {
+	case core.Forward:
+		s := sim.serverByNumber[action.Number]
+		if !sim.partitioned(h.centre, s.centre) {
+			sim.throughLink(&h.out, p.Length, func() { sim.after(serverDelay, func() { s.receive(p, action.Token, f) }) })
+		}
+	case core.Reset:
+		if p.Open {
+			sim.result.Refused++
+		}
+		sim.throughLink(&h.out, 0, func() { sim.after(clientDelay, f.onReset) })
+	case core.Drop:
+	}
+}
+
 // serviceTime draws the service time of a request from a log-normal distribution
 // whose mean is that of the kind, or the scenario's ServiceTime.
 func (sim *simulation) serviceTime(k *Kind) clock.Millis {
