dir/loads: drop the report of a lost entry host after a second

An entry host polls each 300 ms and turns to another control host within a second, so a second covers three polls.

--- a/internal/dir/loads/loads.go
+++ b/internal/dir/loads/loads.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// maxAge is the age after which a report no longer counts. It covers several
-	// poll intervals of an entry host.
-	maxAge = 2 * clock.Second
+	// maxAge is the age after which a report no longer counts. It covers three poll
+	// intervals of an entry host, and the change to another control host. The requests
+	// through an entry host that is lost end sooner.
+	maxAge = clock.Second
 	// expireInterval is the time between two searches for reports that are too old.
 	expireInterval = 250 * clock.Millis(1)
 	// totalsInterval is the time for which encoded totals are reused.
--- a/internal/dir/loads/loads_test.go
+++ b/internal/dir/loads/loads_test.go
@@ -39,7 +39,7 @@
 	now += 250
 	want := choose.Loads{}
 	for host, l := range latest {
-		if now-at[host] <= 2*clock.Second {
+		if now-at[host] <= clock.Second {
 			want.Add(l)
 		}
 	}
