token/core: count the requests of moved flows once

Cause: a host that forwards a request and gets no further packet of the flow counts it for 0.8 to 1.3 s. When a router drops a host or takes one back, nearly all flows move, several times in half a second, and each host that they pass counts them. Flows that came from another host also counted as long ones.

Ways: a timeout of 250 ms, after which a client without an answer would have retransmitted, still counts a request of 50 ms five times too long while flows move. Counted for the mean response time of its service, once a flow that came from another host shows that routers changed their choice, the sum is right whatever the routers do (Little's law). Requests on flows that have sent a packet since then count as before. Handshakes and pauses of long flows are treated the same way. A flow that came from another host is not taken as evidence of long flows by its first request here.

Switched off with movedFlows.

--- a/internal/conf/tune/tune.go
+++ b/internal/conf/tune/tune.go
@@ -46,6 +46,9 @@
 	WarmupLimits
 	// Shaping sends large flows at the rate of the host's link, after small ones.
 	Shaping
+	// MovedFlows counts a request whose flow may have moved to another entry host only for
+	// as long as requests usually take.
+	MovedFlows
 	mechanisms
 )
 
@@ -53,7 +56,7 @@
 var names = [mechanisms]string{
 	"sampling", "localFirst", "localExcess", "longFlows", "loadExchange", "backoff", "trials",
 	"moveOpenings", "correctTokens", "quorumSilence", "admission", "priorities", "firstTable",
-	"subsets", "warmupLimits", "shaping",
+	"subsets", "warmupLimits", "shaping", "movedFlows",
 }
 
 // String returns the name in settings.
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -12,6 +12,7 @@
 	"monsooncleat.example/monsooncleat/internal/serve/admit"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/serve/spans"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 	"monsooncleat.example/monsooncleat/internal/serve/warm"
 )
@@ -79,8 +80,8 @@
 	entry   *fleet.Server
 	backend *choose.Backend
 	token   tokens.Token
-	// refusals is Core.refusals.
-	refusals *admit.Refusals[refusal]
+	// requests is Core.requests.
+	requests *requests
 	// service is the service in whose list the server is, or "".
 	service string
 	// meanInFlight is the smoothed number of requests in flight that this host
@@ -121,8 +122,13 @@
 	flows      map[flowKey]*flow
 	requestMix map[netip.AddrPort]*requestMix
 	// admission holds the estimates by service.
-	admission   map[string]*admit.Service
-	refusals    *admit.Refusals[refusal]
+	admission map[string]*admit.Service
+	refusals  *admit.Refusals[refusal]
+	// spans holds how long requests take by service, and requests the flows with a request
+	// in flight. MovedAt is when a flow last came here from another host.
+	spans       map[string]*spans.Service
+	requests    requests
+	movedAt     clock.Millis
 	nextSweepAt clock.Millis
 	smoothedAt  clock.Millis
 	// self is the hash of this host's name. Sharing holds the sorted hashes of the hosts
@@ -161,15 +167,17 @@
 
 // New returns a Core without a routing table and without servers.
 func New(options Options, r *rand.Rand) *Core {
-	return &Core{
+	c := &Core{
 		options: options, rand: r, self: hash.String(options.Name), shares: map[string]*share{},
 		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Choice.Without(options.Off), r),
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
 		servers: map[string]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
 		loadsAt: map[string]clock.Millis{}, admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
-		cold: coldState{centres: warm.NewCentres(), changes: map[string]uint64{}},
+		cold: coldState{centres: warm.NewCentres(), changes: map[string]uint64{}}, spans: map[string]*spans.Service{},
 	}
+	c.requests.refusals = c.refusals
+	return c
 }
 
 // Version returns the version of the routing table in force, or 0.
@@ -325,6 +333,7 @@
 // flows, routes and servers. It returns the retransmitted opening packets and
 // requests that were given up without an answer since the previous call.
 func (c *Core) Tick(now clock.Millis) []Timeout {
+	c.endMovedRequests(now)
 	c.smoothLoads(now)
 	c.expireRemoteLoads(now)
 	if c.cold.count > 0 {
@@ -373,7 +382,7 @@
 		delete(c.flows, key)
 	case f.inFlight && (idle > requestIdleTimeout || now-f.requestedAt > max(f.requestTimeout(), handshakeTimeout)):
 		f.endRequest()
-	case idle > flowActiveTimeout:
+	case idle > c.activeTime(f):
 		f.markInactive()
 	}
 	return inFlight && !f.inFlight && f.retransmitted
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -27,9 +27,11 @@
 	lastAt   clock.Millis
 	// established is set once the client has acknowledged the server's handshake.
 	established bool
-	// inFlight is set while a request, sent at requestedAt, is in flight.
-	inFlight    bool
-	requestedAt clock.Millis
+	// inFlight is set while a request, sent at requestedAt, is in flight. Previous and next
+	// link the flow in Core.requests meanwhile.
+	inFlight       bool
+	previous, next *flow
+	requestedAt    clock.Millis
 	// loadAtRequest is the number of requests in flight per slot of the server when
 	// the request began, with this one.
 	loadAtRequest float64
@@ -38,9 +40,10 @@
 	// active is set while the flow counts as an active long flow.
 	active bool
 	// requests is the number of requests on the flow, without its opening packet.
-	// An adopted flow starts at 1, so that its next request counts as a further
-	// one.
 	requests int
+	// adopted is set on a flow that came from another host, until its first request here,
+	// of which it isn't known whether it is the first one of the flow.
+	adopted bool
 	// ack is the highest acknowledgement number seen, dataEnd the highest sequence
 	// number at the end of a packet's data.
 	ack     uint32
@@ -74,6 +77,7 @@
 	if !f.inFlight && !f.untracked {
 		f.inFlight = true
 		f.server.backend.RequestStarted()
+		f.server.requests.add(f)
 	}
 }
 
@@ -81,7 +85,7 @@
 	if f.inFlight {
 		f.inFlight = false
 		f.server.backend.RequestEnded()
-		f.server.refusals.Forget()
+		f.server.requests.remove(f)
 	}
 }
 
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -43,6 +43,7 @@
 		f.endRequest()
 		f.markInactive()
 	}
+	c.endMovedRequests(now)
 	kind := c.requestMix[key.route].kind()
 	s, load, admitted := c.pickAdmitted(now, route, kind, p)
 	if s == nil && c.allCold(route) {
@@ -168,9 +169,10 @@
 		old.endRequest()
 		old.markInactive()
 	}
+	c.movedAt = now
 	f := &flow{
 		server: s, route: c.index.Find(p.To), openedAt: now, lastAt: now, established: true,
-		ack: p.Ack, dataEnd: p.Seq, requests: 1,
+		ack: p.Ack, dataEnd: p.Seq, adopted: true,
 	}
 	c.track(key, f)
 	return f
@@ -203,6 +205,7 @@
 		a.Handshake = now - f.openedAt
 		if !f.retransmitted && !p.late() {
 			c.admissionOf(s.entry.Service).RecordHandshake(a.Handshake)
+			c.spansOf(s.entry.Service).RecordHandshake(a.Handshake)
 		}
 		f.established = true
 		f.moveTo(s)
@@ -222,6 +225,7 @@
 			a.Response = now - f.requestedAt
 			if !f.retransmitted && !p.late() {
 				c.admissionOf(s.entry.Service).RecordResponse(a.Response, f.loadAtRequest)
+				c.spansOf(s.entry.Service).RecordResponse(a.Response)
 			}
 		}
 		f.endRequest()
@@ -229,6 +233,9 @@
 	}
 	if end := p.Seq + uint32(p.Length); p.Length > 0 && seqAfter(end, f.dataEnd) {
 		f.dataEnd = end
+		if f.requests > 0 {
+			c.spansOf(s.entry.Service).RecordInterval(now - f.requestedAt)
+		}
 		f.beginRequest(now)
 		f.loadAtRequest = s.backend.Utilization()
 		c.countRequest(f, p)
@@ -250,11 +257,16 @@
 		m = &requestMix{}
 		c.requestMix[p.To] = m
 	}
-	if f.requests++; f.requests == 1 {
+	f.requests++
+	switch {
+	case f.adopted:
+		f.adopted = false
+	case f.requests == 1:
 		m.first++
 		return
+	default:
+		m.further++
 	}
-	m.further++
 	if m.kind() == choose.Long {
 		f.markActive()
 	}
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -32,7 +32,7 @@
 
 // addServer adds an incarnation, which replaces the one before, if that is not nil.
 func (c *Core) addServer(now clock.Millis, before *server, e *fleet.Server) *server {
-	s := &server{id: e.ID, started: e.Started, entry: e, backend: choose.NewBackend(e.Slots, e.Centre), refusals: c.refusals}
+	s := &server{id: e.ID, started: e.Started, entry: e, backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests}
 	if before == nil {
 		c.ordered = append(c.ordered, s)
 	} else {
