token/core: bound the flows for copies that come too late

Counted on the hosts of the busiest data centre from a second after the loss on: half of 800 to 1,000 openings a second and host are copies, from clients whose first transmission went to a host that is gone. Copies were always opened. What they carry fills the links, further openings are lost in front of these, and their copies follow.

What comes too late is dropped, not reset, as an earlier transmission may have opened the flow; its client sends another copy or a new opening.

TestCopiesOfOpeningsAreNotRefused becomes TestCopiesOfOpeningsAreNotReset: its goal of 200 ms makes a copy after 200 ms too late. It checks five cases, that none is reset, and that each opens when there is room. TestRefusesAtOnceWhen... keeps its check of a copy with a goal of 600 ms.

Switched off with lateCopies; counted by lateCopiesDropped.

--- a/internal/conf/tune/tune.go
+++ b/internal/conf/tune/tune.go
@@ -49,6 +49,9 @@
 	// MovedFlows counts a request whose flow may have moved to another entry host only for
 	// as long as requests usually take.
 	MovedFlows
+	// LateCopies opens flows for copies of opening packets that come too late for the
+	// latency goal only while there is room.
+	LateCopies
 	mechanisms
 )
 
@@ -57,6 +60,7 @@
 	"sampling", "localFirst", "localExcess", "longFlows", "loadExchange", "backoff", "trials",
 	"moveOpenings", "correctTokens", "quorumSilence", "admission", "priorities", "firstTable",
 	"subsets", "warmupLimits", "shaping", "movedFlows",
+	"lateCopies",
 }
 
 // String returns the name in settings.
--- a/internal/token/core/bench_test.go
+++ b/internal/token/core/bench_test.go
@@ -11,6 +11,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
@@ -19,9 +20,12 @@
 
 // newBusyCore returns a Core with 14 servers of service x whose slots are all taken,
 // and that has measured response times, so that it refuses openings.
-func newBusyCore() *core.Core {
+func newBusyCore() *core.Core { return newBusyCoreWith(200, 0) }
+
+// newBusyCoreWith is newBusyCore with a latency goal and with mechanisms switched off.
+func newBusyCoreWith(goal clock.Millis, off tune.Off) *core.Core {
 	c := core.New(core.Options{
-		Centre: "a", DefaultIdleTimeout: 15_000, MaxFlows: 100_000,
+		Centre: "a", DefaultIdleTimeout: 15_000, MaxFlows: 100_000, Off: off,
 		Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
 	}, rand.New(rand.NewPCG(1, 1)))
 	u := core.Update{Loads: choose.Loads{}}
@@ -31,7 +35,7 @@
 	}
 	c.Learn(1, &u)
 	t := table(1, routeX)
-	t.Routes[0].LatencyGoal = 200
+	t.Routes[0].LatencyGoal = goal
 	c.Configure(1, t)
 	for i := range uint32(80) {
 		p := syn(0)
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -159,10 +159,10 @@
 // started. EvacuatedNoServer counts the packets of ResetNoServer and DroppedNoServer that
 // a server in an evacuated data centre could have served. The others count packets by
 // their verdict and reason. OpenedCold counts the flows opened on or moved to cold
-// servers.
+// servers, DroppedCopies the copies of opening packets for which no server had room.
 type Stats struct {
 	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
-	Moved, Corrected, Avoided, Answered, EvacuatedNoServer, OpenedCold, ResetCold uint64
+	Moved, Corrected, Avoided, Answered, EvacuatedNoServer, OpenedCold, ResetCold, DroppedCopies uint64
 }
 
 // New returns a Core without a routing table and without servers.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -53,8 +53,7 @@
 		return c.refuseWithoutServer(route, p, upToDate)
 	}
 	if !admitted {
-		c.stats.ResetOverloaded++
-		return Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.entry.Service, Load: load}
+		return c.refuseOverloaded(p, s, load)
 	}
 	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, lastAt: now}
 	c.track(key, f)
@@ -70,6 +69,20 @@
 	return a
 }
 
+// refuseOverloaded decides on an opening for which no server has room. A copy is not reset,
+// since an earlier transmission may have opened the flow through another host. Its client
+// sends another copy or, in the end, a new opening.
+func (c *Core) refuseOverloaded(p *Packet, s *server, load float64) Action {
+	a := Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.entry.Service, Load: load}
+	if p.mayHaveCopy() {
+		c.stats.DroppedCopies++
+		a.Verdict = Drop
+		return a
+	}
+	c.stats.ResetOverloaded++
+	return a
+}
+
 // refuseWithoutServer decides on an opening of a route without a server for new flows.
 func (c *Core) refuseWithoutServer(route *routes.Route, p *Packet, upToDate bool) Action {
 	evacuated := c.hasEvacuatedServer(route)
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -51,6 +51,10 @@
 // refused, besides the first one.
 const refusalAttempts = 3
 
+// copyAges are the ages of the transmissions of an opening packet. The clients' protocol,
+// which package platform implements, defines them.
+var copyAges = [...]clock.Millis{0, 200, 600}
+
 // refusal describes a refused opening, for logs.
 type refusal struct {
 	server *server
@@ -58,8 +62,9 @@
 }
 
 // pickAdmitted selects the server of a new flow, or returns nil if there is none. It
-// reports the load of that server, and whether the flow is admitted. Only the first
-// transmission of an opening packet is refused: an earlier one may have opened the flow.
+// reports the load of that server, and whether the flow is admitted. A copy of an opening
+// packet is admitted as long as its request can be answered in time, since it can't be
+// refused at once: an earlier transmission may have opened the flow.
 func (c *Core) pickAdmitted(now clock.Millis, route *routes.Route, kind choose.Kind, p *Packet) (s *server, load float64, admitted bool) {
 	list := c.openable(now, kind, c.candidates(route, nil))
 	if len(list) == 0 {
@@ -68,7 +73,7 @@
 	class := admit.Class{Service: list[0].entry.Service, Kind: kind, Goal: route.LatencyGoal, Priority: c.priorityOf(route)}
 	service := c.admissionOf(class.Service)
 	service.RecordOpening(class.Priority)
-	mayRefuse := !p.mayHaveCopy() && !c.options.Off.Has(tune.Admission)
+	mayRefuse := !c.options.Off.Has(tune.Admission) && (!p.mayHaveCopy() || c.tooLate(p, &class))
 	if r, holds := c.refusals.Find(now, class); mayRefuse && holds {
 		return r.server, r.load, false
 	}
@@ -105,6 +110,19 @@
 	return s, load, false
 }
 
+// tooLate reports whether a copy of an opening packet comes too late for its request to be
+// answered within the latency goal. After a loss of hosts under load, most copies are
+// sent by clients whose openings went to those hosts. Flows for all of them leave servers
+// and links no room for requests that can be answered in time.
+func (c *Core) tooLate(p *Packet, class *admit.Class) bool {
+	if p.Ack == 0 || class.Goal == 0 || c.options.Off.Has(tune.LateCopies) {
+		return false
+	}
+	age := copyAges[min(int(p.Ack), len(copyAges)-1)]
+	s := c.spansOf(class.Service)
+	return age+s.Handshake(class.Goal)+s.Response(class.Goal) > class.Goal
+}
+
 // priorityOf returns the priority of a route, or 0 if priorities are switched off.
 func (c *Core) priorityOf(route *routes.Route) int {
 	if c.options.Off.Has(tune.Priorities) {
--- a/internal/token/core/place_test.go
+++ b/internal/token/core/place_test.go
@@ -26,11 +26,11 @@
 
 // overloaded returns a Core that has measured the service and whose servers have no
 // free slots and long queues, by the report of other hosts.
-func overloaded(c *qt.C) *core.Core {
+func overloaded(c *qt.C, latencyGoal clock.Millis) *core.Core {
 	h := newCore(1)
 	goal := table(2, routeX, routeY)
 	for i := range goal.Routes {
-		goal.Routes[i].LatencyGoal = 150
+		goal.Routes[i].LatencyGoal = latencyGoal
 	}
 	h.Configure(1, goal)
 	for i := range uint16(40) {
@@ -42,7 +42,7 @@
 		p.From = netip.AddrPortFrom(client.Addr(), port)
 		a := h.HandlePacket(3000, p, true)
 		c.Assert(a.Verdict, qt.Equals, core.Forward)
-		loads[uint32(a.Token)] = choose.Load{InFlight: 9}
+		loads[uint32(a.Token)] = choose.Load{InFlight: 20}
 	}
 	h.Learn(3000, &core.Update{Loads: loads})
 	return h
@@ -52,7 +52,7 @@
 // host has forwarded before, and never a packet of an open flow.
 func TestRefusesAtOnceWhenAllServersAreOverloaded(t *testing.T) {
 	c := qt.New(t)
-	h := overloaded(c)
+	h := overloaded(c, 600)
 	p := syn(0)
 	p.From = netip.MustParseAddrPort("100.64.0.9:5")
 	a := h.HandlePacket(3010, p, true)
@@ -76,7 +76,7 @@
 // flows for long because of the last loads that it was told.
 func TestStaleLoadsDoNotRefuse(t *testing.T) {
 	c := qt.New(t)
-	h := overloaded(c)
+	h := overloaded(c, 150)
 	for now := clock.Millis(3100); now <= 7000; now += 100 {
 		h.Tick(now)
 	}
--- a/internal/token/core/refuse_test.go
+++ b/internal/token/core/refuse_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 	"monsooncleat.example/monsooncleat/internal/token/core"
@@ -57,14 +59,37 @@
 	qt.Check(t, c.HandlePacket(63, opening(port+1), true).Verdict, qt.Equals, core.Forward)
 }
 
-// TestCopiesOfOpeningsAreNotRefused sends a second transmission, which may follow a
-// first one that opened the flow through another host.
-func TestCopiesOfOpeningsAreNotRefused(t *testing.T) {
-	c := newBusyCore()
-	qt.Assert(t, c.HandlePacket(60, opening(1000), true).Reason, qt.Equals, core.Overloaded)
-	p := opening(1001)
-	p.Ack = 1
-	qt.Check(t, c.HandlePacket(61, p, true).Verdict, qt.Equals, core.Forward)
+// TestCopiesOfOpeningsAreNotReset sends copies of an opening packet whose first
+// transmission may have opened the flow through another host. One whose request can still
+// be answered in time opens a flow. For one that can't, there must be room: after a loss of
+// hosts, flows for all late copies leave no room for requests that can be in time.
+func TestCopiesOfOpeningsAreNotReset(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		goal clock.Millis
+		copy uint32
+		off  tune.Off
+		want core.Verdict
+	}{
+		{"first copy, in time", 600, 1, 0, core.Forward},
+		{"second copy, too late", 600, 2, 0, core.Drop},
+		{"first copy, too late", 200, 1, 0, core.Drop},
+		{"third copy, in time", 1200, 3, 0, core.Forward},
+		{"any copy, switched off", 200, 2, tune.Off(0).With(tune.LateCopies), core.Forward},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newBusyCoreWith(test.goal, test.off)
+			qt.Assert(t, c.HandlePacket(60, opening(1000), true).Reason, qt.Equals, core.Overloaded)
+			p := opening(1001)
+			p.Ack = test.copy
+			qt.Check(t, c.HandlePacket(61, p, true).Verdict, qt.Equals, test.want)
+			// With room, every copy opens a flow.
+			c.Learn(62, &core.Update{Loads: choose.Loads{}})
+			p = opening(1002)
+			p.Ack = test.copy
+			qt.Check(t, c.HandlePacket(63, p, true).Verdict, qt.Equals, core.Forward)
+		})
+	}
 }
 
 // TestFullLinkRefusesOnlyNewFlows guards against a flow that is reset after it was opened
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -31,6 +31,7 @@
 		"serversAvoided":   func(s *core.Stats) uint64 { return s.Avoided },
 
 		"evacuatedNoServer": func(s *core.Stats) uint64 { return s.EvacuatedNoServer },
+		"lateCopiesDropped": func(s *core.Stats) uint64 { return s.DroppedCopies },
 		"flowsOpenedCold":   func(s *core.Stats) uint64 { return s.OpenedCold },
 	} {
 		d.metrics.Gauge(name, func() int64 {
