--- a/internal/proof/flood/losses_test.go
+++ b/internal/proof/flood/losses_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/lab/simnet"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 )
@@ -87,3 +88,23 @@
 		}
 	})
 }
+
+// TestLateCopiesLeaveRoomOnNarrowLinks has six times the demand, with 30% of the entry
+// hosts killed, on links that the storm of copies fills. It guards against flows that are opened
+// for copies that come too late, which leave no room for requests that can be in time.
+func TestLateCopiesLeaveRoomOnNarrowLinks(t *testing.T) {
+	run := func(off tune.Off) *simnet.Result {
+		s := simnet.Weighing(60, 6)
+		s.LinkRate, s.Off = 1_200_000, off
+		s.Failures = simnet.Failures{At: s.BurstFrom + 2*clock.Second, Killed: 0.3, Rehash: true}
+		s.CountFrom = s.Failures.At + 1500
+		s.BurstTo, s.Duration = s.CountFrom+3*clock.Second, s.CountFrom+6*clock.Second
+		r := simnet.Run(s, choose.DefaultSettings, 0)
+		t.Logf("use %.3f, feeds %+v, tickets %+v", r.UseOfSlots(&s), r.Kinds[0].Burst, r.Kinds[1].Burst)
+		return r
+	}
+	with, without := run(0), run(tune.Off(0).With(tune.LateCopies))
+	for i := range with.Kinds {
+		qt.Check(t, with.Kinds[i].Burst.Share() > without.Kinds[i].Burst.Share(), qt.IsTrue, qt.Commentf("kind %d", i))
+	}
+}
