token/core: bound how often moved requests are looked for

Cause, suspected by reading: for 0.8 s after a flow has come from another host, and in the first 0.8 s of the clock, each opening passed over all requests in flight, so that its cost grew with their number.

Change: one pass in 10 ms at most, and none before a flow has come from another host.

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -125,12 +125,13 @@
 	admission map[string]*admit.Service
 	refusals  *admit.Refusals[refusal]
 	// spans holds how long requests take by service, and requests the flows with a request
-	// in flight. MovedAt is when a flow last came here from another host.
-	spans       map[string]*spans.Service
-	requests    requests
-	movedAt     clock.Millis
-	nextSweepAt clock.Millis
-	smoothedAt  clock.Millis
+	// in flight. MovedAt is when a flow last came here from another host, endedMovedAt when
+	// requests that may have moved were last looked for.
+	spans                 map[string]*spans.Service
+	requests              requests
+	movedAt, endedMovedAt clock.Millis
+	nextSweepAt           clock.Millis
+	smoothedAt            clock.Millis
 	// self is the hash of this host's name. Sharing holds the sorted hashes of the hosts
 	// of this data centre that take new flows, and shares this host's part by service.
 	self    uint64
--- a/internal/token/core/requests.go
+++ b/internal/token/core/requests.go
@@ -7,6 +7,10 @@
 	"monsooncleat.example/monsooncleat/internal/serve/spans"
 )
 
+// endMovedInterval is the least time between two passes over the requests in flight.
+// Without it, the cost of an opening grows with their number.
+const endMovedInterval = 10 * clock.Millis(1)
+
 // requests lists the flows with a request in flight through this host, so that those
 // whose end goes through another host are found without a pass over all flows.
 type requests struct {
@@ -59,9 +63,10 @@
 // endMovedRequests stops counting the requests of flows that may have moved, once they
 // have taken as long as requests of their service usually do.
 func (c *Core) endMovedRequests(now clock.Millis) {
-	if now-c.movedAt > requestIdleTimeout {
+	if c.movedAt == 0 || now-c.movedAt > requestIdleTimeout || now-c.endedMovedAt < endMovedInterval {
 		return
 	}
+	c.endedMovedAt = now
 	for f := c.requests.first; f != nil; {
 		next := f.next
 		if c.mayHaveMoved(f) && now-f.lastAt >= c.expectedTime(f) {
