--- a/internal/proof/flood/flood_test.go
+++ b/internal/proof/flood/flood_test.go
@@ -22,12 +22,15 @@
 
 var goalSeeds = flag.Uint64("goal.seeds", 1, "number of seeds for each scenario of the goal tests")
 
-// floods are the demands to test, as factors on the usual reads and reports.
-var floods = []struct {
+// flood is a demand, as factors on the usual reads and reports.
+type flood struct {
 	reads, reports float64
 	// fits is set if the slots bear all requests, urgentFits if they bear the reports.
 	fits, urgentFits bool
-}{{3.5, 3.5, true, true}, {6, 6, false, true}, {10, 10, false, false}, {10, 1, false, true}}
+}
+
+// floods are the demands to test.
+var floods = []flood{{3.5, 3.5, true, true}, {6, 6, false, true}, {10, 10, false, false}, {10, 1, false, true}}
 
 // mean returns the mean of a figure over results.
 func mean(results []*simnet.Result, figure func(*simnet.Result) float64) float64 {
@@ -79,6 +82,21 @@
 
 func urgentInTime(r *simnet.Result) float64 { return r.Kinds[1].Burst.Share() }
 
+// check runs a scenario with the demand and checks the goals for it.
+func (f *flood) check(t *testing.T, s *simnet.Scenario) {
+	t.Helper()
+	results := runFlood(t, s)
+	checkAtLeast(t, results, "arrivals that servers don't reject", 1-goalRejected, notRejected)
+	if f.fits {
+		checkAtLeast(t, results, "in time", goalInTime, inTime)
+	} else {
+		checkAtLeast(t, results, "use of the slots", goalInTime, useOfSlots(s))
+	}
+	if f.urgentFits {
+		checkAtLeast(t, results, "urgent requests in time", goalUrgent, urgentInTime)
+	}
+}
+
 // TestManyHostsKeepSlotsBusyUnderOverload checks the goals for overload. It guards
 // against entry hosts that all open flows on the same servers and then all refuse, which
 // leaves slots idle.
@@ -88,16 +106,7 @@
 			t.Run(fmt.Sprint(entryHosts, "Hosts", f.reads, "Reads", f.reports, "Reports"), func(t *testing.T) {
 				t.Parallel()
 				s := simnet.Flood(entryHosts, f.reads, f.reports)
-				results := runFlood(t, &s)
-				checkAtLeast(t, results, "arrivals that servers don't reject", 1-goalRejected, notRejected)
-				if f.fits {
-					checkAtLeast(t, results, "in time", goalInTime, inTime)
-				} else {
-					checkAtLeast(t, results, "use of the slots", goalInTime, useOfSlots(&s))
-				}
-				if f.urgentFits {
-					checkAtLeast(t, results, "urgent requests in time", goalUrgent, urgentInTime)
-				}
+				f.check(t, &s)
 			})
 		}
 	}
@@ -111,16 +120,7 @@
 			t.Parallel()
 			s := simnet.Flood(84, f.reads, f.reports)
 			s.Queue, s.QueueTimeout = 8, 160
-			results := runFlood(t, &s)
-			checkAtLeast(t, results, "arrivals that servers don't reject", 1-goalRejected, notRejected)
-			if f.fits {
-				checkAtLeast(t, results, "in time", goalInTime, inTime)
-			} else {
-				checkAtLeast(t, results, "use of the slots", goalInTime, useOfSlots(&s))
-			}
-			if f.urgentFits {
-				checkAtLeast(t, results, "urgent requests in time", goalUrgent, urgentInTime)
-			}
+			f.check(t, &s)
 		})
 	}
 }
