--- a/internal/lab/simnet/counts.go
+++ b/internal/lab/simnet/counts.go
@@ -8,13 +8,15 @@
 	countInterval = 100 * clock.Millis(1)
 	// countTimeConstant is that of the exponentially smoothed loads that hosts report.
 	countTimeConstant = clock.Second
+	// countTolerance is the ratio of reports to requests that Counts.Server allows for.
+	countTolerance = 1.1
 )
 
 // Counts compares the reported loads with the requests that wait for servers, both
 // smoothed, during the burst from Scenario.CountFrom on.
 type Counts struct {
-	// Server is the highest sum of the reports on a server beside the requests there,
-	// as the requests that it exceeds a tenth more than those by.
+	// Server is the largest excess, over all servers, of the reports on a server over
+	// countTolerance times the requests there.
 	Server float64
 	// Total is the highest ratio of all reports to the requests on all servers.
 	Total float64
@@ -44,7 +46,7 @@
 		requests += s.meanRequests
 		reports += reported[uint32(s.token)]
 		if counted {
-			r.Server = max(r.Server, reported[uint32(s.token)]-1.1*s.meanRequests)
+			r.Server = max(r.Server, reported[uint32(s.token)]-countTolerance*s.meanRequests)
 		}
 	}
 	if counted {
--- a/internal/lab/simnet/faults.go
+++ b/internal/lab/simnet/faults.go
@@ -96,6 +96,10 @@
 	killed := func(i int) bool {
 		return chosen(i%sim.scenario.Hosts, f.Killed) && (!f.KilledInOne || i < sim.scenario.Hosts)
 	}
+	// relist gives an entry host a new list at its first poll after a time.
+	relist := func(h *host, at clock.Millis) {
+		sim.after(at+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
+	}
 	if f.Killed > 0 {
 		sim.after(f.At, func() {
 			for i, h := range sim.hosts {
@@ -108,7 +112,7 @@
 			}
 		}
 		for _, h := range sim.hosts {
-			sim.after(f.At+delistDelay+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
+			relist(h, f.At+delistDelay)
 		}
 	}
 	if f.PausedFor > 0 {
@@ -118,7 +122,7 @@
 			}
 		})
 		for _, h := range sim.hosts {
-			sim.after(f.At+f.PausedFor+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
+			relist(h, f.At+f.PausedFor)
 		}
 	}
 	if f.RestartAfter > 0 {
@@ -126,7 +130,7 @@
 			if killed(i) {
 				sim.after(f.At+f.RestartAfter, func() { sim.restart(h, strategy) })
 			}
-			sim.after(f.At+f.RestartAfter+clock.Millis(sim.rand.IntN(int(delistSpread))), func() { sim.shareList(h, alive) })
+			relist(h, f.At+f.RestartAfter)
 		}
 	}
 	if f.RolledEvery > 0 {
