--- a/review/4/main.go
+++ b/review/4/main.go
@@ -20,7 +20,7 @@
 	serversOfService = 5
 	clients          = 4
 	firstPort        = 1001
-	routes           = 72
+	routes           = 100
 	// routeTime is how long each route carries the load. Its service changes halfway.
 	routeTime = 800 * time.Millisecond
 	// changeGap is the time between the version that removes a route and the one that adds
@@ -33,7 +33,7 @@
 	lossZone  = "zone-a"
 	lossShare = 0.025
 	lossTime  = 5500 * time.Millisecond
-	lossCycle = 7 * time.Second
+	lossCycle = 6 * time.Second
 )
 
 func main() {
