--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,12 +1,11 @@
-// Command 2 has another writer announce a server with fields missing, and checks that the
-// server gets no new flows after its drain was acknowledged.
+// Command 2 adds a directory, removes another one for good, and then loses a further one
+// for good, and checks that the directories that run answer.
 package main
 
 import (
 	"fmt"
-	"net/http"
 	"os"
-	"sync"
+	"syscall"
 	"time"
 
 	"monsooncleat.example/monsooncleat/review/rig"
@@ -14,13 +13,17 @@
 
 const (
 	directories = 3
-	relays      = 3
-	servers     = 4
-	clients     = 2
-	// flowsPerSecond is the rate of new flows.
-	flowsPerSecond = 60
-	// leaveAfter is how long the server serves after its drain was acknowledged.
-	leaveAfter = 10 * time.Second
+	relays      = 2
+	// syncTime is how long a new machine counts as lost, and syncMargin what is waited in
+	// addition.
+	syncTime   = 4 * time.Second
+	syncMargin = 4 * time.Second
+	// lossGap is the time from the removal to the loss, and successorAfter that from the
+	// loss to the start of the successor.
+	lossGap        = time.Second
+	successorAfter = time.Second
+	// repairTime is how long after the loss the operator stops waiting.
+	repairTime = 50 * time.Second
 )
 
 func main() {
@@ -31,14 +34,6 @@
 	os.Exit(code)
 }
 
-// play is what is known of a run.
-type play struct {
-	d        *rig.Deployment
-	mu       sync.Mutex
-	openings []rig.Opening
-	outcomes map[rig.Outcome]int
-}
-
 func run(trouble bool) (int, error) {
 	record, err := rig.NewRecord(os.Args[1])
 	if err != nil {
@@ -50,100 +45,73 @@
 		return rig.NotRun, err
 	}
 	defer d.Close()
-	p := &play{d: d, outcomes: map[rig.Outcome]int{}}
-	var list []*rig.Server
-	for i := range servers {
-		s, err := d.AddServer(i, "svc", rig.Hooks{Opened: p.opened})
-		if err != nil {
-			return rig.NotRun, err
-		}
-		list = append(list, s)
+	if d.Put(config(1), 20*time.Second).IsZero() || !d.Router.AwaitReady(10*time.Second) {
+		return rig.NotRun, fmt.Errorf("the deployment did not start")
 	}
-	var callers []*rig.Client
-	for i := range clients {
-		c, err := d.AddClient(i)
-		if err != nil {
-			return rig.NotRun, err
-		}
-		callers = append(callers, c)
+	d.Sleep(rig.ContactTime)
+	if _, err := d.AddDirectory(0, 1, 2); err != nil {
+		return rig.NotRun, err
 	}
-	config := rig.NewConfig(1, []string{"svc"}, rig.NewRoute(443, "idempotent", "svc"))
-	if d.Put(config, 20*time.Second).IsZero() || !d.Router.AwaitReady(10*time.Second) {
-		return rig.NotRun, fmt.Errorf("the deployment did not start")
+	record.Printf("platform: directory 4 is added at a new address")
+	d.Sleep(syncTime + syncMargin)
+	if d.Put(config(2), rig.AckTime).IsZero() {
+		return rig.NotRun, fmt.Errorf("no acknowledgement before the disruption")
+	}
+	if status, version := d.Get(3); status != 200 || version != 2 {
+		return rig.NotRun, fmt.Errorf("directory 4 does not answer after its recovery time")
 	}
-	// All machines are in touch from here on.
-	d.Sleep(rig.ContactTime + time.Second)
-	d.Go(func() { p.load(callers) })
-	leaver := list[0]
+	lost := time.Now()
 	if trouble {
-		d.Go(func() { anotherWriter(d, record, leaver) })
+		if err := lose(d, record); err != nil {
+			return rig.NotRun, err
+		}
 	}
-	d.Sleep(3 * time.Second)
-	acked := leaver.Drain()
-	if acked.IsZero() {
-		record.Printf("server %s: its drain was not acknowledged", leaver.ID)
-		return rig.NotRun, nil
+	d.Sleep(rig.ContactTime + syncTime)
+	newest := 2
+	if !d.Put(config(3), time.Until(lost.Add(repairTime))).IsZero() {
+		newest = 3
 	}
-	record.Printf("server %s: draining, acknowledged", leaver.ID)
-	d.Sleep(leaveAfter)
-	leaver.Leave()
-	record.Printf("server %s: left", leaver.ID)
-	return p.judge(record, leaver, acked), nil
-}
-
-// anotherWriter sends an announcement of the server without version and warmup_left_ms,
-// with a count of its own, at the interval of announcements.
-func anotherWriter(d *rig.Deployment, record *rig.Record, s *rig.Server) {
-	for seq := 1_000_000; ; seq++ {
-		beat := rig.Beat{Service: s.Service, Addr: s.Addr, Zone: s.Zone, Capacity: 3, State: "ready", Seq: seq, Born: s.Born}
-		status := d.Call(http.MethodPut, "/instances/"+s.ID, beat)
-		record.Printf("another writer: announced %s without version and warmup_left_ms: status %d", s.ID, status)
-		if !d.Sleep(rig.HeartbeatEvery) {
-			return
-		}
+	d.Sleep(time.Until(lost.Add(repairTime)))
+	if !readBack(d, record, newest) {
+		record.Printf("BROKEN: the configuration cannot be read back at any directory, %.0f s after the removal", time.Since(lost).Seconds())
+		return rig.Broken, nil
 	}
+	return rig.Held, nil
 }
 
-func (p *play) opened(o rig.Opening) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.openings = append(p.openings, o)
+// lose removes directory 2, which directory 4 replaces, and then loses directory 1, which
+// directory 5 replaces.
+func lose(d *rig.Deployment, record *rig.Record) error {
+	d.Dirs[1].End(syscall.SIGKILL)
+	record.Printf("platform: directory 2 is removed for good, without SIGTERM")
+	d.Sleep(lossGap)
+	d.Dirs[0].End(syscall.SIGKILL)
+	record.Printf("platform: directory 1 is lost for good")
+	d.Sleep(successorAfter)
+	if _, err := d.AddDirectory(0, 2, 3); err != nil {
+		return err
+	}
+	record.Printf("platform: directory 5 is added at a new address")
+	return nil
 }
 
-// load opens a flow for each request.
-func (p *play) load(callers []*rig.Client) {
-	for n := 0; p.d.Sleep(time.Second / flowsPerSecond); n++ {
-		p.d.Go(func() {
-			f, outcome := callers[n%len(callers)].Open(443)
-			if outcome == rig.OK {
-				outcome = f.Request(fmt.Sprint("q", n), 2*time.Second)
-				f.Close()
+// readBack reads the configuration at all directories for twice the contact time, as the
+// operator does at the end of a day, and reports whether one returned the newest version.
+func readBack(d *rig.Deployment, record *rig.Record, newest int) bool {
+	came := false
+	for end := time.Now().Add(2 * rig.ContactTime); time.Now().Before(end); d.Sleep(500 * time.Millisecond) {
+		for i, p := range d.Dirs {
+			if p.Ended() {
+				continue
 			}
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.outcomes[outcome]++
-		})
+			status, version := d.Get(i)
+			record.Printf("operator: read at directory %d: status %d, version %d", i+1, status, version)
+			came = came || status == 200 && version >= newest
+		}
 	}
+	return came
 }
 
-func (p *play) judge(record *rig.Record, leaver *rig.Server, acked time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	late, last := 0, time.Duration(0)
-	for _, o := range p.openings {
-		if after := o.At.Sub(acked); o.Server == leaver && after > rig.DrainTime {
-			late, last = late+1, max(last, after)
-		}
-	}
-	record.Printf("flows opened %d, outcomes %v, flows that the draining server got later than %v after the acknowledgement %d, the last after %d ms",
-		len(p.openings), p.outcomes, rig.DrainTime, late, last.Milliseconds())
-	switch {
-	case len(p.openings) == 0:
-		return rig.NotRun
-	case late > 0:
-		record.Printf("BROKEN: a draining server got new flows")
-		return rig.Broken
-	default:
-		return rig.Held
-	}
+func config(version int) rig.Config {
+	return rig.NewConfig(version, []string{"svc"}, rig.NewRoute(443, "idempotent", "svc"))
 }
--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -64,6 +64,10 @@
 	subnet  int
 	root    string
 	folder  string
+	// seeds are the directories that settings name. Started is set once the whole system
+	// has been started.
+	seeds   []int
+	started bool
 	servers []*Server
 	clients []*Client
 	done    chan struct{}
@@ -102,6 +106,9 @@
 	if err := d.claimSubnet(); err != nil {
 		return nil, err
 	}
+	for i := range min(o.Directories, 3) {
+		d.seeds = append(d.seeds, i)
+	}
 	for i := range o.Directories {
 		ip := d.ip(directoryGroup, i)
 		args := []string{"directory"}
@@ -126,10 +133,25 @@
 		}
 		d.Entries = append(d.Entries, p)
 	}
+	d.started = true
 	d.Router = newRouter(d)
 	return d, nil
 }
 
+// AddDirectory starts another directory, with an empty disk. Its settings name the given
+// directories as seeds, counted from 0. It can only be called while nothing else calls the
+// directories.
+func (d *Deployment) AddDirectory(seeds ...int) (*Process, error) {
+	d.seeds = seeds
+	p, err := d.add("directory", d.Directories, d.ip(directoryGroup, d.Directories), []string{"directory"})
+	if err != nil {
+		return nil, err
+	}
+	d.Directories++
+	d.Dirs = append(d.Dirs, p)
+	return p, nil
+}
+
 func (d *Deployment) ip(group, i int) string {
 	return fmt.Sprintf("127.%d.%d.%d", d.subnet, group, i+1)
 }
@@ -149,7 +171,7 @@
 // settings returns the settings file of a host, as the platform writes it.
 func (d *Deployment) settings(name, role, class, ip, data string, zone int) string {
 	var seeds []string
-	for i := range min(d.Directories, 3) {
+	for _, i := range d.seeds {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", d.ip(directoryGroup, i), apiPort)))
 	}
 	counts, serves, listen := false, "front", fmt.Sprintf("data_addr = \"%s:%d\"\nready = \"%s:%d\"\n", ip, dataPort, ip, readyPort)
@@ -158,7 +180,7 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "node_name = %q\nrole = %q\nmachine_class = %q\nserves = [%q]\nip = %q\nzone = %q\nregion = \"r\"\n", name, role, class, serves, ip, zones[zone])
-	fmt.Fprintf(&b, "internal_ports = [%d,%d]\nseeds = [%s]\nbootstrap = true\nloss_counts = %t\n", peerPort, peerPort+15, strings.Join(seeds, ","), counts)
+	fmt.Fprintf(&b, "internal_ports = [%d,%d]\nseeds = [%s]\nbootstrap = %t\nloss_counts = %t\n", peerPort, peerPort+15, strings.Join(seeds, ","), !d.started, counts)
 	if data != "" {
 		fmt.Fprintf(&b, "data_dir = %q\n", data)
 	}
