--- a/review/5/main.go
+++ b/review/5/main.go
@@ -23,6 +23,8 @@
 	routes           = 100
 	// routeTime is how long each route carries the load. Its service changes halfway.
 	routeTime = 800 * time.Millisecond
+	// playTime bounds the changes on a slow machine.
+	playTime = 90 * time.Second
 	// changeGap is the time between the version that removes a route and the one that adds
 	// it again.
 	changeGap = 60 * time.Millisecond
@@ -117,7 +119,8 @@
 	if trouble {
 		d.Go(p.losePackets)
 	}
-	for k := range routes {
+	end := time.Now().Add(playTime)
+	for k := 0; k < routes && time.Now().Before(end); k++ {
 		current.Store(int64(k))
 		d.Sleep(routeTime / 2)
 		if p.change(k) {
