token/core: send copies of an opening only to services that the route allows

Cause: a copy goes to the server of the first transmission. Configure replaces the route of the flow, but nothing compared the service of that server with it, also when the route had been removed and added in between or a service had lost its weight.

Change: if the route in force doesn't allow the service, the copy moves to a server that it allows, as after a failed server. Without one it is dropped, not reset, since the transmission before may have opened the flow.

Evidence: TestRetransmittedOpeningFollowsTheRouteInForce failed in all its four cases before.

--- a/internal/bundle/routes/routes.go
+++ b/internal/bundle/routes/routes.go
@@ -153,6 +153,11 @@
 	return ""
 }
 
+// Allows reports whether new flows of the route may go to a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // Index looks up the routes of a table by address.
 type Index struct {
 	table  *Table
--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -117,6 +117,47 @@
 	}
 }
 
+// TestRetransmittedOpeningFollowsTheRouteInForce changes the service of a route, or takes
+// away its servers, between two transmissions of an opening packet.
+func TestRetransmittedOpeningFollowsTheRouteInForce(t *testing.T) {
+	moved := func(version uint64, services ...routes.Target) *routes.Table {
+		changed := table(version, routeX, routeY)
+		changed.Services = append(changed.Services, "none")
+		changed.Routes[0].Targets = services
+		return changed
+	}
+	for _, test := range []struct {
+		name    string
+		changes []*routes.Table
+		verdict core.Verdict
+	}{
+		{"another service", []*routes.Table{moved(2, routes.Target{Service: "y", Weight: 1})}, core.Forward},
+		{"removed and added with another service", []*routes.Table{table(2, routeY), moved(3, routes.Target{Service: "y", Weight: 1})}, core.Forward},
+		{"no weight", []*routes.Table{moved(2, routes.Target{Service: "x"}, routes.Target{Service: "y", Weight: 1})}, core.Forward},
+		{"a service without servers", []*routes.Table{moved(2, routes.Target{Service: "none", Weight: 1})}, core.Drop},
+	} {
+		h := newCore(1)
+		first := h.HandlePacket(10, syn(0), true)
+		qt.Assert(t, first.Service, qt.Equals, "x")
+		// The packets of another flow show that the first server answers.
+		other := *data(first.Token, 77, 10)
+		other.From, other.To = netip.MustParseAddrPort("100.64.0.8:1"), routeY
+		h.HandlePacket(20, &other, true)
+		for _, changed := range test.changes {
+			qt.Assert(t, h.Configure(100, changed), qt.IsTrue)
+		}
+		for attempt := uint32(1); attempt <= 2; attempt++ {
+			other.Ack += 100
+			h.HandlePacket(clock.Millis(240*attempt), &other, true)
+			a := h.HandlePacket(clock.Millis(250*attempt), syn(attempt), true)
+			qt.Check(t, a.Verdict, qt.Equals, test.verdict, qt.Commentf("%s, retransmission %d", test.name, attempt))
+			if test.verdict == core.Forward {
+				qt.Check(t, a.Number, qt.Equals, uint64(4), qt.Commentf("%s, retransmission %d", test.name, attempt))
+			}
+		}
+	}
+}
+
 // TestLateTokenIsCorrected covers an opening packet that two servers answer: the
 // client completes the handshake with the second server, and then receives the
 // token of the first, whose answer was late.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -104,13 +104,16 @@
 // The packet goes to the same server, which gives the same answer to each
 // transmission. It goes to another server only if the first one has almost
 // certainly not answered, because after two answers the client may keep the token
-// of either server.
+// of either server, or if the route no longer allows the service of the first one.
 func (c *Core) handleRetransmittedOpening(now clock.Millis, f *flow, p *Packet) Action {
 	f.lastAt, f.retransmitted = now, true
 	s := f.server
 	if f.established {
 		return c.forward(s, NoReason)
 	}
+	if !f.route.Allows(s.entry.Service) {
+		return c.moveToAllowedService(now, f, p)
+	}
 	if !p.late() && s.backend.RecordUnanswered(now, f.openedAt) {
 		c.stats.Avoided++
 	}
@@ -121,15 +124,31 @@
 	failed := s.backend.Avoided(now) || s.entry.Silent() || s.hasEnded(now) || p.Ack >= 2 && s.backend.Suspected()
 	if failed && !c.options.Off.Has(tune.MoveOpenings) {
 		if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), s); other != nil && other != s {
-			f.moveTo(other)
-			c.stats.Moved++
-			c.recordOpening(now, other)
-			return c.forward(other, MovedFlow)
+			return c.moveOpening(now, f, other)
 		}
 	}
 	return c.forward(s, NoReason)
 }
 
+// moveToAllowedService decides on the retransmission of an opening packet whose route has
+// got other services meanwhile. It isn't reset, since the transmission before may have
+// opened the flow.
+func (c *Core) moveToAllowedService(now clock.Millis, f *flow, p *Packet) Action {
+	if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), nil); other != nil {
+		return c.moveOpening(now, f, other)
+	}
+	c.stats.DroppedNoServer++
+	return Action{Verdict: Drop, Reason: NoServer}
+}
+
+// moveOpening sends the retransmission of an opening packet to another server.
+func (c *Core) moveOpening(now clock.Millis, f *flow, to *server) Action {
+	f.moveTo(to)
+	c.stats.Moved++
+	c.recordOpening(now, to)
+	return c.forward(to, MovedFlow)
+}
+
 func (c *Core) forward(s *server, reason Reason) Action {
 	c.stats.Forwarded++
 	return Action{
