dir/share: let no record of an unconfigured service take over an ID or an address

Cause: a record with a later start took the address over whatever its service is, and the owner before counted as ended. In the same way a record under the ID of a running server replaced its service, its address or its state.

Change: a control host holds no record of a service that the routing table in force doesn't have, unless the server is already known with it, whether the record was announced to it, replicated or exchanged. Before the first table any service may come; a server that announces itself before its service is configured is known with its next heartbeat.

--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -21,7 +21,7 @@
 func (c *Core) Announce(now clock.Millis, callID CallID, r fleet.Record) {
 	c.advance(now)
 	r.Warmup = c.warmupOf(&r)
-	outcome := c.list.Fleet().Apply(now, now, r, true)
+	outcome := c.list.Apply(now, now, r, true)
 	if outcome == fleet.Changed {
 		c.logServer("Server announced.", &r)
 	}
--- a/internal/dir/share/blocks_test.go
+++ b/internal/dir/share/blocks_test.go
@@ -20,7 +20,7 @@
 const runID = 7
 
 func newList(servers int) *share.List {
-	l := share.NewList(fleet.Options{SilentAfter: 3600, ForgetAfter: 90_000}, runID, 0, fourVoters{}, func(raft.ID, *msgs.Envelope) {})
+	l := share.NewList(fleet.Options{SilentAfter: 3600, ForgetAfter: 90_000}, runID, 0, fourVoters{}, func(string) bool { return true }, func(raft.ID, *msgs.Envelope) {})
 	for i := range servers {
 		l.Fleet().Apply(1, 1, serverRecord(i, 1, fleet.Ready), true)
 	}
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -38,15 +38,19 @@
 	Members() []raft.ID
 }
 
+// Services reports whether the routing table in force has a service.
+type Services func(service string) bool
+
 // Send sends a message to another control host.
 type Send func(to raft.ID, e *msgs.Envelope)
 
 // List holds the known servers of one control host. It is not safe for concurrent
 // use.
 type List struct {
-	group Group
-	send  Send
-	fleet *fleet.Fleet
+	group    Group
+	send     Send
+	services Services
+	fleet    *fleet.Fleet
 	// runID identifies this run of the process in exchanges.
 	runID      uint64
 	reuseAfter clock.Millis
@@ -73,9 +77,9 @@
 
 // NewList returns an empty List. RunID is a random number that identifies this run of
 // the process.
-func NewList(options fleet.Options, runID uint64, now clock.Millis, group Group, send Send) *List {
+func NewList(options fleet.Options, runID uint64, now clock.Millis, group Group, services Services, send Send) *List {
 	return &List{
-		group: group, send: send, fleet: fleet.New(options), runID: runID, reuseAfter: options.ReuseAfter,
+		group: group, send: send, services: services, fleet: fleet.New(options), runID: runID, reuseAfter: options.ReuseAfter,
 		cursors: map[raft.ID]*cursor{}, noExpireBefore: now + stallGrace,
 	}
 }
@@ -83,6 +87,17 @@
 // Fleet returns the known servers.
 func (l *List) Fleet() *fleet.Fleet { return l.fleet }
 
+// Apply merges a record announced at announcedAt, directly to this host or to another one.
+// It returns fleet.Stale, and changes nothing, for a service that is not configured, unless
+// the server is known with it: a record that names no server to use must not take over the
+// ID or the address of one.
+func (l *List) Apply(now, announcedAt clock.Millis, r fleet.Record, direct bool) fleet.Outcome {
+	if known := l.fleet.Find(r.ID); !l.services(r.Service) && (known == nil || known.Service != r.Service) {
+		return fleet.Stale
+	}
+	return l.fleet.Apply(now, announcedAt, r, direct)
+}
+
 // Resume delays the expiry of servers after the process was suspended.
 func (l *List) Resume(now clock.Millis) { l.noExpireBefore = now + stallGrace }
 
@@ -180,7 +195,7 @@
 		if s.Age < 0 || s.Silent {
 			continue
 		}
-		l.fleet.Apply(now, now-s.Age, s.Record, false)
+		l.Apply(now, now-s.Age, s.Record, false)
 	}
 	return nil
 }
@@ -192,7 +207,7 @@
 		l.fleet.Leave(now, r.ID)
 		return
 	}
-	l.fleet.Apply(now, now, r, false)
+	l.Apply(now, now, r, false)
 }
 
 // Expire marks as silent the servers that no longer announce themselves, and returns
--- a/internal/dir/tables/tables.go
+++ b/internal/dir/tables/tables.go
@@ -3,6 +3,8 @@
 package tables
 
 import (
+	"slices"
+
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
 )
@@ -52,6 +54,12 @@
 // Routes returns the number of routes in the newest version.
 func (t *Tables) Routes() int { return len(t.newest.Table.Routes) }
 
+// Allows reports whether the newest version has a service. Before the first version, any
+// service may come.
+func (t *Tables) Allows(service string) bool {
+	return t.Version() == 0 || slices.Contains(t.newest.Table.Services, service)
+}
+
 // Warmups returns the services of the newest version that limit their cold servers.
 // Callers must only read from it.
 func (t *Tables) Warmups() map[string]routes.Warmup { return t.newest.Table.Warmups }
