agree/disk: keep synced entries when a full disk cuts a compaction short

Reported by other operators: disks were full for seconds, one after another; long after the last had room again, changes were refused or stayed unanswered while all processes ran.

If the disk has no room in the middle of that (or power is lost), the next Open read the older segment and then the first of the repeated entries, which dropped all that follow it: entries that were synced and acknowledged. A leader never goes back below what a follower has acknowledged, so this follower rejected each append from then on; with the disks full one after another, no quorum accepted a change.

Change: an entry that is stored already, with the same index and term, changes nothing. An entry of another term still replaces those from its index on.

That a leader stays stuck behind such a follower is by reading (onAppendReply), not by a run.

--- a/internal/agree/disk/disk.go
+++ b/internal/agree/disk/disk.go
@@ -184,7 +184,9 @@
 }
 
 // addTo applies r to stored, in the order of the log: a later hard state replaces
-// the earlier one, and an entry replaces those from its index on.
+// the earlier one, and an entry replaces those from its index on. An entry that is stored
+// already changes nothing: SaveSnapshot writes those after the snapshot again, and if that
+// was cut short, the older segments still hold the ones that follow.
 func (r *record) addTo(stored *raft.Stored) error {
 	if r.State != nil {
 		stored.State = *r.State
@@ -196,6 +198,9 @@
 	if at > uint64(len(stored.Entries)) {
 		return fmt.Errorf("%w: log entry %d is missing", ErrCorrupt, r.Entry.Index-1)
 	}
+	if at < uint64(len(stored.Entries)) && stored.Entries[at].Term == r.Entry.Term {
+		return nil
+	}
 	stored.Entries = append(stored.Entries[:at], *r.Entry)
 	return nil
 }
--- a/internal/agree/disk/disk_test.go
+++ b/internal/agree/disk/disk_test.go
@@ -86,6 +86,37 @@
 	c.Check(stored.Entries, qt.HasLen, 11)
 }
 
+// TestFullDiskDuringCompactionLosesNoSyncedEntry cuts the segment that follows a snapshot
+// short at every byte, as a disk without room or a loss of power does, while the older
+// segment is not deleted yet.
+func TestFullDiskDuringCompactionLosesNoSyncedEntry(t *testing.T) {
+	c := qt.New(t)
+	folder, old := newFilledFolder(c)
+	oldContent, err := os.ReadFile(old)
+	c.Assert(err, qt.IsNil)
+	s, stored, err := disk.Open(folder)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.Entries, qt.HasLen, 10)
+	c.Assert(s.SaveSnapshot(&raft.Snapshot{Index: 5, Term: 2}, entries(6, 11)), qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	paths, err := filepath.Glob(filepath.Join(folder, "*.wal"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(paths, qt.HasLen, 1)
+	newContent, err := os.ReadFile(paths[0])
+	c.Assert(err, qt.IsNil)
+	for n := range len(newContent) + 1 {
+		c.Assert(os.WriteFile(old, oldContent, 0o600), qt.IsNil)
+		c.Assert(os.WriteFile(paths[0], newContent[:n], 0o600), qt.IsNil)
+		s, stored, err := disk.Open(folder)
+		c.Assert(err, qt.IsNil)
+		c.Assert(stored.Entries, qt.HasLen, 6, qt.Commentf("%d bytes", n))
+		c.Assert(s.Close(), qt.IsNil)
+		paths, err := filepath.Glob(filepath.Join(folder, "*.wal"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(os.Remove(paths[len(paths)-1]), qt.IsNil)
+	}
+}
+
 func TestCorruptionBeforeTheEndIsRejected(t *testing.T) {
 	c := qt.New(t)
 	folder, segment := newFilledFolder(c)
