token/core, dir/share, agree/disk: reuse the refusal without a server, look services up only for new records

Found by reading the change once more: - moveToAllowedService dropped a copy without a server by itself and left EvacuatedNoServer out, which counts such drops. It calls refuseWithoutServer now; the verdict is the same. - List.Apply looked the service of each record up in the routing table. It does so only for a server that is not known with that service: with many servers and services the lookups of all heartbeats and exchanges would grow with both. - The tests of the store listed its segments in three places.

The tests of these packages and of proof/layout pass, with their assertions unchanged.

--- a/internal/agree/disk/disk_test.go
+++ b/internal/agree/disk/disk_test.go
@@ -29,12 +29,18 @@
 	c.Assert(s.SaveSnapshot(&raft.Snapshot{Index: 1, Term: 1}, nil), qt.IsNil)
 	c.Assert(s.Save(&raft.HardState{Term: 2, Vote: "c1/d1"}, entries(2, 11)), qt.IsNil)
 	c.Assert(s.Close(), qt.IsNil)
-	paths, err := filepath.Glob(filepath.Join(folder, "*.wal"))
-	c.Assert(err, qt.IsNil)
+	paths := segments(c, folder)
 	c.Assert(paths, qt.HasLen, 1)
 	return folder, paths[0]
 }
 
+// segments returns the paths of the segments in a data folder, oldest first.
+func segments(c *qt.C, folder string) []string {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.wal"))
+	c.Assert(err, qt.IsNil)
+	return paths
+}
+
 func TestReopenReturnsSavedState(t *testing.T) {
 	c := qt.New(t)
 	folder, _ := newFilledFolder(c)
@@ -99,8 +105,7 @@
 	c.Assert(stored.Entries, qt.HasLen, 10)
 	c.Assert(s.SaveSnapshot(&raft.Snapshot{Index: 5, Term: 2}, entries(6, 11)), qt.IsNil)
 	c.Assert(s.Close(), qt.IsNil)
-	paths, err := filepath.Glob(filepath.Join(folder, "*.wal"))
-	c.Assert(err, qt.IsNil)
+	paths := segments(c, folder)
 	c.Assert(paths, qt.HasLen, 1)
 	newContent, err := os.ReadFile(paths[0])
 	c.Assert(err, qt.IsNil)
@@ -111,9 +116,8 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(stored.Entries, qt.HasLen, 6, qt.Commentf("%d bytes", n))
 		c.Assert(s.Close(), qt.IsNil)
-		paths, err := filepath.Glob(filepath.Join(folder, "*.wal"))
-		c.Assert(err, qt.IsNil)
-		c.Assert(os.Remove(paths[len(paths)-1]), qt.IsNil)
+		begun := segments(c, folder)
+		c.Assert(os.Remove(begun[len(begun)-1]), qt.IsNil)
 	}
 }
 
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -92,7 +92,7 @@
 // the server is known with it: a record that names no server to use must not take over the
 // ID or the address of one.
 func (l *List) Apply(now, announcedAt clock.Millis, r fleet.Record, direct bool) fleet.Outcome {
-	if known := l.fleet.Find(r.ID); !l.services(r.Service) && (known == nil || known.Service != r.Service) {
+	if known := l.fleet.Find(r.ID); (known == nil || known.Service != r.Service) && !l.services(r.Service) {
 		return fleet.Stale
 	}
 	return l.fleet.Apply(now, announcedAt, r, direct)
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -137,8 +137,7 @@
 	if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), nil); other != nil {
 		return c.moveOpening(now, f, other)
 	}
-	c.stats.DroppedNoServer++
-	return Action{Verdict: Drop, Reason: NoServer}
+	return c.refuseWithoutServer(f.route, p, false)
 }
 
 // moveOpening sends the retransmission of an opening packet to another server.
