--- a/internal/token/core/core_test.go
+++ b/internal/token/core/core_test.go
@@ -42,13 +42,18 @@
 	}
 }
 
-// newCore returns a Core that knows servers 1 to 3 of service x and server 4 of
-// service y.
-func newCore(seed uint64) *core.Core {
-	c := core.New(core.Options{
+// newBareCore returns a Core without a routing table and without servers.
+func newBareCore(seed uint64) *core.Core {
+	return core.New(core.Options{
 		Centre: "a", DefaultIdleTimeout: 15_000, MaxFlows: 1000,
 		Fleet: fleet.Options{SilentAfter: 1 << 60, ForgetAfter: 90_000, Follower: true},
 	}, rand.New(rand.NewPCG(seed, 1)))
+}
+
+// newCore returns a Core that knows servers 1 to 3 of service x and server 4 of
+// service y.
+func newCore(seed uint64) *core.Core {
+	c := newBareCore(seed)
 	u := core.Update{}
 	for n := 1; n <= 4; n++ {
 		service := "x"
--- /dev/null
+++ b/internal/token/core/ended_test.go
@@ -0,0 +1,198 @@
+package core_test
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
+	"monsooncleat.example/monsooncleat/internal/token/core"
+)
+
+// claim is an update that says that the server of a flow has ended.
+type claim struct {
+	name   string
+	record func(server fleet.Record) core.ServerUpdate
+}
+
+// claims are the updates that make the server of a flow look ended although it may run.
+var claims = []claim{
+	{"restarted under its ID before the relay knew", func(s fleet.Record) core.ServerUpdate {
+		s.Started += 500
+		return core.ServerUpdate{Record: s}
+	}},
+	{"restarted with an earlier start", func(s fleet.Record) core.ServerUpdate {
+		s.Started -= 500
+		return core.ServerUpdate{Record: s}
+	}},
+	{"removal without a quorum", func(s fleet.Record) core.ServerUpdate {
+		s.State = fleet.Left
+		return core.ServerUpdate{Record: s, Ended: true}
+	}},
+	{"address taken by a later start", func(s fleet.Record) core.ServerUpdate {
+		s.ID, s.Number, s.Started = "i-77", 0x77, s.Started+500
+		return core.ServerUpdate{Record: s}
+	}},
+	{"ended by a control host", func(s fleet.Record) core.ServerUpdate {
+		return core.ServerUpdate{Record: s, Ended: true}
+	}},
+	{"another address under its ID", func(s fleet.Record) core.ServerUpdate {
+		s.Started, s.Address = s.Started+500, netip.MustParseAddrPort("10.0.0.99:80")
+		return core.ServerUpdate{Record: s}
+	}},
+}
+
+// openFlow opens a flow on h and returns the action of its opening and the record of its
+// server. The start of servers is 1000.
+func openFlow(c *qt.C, h *core.Core) (core.Action, fleet.Record) {
+	a := h.HandlePacket(10, syn(0), true)
+	c.Assert(a.Verdict, qt.Equals, core.Forward)
+	return a, startedRecord(int(a.Number))
+}
+
+func startedRecord(n int) fleet.Record { return record(n, "x", 1000) }
+
+// newStartedCore returns a Core that knows servers 1 to 3 of service x with the start 1000.
+func newStartedCore(seed uint64) *core.Core {
+	h := newBareCore(seed)
+	u := core.Update{}
+	for n := 1; n <= 3; n++ {
+		u.Servers = append(u.Servers, core.ServerUpdate{Record: startedRecord(n)})
+	}
+	h.Learn(1, &u)
+	h.Configure(1, table(1, routeX))
+	return h
+}
+
+// TestAnsweringServerKeepsItsFlows guards against resets of open flows on claims about
+// their server that it contradicts by its answers, on the host of the opening and on others.
+func TestAnsweringServerKeepsItsFlows(t *testing.T) {
+	for _, test := range claims {
+		for _, opener := range []bool{true, false} {
+			t.Run(test.name, func(t *testing.T) {
+				c := qt.New(t)
+				h := newStartedCore(1)
+				first, server := openFlow(c, h)
+				if !opener {
+					h = newStartedCore(2)
+				}
+				ack := uint32(9000)
+				h.HandlePacket(20, data(first.Token, ack, 0), true)
+				h.Learn(100, &core.Update{Servers: []core.ServerUpdate{test.record(server)}})
+				for now := clock.Millis(200); now < 20_000; now += 400 {
+					h.Tick(now)
+					request := data(first.Token, ack, 50)
+					request.Seq = ack
+					a := h.HandlePacket(now, request, true)
+					c.Assert(a.Verdict, qt.Equals, core.Forward, qt.Commentf("%s at %d", a.Reason, now))
+					c.Assert(a.Server, qt.Equals, first.Server)
+					c.Assert(a.Number, qt.Equals, first.Number)
+					ack += 100
+					acknowledgement := data(first.Token, ack, 0)
+					acknowledgement.Seq = ack
+					c.Assert(h.HandlePacket(now+40, acknowledgement, true).Verdict, qt.Equals, core.Forward)
+				}
+			})
+		}
+	}
+}
+
+// TestIdleFlowIsNotResetOnAClaim guards against a reset of the first packet after a pause,
+// which nothing has left unanswered.
+func TestIdleFlowIsNotResetOnAClaim(t *testing.T) {
+	for _, test := range claims {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newStartedCore(1)
+			first, server := openFlow(c, h)
+			h.HandlePacket(20, data(first.Token, 9000, 0), true)
+			h.Learn(100, &core.Update{Servers: []core.ServerUpdate{test.record(server)}})
+			a := h.HandlePacket(9000, data(first.Token, 9000, 50), true)
+			c.Check(a.Verdict, qt.Equals, core.Forward)
+			c.Check(a.Server, qt.Equals, first.Server)
+		})
+	}
+}
+
+// TestFlowOfASilentEndedServerIsReset checks that clients still learn soon that a server has
+// ended: at the second retransmission, and at the first one once others went unanswered.
+func TestFlowOfASilentEndedServerIsReset(t *testing.T) {
+	for _, test := range claims {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newStartedCore(1)
+			first, server := openFlow(c, h)
+			h.HandlePacket(20, data(first.Token, 9000, 0), true)
+			h.Learn(100, &core.Update{Servers: []core.ServerUpdate{test.record(server)}})
+			verdict := func(from netip.AddrPort, now clock.Millis) core.Verdict {
+				p := data(first.Token, 9000, 50)
+				p.From = from
+				return h.HandlePacket(now, p, true).Verdict
+			}
+			c.Check(verdict(client, 9000), qt.Equals, core.Forward)
+			c.Check(verdict(client, 9200), qt.Equals, core.Forward)
+			c.Check(verdict(client, 9600), qt.Equals, core.Reset)
+			other := netip.MustParseAddrPort("100.64.0.8:1")
+			c.Check(verdict(other, 9700), qt.Equals, core.Forward)
+			c.Check(verdict(other, 9900), qt.Equals, core.Reset)
+		})
+	}
+}
+
+// TestCopyOfAnOpeningIsNeverReset guards against resets of flows that an earlier transmission
+// has opened through another host.
+func TestCopyOfAnOpeningIsNeverReset(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp func(h *core.Core)
+	}{
+		{"route not known yet", func(h *core.Core) { h.Configure(1, table(1, routeY)) }},
+		{"route removed", func(h *core.Core) {
+			h.Configure(1, table(1, routeX, routeY))
+			h.Configure(2, table(2, routeY))
+		}},
+		{"no server known yet", func(h *core.Core) { h.Configure(1, table(1, routeX)) }},
+		{"all servers draining", func(h *core.Core) {
+			u := core.Update{}
+			for n := 1; n <= 3; n++ {
+				r := startedRecord(n)
+				r.State = fleet.Draining
+				u.Servers = append(u.Servers, core.ServerUpdate{Record: r})
+			}
+			h.Learn(1, &u)
+			h.Configure(1, table(1, routeX))
+		}},
+	}
+	for _, test := range tests {
+		for attempt := uint32(0); attempt <= 2; attempt++ {
+			h := newBareCore(1)
+			test.setUp(h)
+			want := core.Drop
+			if attempt == 0 {
+				want = core.Reset
+			}
+			qt.Check(t, h.HandlePacket(10, syn(attempt), true).Verdict, qt.Equals, want, qt.Commentf("%s, transmission %d", test.name, attempt))
+		}
+	}
+}
+
+// TestIncarnationThatReturnsKeepsItsToken guards against forgetting the token of a server
+// whose record a wrong one had replaced for a while.
+func TestIncarnationThatReturnsKeepsItsToken(t *testing.T) {
+	c := qt.New(t)
+	h := newStartedCore(1)
+	wrong, right := startedRecord(1), startedRecord(1)
+	wrong.Started += 500
+	h.Learn(100, &core.Update{Servers: []core.ServerUpdate{{Record: wrong}}})
+	right.Seq = 9
+	h.Learn(5000, &core.Update{Servers: []core.ServerUpdate{{Record: right}}})
+	for now := clock.Millis(5000); now < 200_000; now += 500 {
+		h.Tick(now)
+	}
+	a := h.HandlePacket(200_000, data(tokens.Candidate("i-1", 1000, 0), 9000, 50), true)
+	c.Check(a.Verdict, qt.Equals, core.Forward)
+	c.Check(a.Number, qt.Equals, uint64(1))
+}
