token/core: log why a server is said to have ended, and whether it answers

A reset with serverEnded didn't say what the relay had been told, nor whether the server still answered, so that the hypotheses about the resets of open flows could not be told apart. The line now has the claim (restarted, removed, displaced) and the number of unanswered packets, and a packet that shows an answer of a server with a claim is counted and logged as contradicted. No decision changes.

--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -121,6 +121,9 @@
 	return true
 }
 
+// Unanswered returns the number of unanswered packets since the last answer.
+func (b *Backend) Unanswered() int { return b.failures }
+
 // Suspected reports whether a packet went unanswered and no packet has been
 // answered since.
 func (b *Backend) Suspected() bool { return b.failures > 0 }
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -178,18 +178,28 @@
 	}
 	// An advanced acknowledgement shows that the server answers. Record it before
 	// hasEnded is called, which allows a grace period only to servers that answer.
+	claim := s.claim()
 	if f != nil && f.established && s == f.server && seqAfter(p.Ack, f.ack) {
 		s.backend.RecordAnswer(now)
+		if claim != NoClaim && reason == NoReason {
+			reason = Contradicted
+		}
 	}
 	if s.hasEnded(now) {
 		c.stats.ResetEnded++
 		c.untrack(key)
-		return Action{Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.entry.Service}
+		return Action{
+			Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.entry.Service,
+			Claim: claim, Unanswered: s.backend.Unanswered(),
+		}
 	}
 	if f == nil || f.established && !sameStream(p.Ack, f.ack) {
 		f = c.adopt(now, key, s, p)
 	}
 	a := c.forward(s, reason)
+	if claim != NoClaim {
+		a.Claim, a.Unanswered = claim, s.backend.Unanswered()
+	}
 	c.updateFlow(now, f, s, p, &a)
 	return a
 }
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -92,6 +92,8 @@
 	// MovedFlow means that a retransmitted opening packet goes to another server
 	// than the transmission before.
 	MovedFlow
+	// Contradicted means that the server answers although it is said to have ended.
+	Contradicted
 	// CorrectedToken means that the token did not identify the server that holds
 	// the flow, and was replaced.
 	CorrectedToken
@@ -110,7 +112,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "correctedToken", "overloaded", "linkFull", "coldServers",
+		"serverEnded", "newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers",
 	}[r]
 }
 
@@ -132,6 +134,10 @@
 	// the penalty for another data centre, or the load for which the flow was
 	// refused. It is 0 unless Reason is NewFlow or Overloaded.
 	Load float64
+	// Claim is why the server is said to have ended, and Unanswered the number of packets
+	// that it has left unanswered since its last answer. They are set if there is a claim.
+	Claim      Claim
+	Unanswered int
 	// Handshake is the time from the opening packet to the client's next packet,
 	// which acknowledges the server's handshake. Response is the time from a
 	// request to the client's first acknowledgement of its response. Each is 0
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -318,5 +318,6 @@
 	}
 	f.d.log.Info("Flow decided.", "flow", f.packet.From.String()+">"+f.packet.To.String(), "outcome", a.Verdict.String(),
 		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "ack", f.packet.Ack, "token", uint32(f.packet.Token),
+		"claim", a.Claim.String(), "unanswered", a.Unanswered,
 		"version", f.d.core.Version(), "newsAge", int64(now-f.confirmedAt), "omitted", omitted)
 }
