token/core: reset a flow only if its server leaves retransmissions unanswered

Callers saw open flows reset by a relay while their servers served them.

Cause: a relay ended a flow by what it had heard of the server: at once if another incarnation was known under its ID, after 1.5 s if the server was said to have ended, even if it answered each request. What a relay hears can be late, out of order or from another writer. An opening is answered by whatever runs at the address, so the token of a flow may name an incarnation that was superseded before the relay knew. Only the server knows which flows it holds, and it resets those that it doesn't hold itself.

Change: packets go on to the address of the incarnation that opened the flow, or to its successor at the same address. A claim that the server has ended is confirmed by the server's silence only: a retransmitted request, and two retransmissions without any answer of that server in between. Then the flow is reset as before. An incarnation keeps its own record, so a later record under its ID can't redirect its flows, and its token stays known if it turns out to be the one that runs. A copy of an opening moves away from a server only if that has not answered since the first transmission.

Open: TestFlowOfASilentEndedServerIsReset/restarted_with_an_earlier_start and TestIncarnationThatReturnsKeepsItsToken need the order of records in serve/fleet.

--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -21,6 +21,9 @@
 	// trialInterval is the time between trial flows to a server whose backoff has
 	// ended. It covers the first retransmission of an opening packet.
 	trialInterval = 400 * clock.Millis(1)
+	// evidenceTTL is how long an unanswered packet counts together with the next one. It
+	// exceeds the longest interval between two retransmissions of clients, 1.6 s.
+	evidenceTTL = 3 * clock.Second
 	// inFlightWeight is the weight of a request in flight relative to a long flow.
 	// Requests in flight decide between servers with similar numbers of long flows,
 	// and outweigh those numbers where requests queue up.
@@ -51,8 +54,10 @@
 	// remote is the load from all other hosts.
 	remote Load
 
-	// failures counts unanswered packets since the last answer.
+	// failures counts unanswered packets since the last answer. FailedAt is when the latest
+	// was recorded.
 	failures   int
+	failedAt   clock.Millis
 	answeredAt clock.Millis
 	// avoidedUntil is the end of the latest backoff or trial interval, or 0 if
 	// there was none since the last answer.
@@ -112,7 +117,12 @@
 	if b.answeredAt >= sent {
 		return false
 	}
+	// A single packet that was lost long ago says nothing about the server by now.
+	if now-b.failedAt > evidenceTTL {
+		b.failures = 0
+	}
 	b.failures++
+	b.failedAt = now
 	if now < b.avoidedUntil {
 		return false
 	}
@@ -121,7 +131,8 @@
 	return true
 }
 
-// Unanswered returns the number of unanswered packets since the last answer.
+// Unanswered returns the number of retransmissions since the last answer that show an
+// unanswered packet, up to the latest gap of more than evidenceTTL between two of them.
 func (b *Backend) Unanswered() int { return b.failures }
 
 // Suspected reports whether a packet went unanswered and no packet has been
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -18,11 +18,6 @@
 )
 
 const (
-	// endedGrace is how long the flows of a server that is marked as ended are still
-	// forwarded, unless it was restarted or leaves packets unanswered. It covers
-	// packets in flight. It also gives a server time to announce itself again if a
-	// delayed announcement of another server claimed its address.
-	endedGrace = 1500 * clock.Millis(1)
 	// handshakeTimeout is how long a client waits for the answer to an opening
 	// packet. The clients' protocol, which package platform implements, defines it.
 	handshakeTimeout = 1400 * clock.Millis(1)
@@ -77,7 +72,9 @@
 	started clock.Millis
 	// entry is the fleet's entry for the server's ID. It describes the latest
 	// incarnation, which may have replaced this one.
-	entry   *fleet.Server
+	entry *fleet.Server
+	// record is the latest record of this incarnation. Its flows go to the address there.
+	record  fleet.Record
 	backend *choose.Backend
 	token   tokens.Token
 	// requests is Core.requests.
@@ -90,10 +87,7 @@
 	// coldUntil is the time until which the server takes only the flows of budget, or 0.
 	coldUntil clock.Millis
 	budget    warm.Budget
-}
-
-type replacedServer struct {
-	server     *server
+	// replacedAt is when another incarnation last replaced this one, or 0.
 	replacedAt clock.Millis
 }
 
@@ -113,9 +107,9 @@
 	tokens  *tokens.Index[*server]
 	// sharedTokens is set if tokens were shared by servers at the latest change.
 	sharedTokens bool
-	// replaced holds the previous incarnations of restarted servers. Clients may
-	// still send their tokens.
-	replaced []replacedServer
+	// replaced holds the previous incarnations of restarted servers in the order in
+	// which they were replaced. Clients may still send their tokens.
+	replaced []*server
 	// services maps each service to its usable servers outside the evacuated data centres,
 	// sorted by ID.
 	services   map[string][]*server
@@ -320,16 +314,6 @@
 	}
 }
 
-// hasEnded reports whether the incarnation has certainly ended: the server was
-// restarted, or it is marked as ended and either leaves packets unanswered or was
-// marked more than endedGrace ago.
-func (s *server) hasEnded(now clock.Millis) bool {
-	if s.started != s.entry.Started {
-		return true
-	}
-	return s.entry.Ended() && (s.backend.Suspected() || s.entry.EndedFor(now) > endedGrace)
-}
-
 // Tick updates the smoothed loads and, once per sweepInterval, removes expired
 // flows, routes and servers. It returns the retransmitted opening packets and
 // requests that were given up without an answer since the previous call.
@@ -364,10 +348,7 @@
 			delete(c.removed, address)
 		}
 	}
-	for len(c.replaced) > 0 && now-c.replaced[0].replacedAt > c.options.Fleet.ForgetAfter {
-		c.tokens.Remove(c.replaced[0].server.id, c.replaced[0].server.started)
-		c.replaced = c.replaced[1:]
-	}
+	c.forgetReplaced(now)
 	c.updateServers(now, c.expireServers(now))
 	return timeouts
 }
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -62,7 +62,7 @@
 		f.markActive()
 	}
 	c.stats.Opened++
-	c.admissionOf(s.entry.Service).RecordAdmission(c.priorityOf(route))
+	c.admissionOf(s.record.Service).RecordAdmission(c.priorityOf(route))
 	c.recordOpening(now, s)
 	a := c.forward(s, NewFlow)
 	a.Load = load
@@ -73,7 +73,7 @@
 // since an earlier transmission may have opened the flow through another host. Its client
 // sends another copy or, in the end, a new opening.
 func (c *Core) refuseOverloaded(p *Packet, s *server, load float64) Action {
-	a := Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.entry.Service, Load: load}
+	a := Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.record.Service, Load: load}
 	if p.mayHaveCopy() {
 		c.stats.DroppedCopies++
 		a.Verdict = Drop
@@ -107,21 +107,22 @@
 // of either server, or if the route no longer allows the service of the first one.
 func (c *Core) handleRetransmittedOpening(now clock.Millis, f *flow, p *Packet) Action {
 	f.lastAt, f.retransmitted = now, true
+	f.moveTo(c.successor(f.server))
 	s := f.server
 	if f.established {
 		return c.forward(s, NoReason)
 	}
-	if !f.route.Allows(s.entry.Service) {
+	if !f.route.Allows(s.record.Service) {
 		return c.moveToAllowedService(now, f, p)
 	}
 	if !p.late() && s.backend.RecordUnanswered(now, f.openedAt) {
 		c.stats.Avoided++
 	}
-	// The server has failed if it is in backoff, silent or ended. From the second
-	// retransmission on, it has also failed if its backoff is over but it has not
-	// answered since. In an opening packet, Ack is the number of earlier
+	// The server has failed if it has not answered since the flow was opened, and is in
+	// backoff, silent or said to have ended. From the second retransmission on, it has also
+	// failed if its backoff is over. In an opening packet, Ack is the number of earlier
 	// transmissions.
-	failed := s.backend.Avoided(now) || s.entry.Silent() || s.hasEnded(now) || p.Ack >= 2 && s.backend.Suspected()
+	failed := s.backend.Suspected() && (s.backend.Avoided(now) || s.entry.Silent() || s.claim() != NoClaim || p.Ack >= 2)
 	if failed && !c.options.Off.Has(tune.MoveOpenings) {
 		if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), s); other != nil && other != s {
 			return c.moveOpening(now, f, other)
@@ -151,8 +152,8 @@
 func (c *Core) forward(s *server, reason Reason) Action {
 	c.stats.Forwarded++
 	return Action{
-		Verdict: Forward, Reason: reason, Server: s.entry.Address, Number: s.entry.Number,
-		Token: s.token, ServerID: s.id, Service: s.entry.Service,
+		Verdict: Forward, Reason: reason, Server: s.record.Address, Number: s.record.Number,
+		Token: s.token, ServerID: s.id, Service: s.record.Service,
 	}
 }
 
@@ -165,31 +166,41 @@
 	}
 	s, known := c.tokens.Find(p.Token)
 	f := c.flows[key]
+	claim := NoClaim
+	if known {
+		claim, s = s.claim(), c.successor(s)
+	}
+	if f != nil {
+		f.moveTo(c.successor(f.server))
+	}
 	reason := NoReason
 	if f != nil && f.established && sameStream(p.Ack, f.ack) && (!known || s != f.server) && !c.options.Off.Has(tune.CorrectTokens) {
 		// The token is unknown, or is that of another server, for example of one that
 		// answered another transmission of the opening packet.
 		s, known, reason = f.server, true, CorrectedToken
+		claim = s.claim()
 		c.stats.Corrected++
 	}
 	if !known {
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	// An advanced acknowledgement shows that the server answers. Record it before
-	// hasEnded is called, which allows a grace period only to servers that answer.
-	claim := s.claim()
-	if f != nil && f.established && s == f.server && seqAfter(p.Ack, f.ack) {
+	switch {
+	case f == nil || !f.established || s != f.server || !sameStream(p.Ack, f.ack):
+	case seqAfter(p.Ack, f.ack):
 		s.backend.RecordAnswer(now)
 		if claim != NoClaim && reason == NoReason {
 			reason = Contradicted
 		}
-	}
-	if s.hasEnded(now) {
+	case f.isRetransmission(p):
+		c.recordRetransmission(now, f, p)
+		if !f.confirms(now, claim, p) {
+			break
+		}
 		c.stats.ResetEnded++
 		c.untrack(key)
 		return Action{
-			Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.entry.Service,
+			Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.record.Service,
 			Claim: claim, Unanswered: s.backend.Unanswered(),
 		}
 	}
@@ -245,8 +256,8 @@
 	if !f.established {
 		a.Handshake = now - f.openedAt
 		if !f.retransmitted && !p.late() {
-			c.admissionOf(s.entry.Service).RecordHandshake(a.Handshake)
-			c.spansOf(s.entry.Service).RecordHandshake(a.Handshake)
+			c.admissionOf(s.record.Service).RecordHandshake(a.Handshake)
+			c.spansOf(s.record.Service).RecordHandshake(a.Handshake)
 		}
 		f.established = true
 		f.moveTo(s)
@@ -265,8 +276,8 @@
 		if f.inFlight {
 			a.Response = now - f.requestedAt
 			if !f.retransmitted && !p.late() {
-				c.admissionOf(s.entry.Service).RecordResponse(a.Response, f.loadAtRequest)
-				c.spansOf(s.entry.Service).RecordResponse(a.Response)
+				c.admissionOf(s.record.Service).RecordResponse(a.Response, f.loadAtRequest)
+				c.spansOf(s.record.Service).RecordResponse(a.Response)
 			}
 		}
 		f.endRequest()
@@ -275,17 +286,11 @@
 	if end := p.Seq + uint32(p.Length); p.Length > 0 && seqAfter(end, f.dataEnd) {
 		f.dataEnd = end
 		if f.requests > 0 {
-			c.spansOf(s.entry.Service).RecordInterval(now - f.requestedAt)
+			c.spansOf(s.record.Service).RecordInterval(now - f.requestedAt)
 		}
 		f.beginRequest(now)
 		f.loadAtRequest = s.backend.Utilization()
 		c.countRequest(f, p)
-	} else if p.Length > 0 && f.inFlight {
-		// The client retransmits a request that the server has not answered.
-		f.retransmitted = true
-		if !p.late() && s.backend.RecordUnanswered(now, f.requestedAt) {
-			c.stats.Avoided++
-		}
 	}
 }
 
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -70,7 +70,7 @@
 	if len(list) == 0 {
 		return nil, 0, false
 	}
-	class := admit.Class{Service: list[0].entry.Service, Kind: kind, Goal: route.LatencyGoal, Priority: c.priorityOf(route)}
+	class := admit.Class{Service: list[0].record.Service, Kind: kind, Goal: route.LatencyGoal, Priority: c.priorityOf(route)}
 	service := c.admissionOf(class.Service)
 	service.RecordOpening(class.Priority)
 	mayRefuse := !c.options.Off.Has(tune.Admission) && (!p.mayHaveCopy() || c.tooLate(p, &class))
--- a/internal/token/core/requests.go
+++ b/internal/token/core/requests.go
@@ -79,7 +79,7 @@
 // expectedTime returns the time in which the request of a flow, or its opening packet, is
 // answered.
 func (c *Core) expectedTime(f *flow) clock.Millis {
-	s := c.spansOf(f.server.entry.Service)
+	s := c.spansOf(f.server.record.Service)
 	if !f.established {
 		return s.Handshake(requestIdleTimeout)
 	}
@@ -90,7 +90,7 @@
 // this host.
 func (c *Core) activeTime(f *flow) clock.Millis {
 	if c.mayHaveMoved(f) {
-		return c.spansOf(f.server.entry.Service).Interval(flowActiveTimeout)
+		return c.spansOf(f.server.record.Service).Interval(flowActiveTimeout)
 	}
 	return flowActiveTimeout
 }
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -7,6 +7,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 )
 
 // updateServers brings the servers, their tokens and the lists by service in line with
@@ -18,6 +19,7 @@
 		if s == nil || s.started != e.Started || s.entry != e {
 			s = c.addServer(now, s, e)
 		}
+		s.record = e.Record
 		c.list(s)
 		s.token = c.tokens.TokenFor(s.id, s.started)
 	}
@@ -30,23 +32,50 @@
 	}
 }
 
-// addServer adds an incarnation, which replaces the one before, if that is not nil.
+// addServer adds an incarnation, which replaces the one before, if that is not nil. It may be
+// one that was replaced earlier, by a record that turned out to be wrong.
 func (c *Core) addServer(now clock.Millis, before *server, e *fleet.Server) *server {
-	s := &server{id: e.ID, started: e.Started, entry: e, backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests}
+	s := c.findReplaced(e)
+	if s == nil {
+		s = &server{id: e.ID, started: e.Started, entry: e, backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests}
+		c.tokens.Add(e.ID, e.Started, s)
+	}
 	if before == nil {
 		c.ordered = append(c.ordered, s)
 	} else {
 		c.unlist(before)
 		c.ordered[slices.Index(c.ordered, before)] = s
 		if before.started != s.started {
-			c.replaced = append(c.replaced, replacedServer{before, now})
+			before.replacedAt = now
+			c.replaced = append(c.replaced, before)
 		}
 	}
 	c.servers[e.ID] = s
-	c.tokens.Add(e.ID, e.Started, s)
 	return s
 }
 
+// findReplaced returns the incarnation that an entry of the fleet describes if it was
+// replaced before and is still known, or nil.
+func (c *Core) findReplaced(e *fleet.Server) *server {
+	s, known := c.tokens.Find(tokens.Candidate(e.ID, e.Started, 0))
+	if known && s.replacedAt > 0 && s.entry == e && s.started == e.Started {
+		return s
+	}
+	return nil
+}
+
+// forgetReplaced forgets the tokens of incarnations that were replaced long ago and have not
+// returned.
+func (c *Core) forgetReplaced(now clock.Millis) {
+	for len(c.replaced) > 0 && now-c.replaced[0].replacedAt > c.options.Fleet.ForgetAfter {
+		s := c.replaced[0]
+		c.replaced = c.replaced[1:]
+		if current := c.servers[s.id]; current == nil || current.started != s.started {
+			c.tokens.Remove(s.id, s.started)
+		}
+	}
+}
+
 // list puts a server into the list of its service, sorted by ID, if it takes new flows
 // and its data centre is not evacuated, and removes it otherwise.
 func (c *Core) list(s *server) {
