serve/fleet: let a follower accept an earlier incarnation announced later

Callers saw: after a server restarted under its ID with the clock of its machine set back, relays kept the record of the incarnation before. Packets with its token never got a reset, and those of the new one were not known.

Cause: a relay orders the incarnations of an ID by their start, although control hosts have already decided which one they believe, and send it only when that changes.

Change: on a Follower, an earlier start replaces the record held if it was announced later. A later start replaces as before. The time of the announcement goes with the incarnation, so that a control host that lags and sends the record before doesn't block the one after.

Evidence: TestFollowerAcceptsEarlierStart failed before in all three cases (start 6 instead of 5).

--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -138,7 +138,8 @@
 	// and the owner has not left.
 	ReuseAfter clock.Millis
 	// Follower leaves it to SetEnded to decide which of two servers with equal
-	// start times owns an address.
+	// start times owns an address, and accepts an earlier incarnation that was
+	// announced later than the one held.
 	Follower bool
 }
 
@@ -189,7 +190,7 @@
 		f.touch(s, true)
 		return Changed
 	}
-	if !r.supersedes(&s.Record) {
+	if !r.supersedes(&s.Record) && !f.followsEarlierStart(s, &r, announcedAt) {
 		s.announcedAt = f.latestAnnouncement(s, &r, announcedAt)
 		return Stale
 	}
@@ -206,7 +207,12 @@
 	if f.owners[s.Address] == s && s.Address != r.Address {
 		delete(f.owners, s.Address)
 	}
-	s.Record, s.announcedAt, s.silentSince = r, max(announcedAt, s.announcedAt), 0
+	// The times of two incarnations can't be merged: on a Follower, a record may
+	// replace one that was announced later.
+	if !f.options.Follower || r.Started == s.Started {
+		announcedAt = max(announcedAt, s.announcedAt)
+	}
+	s.Record, s.announcedAt, s.silentSince = r, announcedAt, 0
 	f.resolveOwner(now, s)
 	if (oldEndedAt > 0) != s.Ended() {
 		outcome = Changed
@@ -217,6 +223,13 @@
 	return outcome
 }
 
+// followsEarlierStart reports whether a Follower replaces s by r, which has an earlier
+// start. Control hosts send a record only if it is the one that they believe, so the
+// record announced later is their later decision.
+func (f *Fleet) followsEarlierStart(s *Server, r *Record, announcedAt clock.Millis) bool {
+	return f.options.Follower && r.Started < s.Started && announcedAt > s.announcedAt
+}
+
 // latestAnnouncement returns the time of the latest announcement of s after
 // receiving r, which does not supersede its record. Only a duplicate of the
 // current announcement can advance the time.
--- a/internal/serve/fleet/fleet_test.go
+++ b/internal/serve/fleet/fleet_test.go
@@ -57,6 +57,35 @@
 	}
 }
 
+// TestFollowerAcceptsEarlierStart guards against an incarnation that a follower never learns
+// of because the clock of its machine was set back before the restart.
+func TestFollowerAcceptsEarlierStart(t *testing.T) {
+	tests := []struct {
+		name        string
+		announcedAt clock.Millis
+		want        clock.Millis
+	}{
+		{"announced later", 1001, 5},
+		{"announced at the same time", 1000, 6},
+		{"announced before", 400, 6},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := fleet.New(fleet.Options{SilentAfter: 3600, ForgetAfter: 90_000, Follower: true})
+			f.Apply(1000, 1000, record("a", 6, 9, fleet.Ready), false)
+			f.Apply(1200, test.announcedAt, record("a", 5, 1, fleet.Ready), false)
+			c.Check(f.Find("a").Started, qt.Equals, test.want)
+			c.Check(f.Find("a").Usable(), qt.IsTrue)
+			// A control host that knows less sends the record before, then the one that it
+			// learns of.
+			f.Apply(1300, 1000, record("a", 6, 9, fleet.Ready), false)
+			f.Apply(1400, 1001, record("a", 5, 1, fleet.Ready), false)
+			c.Check(f.Find("a").Started, qt.Equals, clock.Millis(5))
+		})
+	}
+}
+
 func TestServerWithLaterStartOwnsTheAddress(t *testing.T) {
 	for _, order := range [][2]int{{0, 1}, {1, 0}} {
 		c := qt.New(t)
