token/core: never reset a copy of an opening packet

Callers could get a reset on a flow that was open: its copy reached a relay that didn't know the route yet (versions reach relays one after the other), or no server of it, while the first transmission had opened the flow through another relay.

Cause: the relay took what it knew for the state of the whole system. Refusals for load and for cold servers already spared copies, those for a missing route and, unless data centres were evacuated, for a missing server did not.

The first transmission is still refused at once. A client whose first one was lost waits for its own timeout of 1.4 s instead of a reset.

--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -24,7 +24,7 @@
 func (c *Core) handleOpening(now clock.Millis, key flowKey, p *Packet, upToDate bool) Action {
 	route := c.index.Find(p.To)
 	if route == nil {
-		if !upToDate {
+		if !upToDate || p.mayHaveCopy() {
 			return Action{Verdict: Drop, Reason: NoRoute}
 		}
 		c.stats.ResetNoRoute++
@@ -83,16 +83,13 @@
 	return a
 }
 
-// refuseWithoutServer decides on an opening of a route without a server for new flows.
+// refuseWithoutServer decides on an opening of a route without a server for new flows. The
+// first transmission is refused at once, since a copy could not be served either.
 func (c *Core) refuseWithoutServer(route *routes.Route, p *Packet, upToDate bool) Action {
-	evacuated := c.hasEvacuatedServer(route)
-	if evacuated {
+	if c.hasEvacuatedServer(route) {
 		c.stats.EvacuatedNoServer++
 	}
-	// A retransmission could not be served either, so don't make the client wait. But if
-	// only an evacuation takes the servers away, the transmission before may have opened
-	// the flow through another host, and an open flow must not be reset.
-	if upToDate && (!evacuated || !p.mayHaveCopy()) {
+	if upToDate && !p.mayHaveCopy() {
 		c.stats.ResetNoServer++
 		return Action{Verdict: Reset, Reason: NoServer}
 	}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -46,7 +46,8 @@
 }
 
 // mayHaveCopy reports whether another transmission of an opening packet may have opened
-// the flow through another host. Such a packet must not be refused.
+// the flow through another host, whatever this host knows of routes, servers and loads.
+// Such a packet must not be answered with a reset.
 func (p *Packet) mayHaveCopy() bool { return p.Ack > 0 || p.AfterStall }
 
 // late reports whether the packet may have waited for so long that it says little about
