token/core: reset no opening packet that waited until its client sent a copy

Callers could get a reset on an open flow from a relay that was behind with its openings: 200 ms after the first transmission the client sends a copy, which routers may have sent to another host meanwhile (one that joins or leaves moves nearly all flows), and the copy opened the flow there.

Cause: only packets with an earlier copy, or read after a stall of 500 ms, were spared. A host that is short of processor time lets openings wait longer without a stall.

Evidence: TestOpeningThatWaitedIsNotReset, 4 of 8 cases failed before, none now. By reading, not seen on a deployment.

Change: an opening that waited for 200 ms or more on this host is dropped where it would have been refused. Its copy is decided by itself. Admission is as before.

--- a/internal/token/core/cold.go
+++ b/internal/token/core/cold.go
@@ -167,7 +167,7 @@
 // are used up. A retransmission is dropped: the transmission before may have opened the
 // flow through another host, and an open flow must not be reset.
 func (c *Core) refuseCold(p *Packet) Action {
-	if p.mayHaveCopy() {
+	if !p.mayBeRefused() {
 		c.stats.DroppedNoServer++
 		return Action{Verdict: Drop, Reason: ColdServers}
 	}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -154,7 +154,7 @@
 // started. EvacuatedNoServer counts the packets of ResetNoServer and DroppedNoServer that
 // a server in an evacuated data centre could have served. The others count packets by
 // their verdict and reason. OpenedCold counts the flows opened on or moved to cold
-// servers, DroppedCopies the copies of opening packets for which no server had room.
+// servers, DroppedCopies the opening packets that had no room and may have copies.
 type Stats struct {
 	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
 	Moved, Corrected, Avoided, Answered, EvacuatedNoServer, OpenedCold, ResetCold, DroppedCopies uint64
--- a/internal/token/core/ended_test.go
+++ b/internal/token/core/ended_test.go
@@ -179,6 +179,32 @@
 	}
 }
 
+// TestOpeningThatWaitedIsNotReset guards against a reset of a flow whose copy has opened it
+// through another host while the first transmission waited on this one.
+func TestOpeningThatWaitedIsNotReset(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		waited clock.Millis
+		want   core.Verdict
+	}{
+		{"before the first copy", 199, core.Reset},
+		{"after the first copy", 200, core.Drop},
+	} {
+		for _, full := range []bool{false, true} {
+			h := newBareCore(1)
+			if full {
+				h = newStartedCore(1)
+			}
+			h.Configure(1, table(1, routeX))
+			p := syn(0)
+			p.Waited, p.LinkFull = test.waited, full
+			qt.Check(t, h.HandlePacket(1000, p, true).Verdict, qt.Equals, test.want, qt.Commentf("%s, link full %t", test.name, full))
+			p.To = netip.MustParseAddrPort("198.18.0.9:443")
+			qt.Check(t, h.HandlePacket(1000, p, true).Verdict, qt.Equals, test.want, qt.Commentf("%s, no route", test.name))
+		}
+	}
+}
+
 // TestIncarnationThatReturnsKeepsItsToken guards against forgetting the token of a server
 // whose record a wrong one had replaced for a while.
 func TestIncarnationThatReturnsKeepsItsToken(t *testing.T) {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -24,7 +24,7 @@
 func (c *Core) handleOpening(now clock.Millis, key flowKey, p *Packet, upToDate bool) Action {
 	route := c.index.Find(p.To)
 	if route == nil {
-		if !upToDate || p.mayHaveCopy() {
+		if !upToDate || !p.mayBeRefused() {
 			return Action{Verdict: Drop, Reason: NoRoute}
 		}
 		c.stats.ResetNoRoute++
@@ -36,8 +36,7 @@
 	}
 	// A copy may follow an opening that was forwarded by another host.
 	if p.LinkFull && !p.mayHaveCopy() {
-		c.stats.ResetLinkFull++
-		return Action{Verdict: Reset, Reason: LinkFull}
+		return c.refuseLinkFull(p)
 	}
 	if f != nil {
 		f.endRequest()
@@ -69,12 +68,22 @@
 	return a
 }
 
+// refuseLinkFull decides on an opening whose data the link of this host has no room for.
+func (c *Core) refuseLinkFull(p *Packet) Action {
+	if !p.mayBeRefused() {
+		c.stats.DroppedCopies++
+		return Action{Verdict: Drop, Reason: LinkFull}
+	}
+	c.stats.ResetLinkFull++
+	return Action{Verdict: Reset, Reason: LinkFull}
+}
+
 // refuseOverloaded decides on an opening for which no server has room. A copy is not reset,
 // since an earlier transmission may have opened the flow through another host. Its client
 // sends another copy or, in the end, a new opening.
 func (c *Core) refuseOverloaded(p *Packet, s *server, load float64) Action {
 	a := Action{Verdict: Reset, Reason: Overloaded, ServerID: s.id, Service: s.record.Service, Load: load}
-	if p.mayHaveCopy() {
+	if !p.mayBeRefused() {
 		c.stats.DroppedCopies++
 		a.Verdict = Drop
 		return a
@@ -89,7 +98,7 @@
 	if c.hasEvacuatedServer(route) {
 		c.stats.EvacuatedNoServer++
 	}
-	if upToDate && !p.mayHaveCopy() {
+	if upToDate && p.mayBeRefused() {
 		c.stats.ResetNoServer++
 		return Action{Verdict: Reset, Reason: NoServer}
 	}
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -47,9 +47,13 @@
 
 // mayHaveCopy reports whether another transmission of an opening packet may have opened
 // the flow through another host, whatever this host knows of routes, servers and loads.
-// Such a packet must not be answered with a reset.
 func (p *Packet) mayHaveCopy() bool { return p.Ack > 0 || p.AfterStall }
 
+// mayBeRefused reports whether an opening packet that can't be served may be answered with
+// a reset: it has no copy, neither an earlier one nor one that was sent while it waited on
+// this host.
+func (p *Packet) mayBeRefused() bool { return !p.mayHaveCopy() && p.Waited < copyAges[1] }
+
 // late reports whether the packet may have waited for so long that it says little about
 // when its sender sent it.
 func (p *Packet) late() bool { return p.Waited > maxMeasuredWait }
