token/core: end flows of a removed route only if they were known before its removal

Callers could get a reset on an open flow whose route had been removed and added again: a relay that had the removal, but not the later version, reset flows that another relay had opened under that.

Cause: for 60 s after a removal, any packet to the address was reset, whether or not its flow was older than the removal. Versions reach relays one after the other, and routers move flows between them.

Evidence: TestRemovedRouteEndsNoLaterFlow failed at the first packet, and holds now. By reading, not seen on a deployment.

Change: a flow is reset if this relay knew it before the removal came in force here. Packets of other flows go on by their token, as they did from 60 s on.

--- a/internal/token/core/ended_test.go
+++ b/internal/token/core/ended_test.go
@@ -179,6 +179,32 @@
 	}
 }
 
+// TestRemovedRouteEndsNoLaterFlow guards against a reset, by a host that lags, of a flow that
+// another host has opened after the route was added again.
+func TestRemovedRouteEndsNoLaterFlow(t *testing.T) {
+	c := qt.New(t)
+	ahead, behind := newStartedCore(1), newStartedCore(2)
+	earlier := ahead.HandlePacket(10, syn(0), true)
+	earlierPacket := *data(earlier.Token, 9000, 50)
+	behind.HandlePacket(20, &earlierPacket, true)
+	for _, h := range []*core.Core{ahead, behind} {
+		h.Configure(1000, table(2, routeY))
+	}
+	ahead.Configure(1100, table(3, routeX, routeY))
+	p := syn(0)
+	p.From = netip.MustParseAddrPort("100.64.0.8:1")
+	later := ahead.HandlePacket(1200, p, true)
+	c.Assert(later.Verdict, qt.Equals, core.Forward)
+	laterPacket := *data(later.Token, 7000, 50)
+	laterPacket.From = p.From
+	for now := clock.Millis(1210); now < 8000; now += 500 {
+		a := behind.HandlePacket(now, &laterPacket, true)
+		c.Assert(a.Verdict, qt.Equals, core.Forward, qt.Commentf("at %d", now))
+		c.Assert(a.Number, qt.Equals, later.Number)
+	}
+	c.Check(behind.HandlePacket(1300, &earlierPacket, true).Reason, qt.Equals, core.RouteRemoved)
+}
+
 // TestOpeningThatWaitedIsNotReset guards against a reset of a flow whose copy has opened it
 // through another host while the first transmission waited on this one.
 func TestOpeningThatWaitedIsNotReset(t *testing.T) {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -165,13 +165,15 @@
 
 // handleSubsequent decides on a packet that follows the opening packet.
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
-	if _, removed := c.removed[p.To]; removed {
+	f := c.flows[key]
+	// A flow that this host didn't know before the removal may have been opened through
+	// another host after the route was added again.
+	if removedAt, removed := c.removed[p.To]; removed && f != nil && f.openedAt < removedAt {
 		c.stats.ResetRemoved++
 		c.untrack(key)
 		return Action{Verdict: Reset, Reason: RouteRemoved}
 	}
 	s, known := c.tokens.Find(p.Token)
-	f := c.flows[key]
 	claim := NoClaim
 	if known {
 		claim, s = s.claim(), c.successor(s)
