token/core: let late copies of openings open no second server

Packets of an open flow could go to another server, which reset it, without any claim about its own server.

Cause: a relay that had got a flow from another one didn't recognise copies of its opening: openings wait behind packets of open flows, so on a relay that is behind, a copy is decided after the first data. It was sent to a server chosen anew, whose handshake reached the client of the open flow, and the relay forgot the right server. After a stall, first transmissions and those of clients that had given up had the same effect. A flow that came with the token of the wrong server kept that for good.

Change: an opening belongs to a flow that was adopted if its initial sequence number precedes the flow's data. Of the openings read after a stall, first transmissions and those older than the clients' timeout are dropped. An adopted flow follows the token under which new data is acknowledged first.

--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -150,6 +150,7 @@
 	"overloaded":   "its servers could not have answered in time",
 	"linkFull":     "the link of its entry host had no room for a large flow",
 	"coldServers":  "all its servers were cold, and the host had no grant left to open a flow on one",
+	"stalled":      "the entry host was stalled when the opening packet arrived",
 	"unknownFlow":  "the entry host had no record of the flow and could not find its server",
 	"noProgress":   "its client kept retransmitting a segment that its server did not acknowledge",
 	"clientSilent": "its client answered no probe",
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -44,6 +44,13 @@
 	// adopted is set on a flow that came from another host, until its first request here,
 	// of which it isn't known whether it is the first one of the flow.
 	adopted bool
+	// openedElsewhere is set on a flow whose opening packet went through another host, so
+	// that seq is not known.
+	openedElsewhere bool
+	// confirmed is set once the client has acknowledged data, or the handshake, under the token
+	// of the flow's server. A flow that came from another host may have come with the token of
+	// a server that answered another copy of its opening.
+	confirmed bool
 	// ack is the highest acknowledgement number seen, dataEnd the highest sequence
 	// number at the end of a packet's data.
 	ack     uint32
@@ -55,6 +62,15 @@
 	untracked bool
 }
 
+// isOpenedBy reports whether an opening packet is one of those that opened the flow. The
+// data of a flow follows its client's initial sequence number.
+func (f *flow) isOpenedBy(p *Packet) bool {
+	if f.openedElsewhere {
+		return seqAfter(f.dataEnd, p.Seq) && sameStream(f.dataEnd, p.Seq)
+	}
+	return f.seq == p.Seq
+}
+
 // maxAckDistance bounds the distance between the acknowledgement numbers of two
 // packets of one flow. Initial sequence numbers of servers are random, so a larger
 // distance means that the flow is with another server.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -30,8 +30,12 @@
 		c.stats.ResetNoRoute++
 		return Action{Verdict: Reset, Reason: NoRoute}
 	}
+	if p.isOutdated() {
+		c.stats.DroppedCopies++
+		return Action{Verdict: Drop, Reason: Stalled}
+	}
 	f := c.flows[key]
-	if f != nil && f.seq == p.Seq && !f.closed {
+	if f != nil && f.isOpenedBy(p) && !f.closed {
 		return c.handleRetransmittedOpening(now, f, p)
 	}
 	// A copy may follow an opening that was forwarded by another host.
@@ -182,6 +186,11 @@
 		f.moveTo(c.successor(f.server))
 	}
 	reason := NoReason
+	advances := f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
+	if advances && known && !f.confirmed {
+		f.moveTo(s)
+		f.confirmed = true
+	}
 	if f != nil && f.established && sameStream(p.Ack, f.ack) && (!known || s != f.server) && !c.options.Off.Has(tune.CorrectTokens) {
 		// The token is unknown, or is that of another server, for example of one that
 		// answered another transmission of the opening packet.
@@ -232,7 +241,7 @@
 	c.movedAt = now
 	f := &flow{
 		server: s, route: c.index.Find(p.To), openedAt: now, lastAt: now, established: true,
-		ack: p.Ack, dataEnd: p.Seq, adopted: true,
+		ack: p.Ack, dataEnd: p.Seq, adopted: true, openedElsewhere: true,
 	}
 	c.track(key, f)
 	return f
@@ -267,7 +276,7 @@
 			c.admissionOf(s.record.Service).RecordHandshake(a.Handshake)
 			c.spansOf(s.record.Service).RecordHandshake(a.Handshake)
 		}
-		f.established = true
+		f.established, f.confirmed = true, true
 		f.moveTo(s)
 		f.ack, f.dataEnd = p.Ack, p.Seq
 		s.backend.RecordAnswer(now)
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -54,6 +54,14 @@
 // this host.
 func (p *Packet) mayBeRefused() bool { return !p.mayHaveCopy() && p.Waited < copyAges[1] }
 
+// isOutdated reports whether an opening packet was read after a stall and its client has
+// sent a copy or given up meanwhile, or will soon send a copy. If routers have sent a copy to
+// another host, a second server would answer the client of an open flow.
+func (p *Packet) isOutdated() bool {
+	age := copyAges[min(int(p.Ack), len(copyAges)-1)]
+	return p.AfterStall && (p.Ack == 0 || p.Waited >= handshakeTimeout-age)
+}
+
 // late reports whether the packet may have waited for so long that it says little about
 // when its sender sent it.
 func (p *Packet) late() bool { return p.Waited > maxMeasuredWait }
@@ -109,6 +117,8 @@
 	// ColdServers means that all servers are cold, and that this host may not open
 	// another flow on one of them now.
 	ColdServers
+	// Stalled means that the opening packet may have waited while the process was stalled.
+	Stalled
 	// Reasons is the number of reasons.
 	Reasons
 )
@@ -117,7 +127,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers",
+		"serverEnded", "newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
 	}[r]
 }
 
