token/core: end flows of a removed route only on the host that opened them

A relay two versions behind could reset an open flow: it adopted a flow that was opened under the version that has the route again, and then learned the one without it. An adopted flow says nothing about when it was opened, so it is not reset.

--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -170,9 +170,9 @@
 // handleSubsequent decides on a packet that follows the opening packet.
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
 	f := c.flows[key]
-	// A flow that this host didn't know before the removal may have been opened through
-	// another host after the route was added again.
-	if removedAt, removed := c.removed[p.To]; removed && f != nil && f.openedAt < removedAt {
+	// A flow that was opened through another host may be one from after the route was added
+	// again.
+	if removedAt, removed := c.removed[p.To]; removed && f != nil && f.openedAt < removedAt && !f.openedElsewhere {
 		c.stats.ResetRemoved++
 		c.untrack(key)
 		return Action{Verdict: Reset, Reason: RouteRemoved}
