serve/verify, token/core: weigh retransmissions as evidence that a server has ended

Cause: retransmissions were counted as the choice of servers counts them. Packets that were lost or reordered at one moment counted several times, uploads counted although they went on, and a claim on the incarnation before counted against its successor, which resets what it doesn't hold itself. A request whose retransmissions came more than 800 ms apart, or that was sent with the end of the handshake, never counted. The end of a stale record was applied to the record held, and an incarnation that returned kept others from being forgotten.

Of TestSlowAnswerOfARestartedServerKeepsItsFlow, TestOneLostWindowConfirmsNoClaim, TestOneLossOnTwoFlowsConfirmsNoClaim, TestUploadThatGoesOnIsNotReset, TestReorderedPacketsAreNotUnanswered, TestRecordOfTheSameStartMovesNoOpenFlow, TestFlowWithLongRetransmitIntervalsIsReset, TestFirstRequestOfAFlowConfirmsAClaim, TestReturningIncarnationLetsOthersBeForgotten and TestEndOfAnEarlierIncarnationSparesTheLaterOne each failed on; all hold now.

Change: package serve/verify holds the evidence of one server. Two retransmissions at least 100 ms apart, without an answer to a later packet, end the flow of the second; three over a second end the other flows of a server that is said to have ended. New data after a retransmission is an answer. A later record with another address is another incarnation, also with the same start.

Two cases of TestFlowOfASilentEndedServerIsReset, the restarts at the same address, expected resets that the server at that address makes itself; they now expect the packets to reach it. The test got the rule for further flows.

--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -21,9 +21,6 @@
 	// trialInterval is the time between trial flows to a server whose backoff has
 	// ended. It covers the first retransmission of an opening packet.
 	trialInterval = 400 * clock.Millis(1)
-	// evidenceTTL is how long an unanswered packet counts together with the next one. It
-	// exceeds the longest interval between two retransmissions of clients, 1.6 s.
-	evidenceTTL = 3 * clock.Second
 	// inFlightWeight is the weight of a request in flight relative to a long flow.
 	// Requests in flight decide between servers with similar numbers of long flows,
 	// and outweigh those numbers where requests queue up.
@@ -54,10 +51,8 @@
 	// remote is the load from all other hosts.
 	remote Load
 
-	// failures counts unanswered packets since the last answer. FailedAt is when the latest
-	// was recorded.
+	// failures counts unanswered packets since the last answer.
 	failures   int
-	failedAt   clock.Millis
 	answeredAt clock.Millis
 	// avoidedUntil is the end of the latest backoff or trial interval, or 0 if
 	// there was none since the last answer.
@@ -117,12 +112,7 @@
 	if b.answeredAt >= sent {
 		return false
 	}
-	// A single packet that was lost long ago says nothing about the server by now.
-	if now-b.failedAt > evidenceTTL {
-		b.failures = 0
-	}
 	b.failures++
-	b.failedAt = now
 	if now < b.avoidedUntil {
 		return false
 	}
@@ -131,10 +121,6 @@
 	return true
 }
 
-// Unanswered returns the number of retransmissions since the last answer that show an
-// unanswered packet, up to the latest gap of more than evidenceTTL between two of them.
-func (b *Backend) Unanswered() int { return b.failures }
-
 // Suspected reports whether a packet went unanswered and no packet has been
 // answered since.
 func (b *Backend) Suspected() bool { return b.failures > 0 }
--- /dev/null
+++ b/internal/serve/verify/verify.go
@@ -0,0 +1,81 @@
+// Package verify tells whether a backend server that is said to have ended has ended. What
+// hosts hear of a server (announcements, removals, records of other servers at its address)
+// can be late, out of order or from another writer. Only the server knows which flows it
+// holds, and it resets those that it doesn't hold. A host ends a flow in its place only if
+// the server is said to have ended and leaves retransmitted requests unanswered.
+//
+// The evidence is made for lossy links and for servers with few flows through a host: one
+// moment of loss never suffices, however many packets and flows it hits.
+package verify
+
+import "monsooncleat.example/monsooncleat/internal/base/clock"
+
+const (
+	// minAge is the time after a request from which a repeated packet of it is a
+	// retransmission, and not one that was reordered. Clients retransmit after 200 ms.
+	minAge = 150 * clock.Millis(1)
+	// minGap is the least time between two retransmissions that count. Packets that are
+	// lost at one moment are retransmitted at one moment.
+	minGap = 100 * clock.Millis(1)
+	// confirming is the number of retransmissions that end the flow of one of them.
+	confirming = 2
+	// conclusive is the number of retransmissions, and conclusiveSpan the time from the first
+	// request to the last of them, that end the other flows of the server.
+	conclusive     = 3
+	conclusiveSpan = clock.Second
+	// evidenceTTL is how long a retransmission counts together with the next one. It exceeds
+	// the longest interval of clients, 1.6 s. ConclusiveTTL is how long conclusive evidence holds.
+	evidenceTTL   = 3 * clock.Second
+	conclusiveTTL = 15 * clock.Second
+)
+
+// Silence is the evidence that a server doesn't answer, as one host sees it. The zero Silence
+// is that of a server of which nothing is known.
+type Silence struct {
+	answeredAt clock.Millis
+	// count is the number of retransmissions that count since the last answer, the last of them
+	// at countedAt. SentAt is when the request of the first was sent.
+	count             int
+	sentAt, countedAt clock.Millis
+}
+
+// Answered records that the server answered any packet.
+func (s *Silence) Answered(now clock.Millis) { s.answeredAt, s.count = now, 0 }
+
+// Unanswered records the retransmission of a request that was sent at sent, and reports
+// whether it confirms that the server doesn't answer.
+func (s *Silence) Unanswered(now, sent clock.Millis) bool {
+	if now-sent < minAge || s.answeredAt > sent {
+		return false
+	}
+	if s.count > 0 && now-s.countedAt < minGap {
+		return s.count >= confirming
+	}
+	if s.expired(now) {
+		s.count = 0
+	}
+	if s.count == 0 {
+		s.sentAt = sent
+	}
+	s.count++
+	s.countedAt = now
+	return s.count >= confirming
+}
+
+// Count returns the number of retransmissions that count since the last answer.
+func (s *Silence) Count() int { return s.count }
+
+// Conclusive reports whether the server has left so much unanswered that the packets of its
+// other flows need no evidence of their own.
+func (s *Silence) Conclusive(now clock.Millis) bool { return s.isConclusive() && !s.expired(now) }
+
+func (s *Silence) isConclusive() bool {
+	return s.count >= conclusive && s.countedAt-s.sentAt >= conclusiveSpan
+}
+
+func (s *Silence) expired(now clock.Millis) bool {
+	if s.isConclusive() {
+		return now-s.countedAt > conclusiveTTL
+	}
+	return now-s.countedAt > evidenceTTL
+}
--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -5,15 +5,6 @@
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
-// minRetransmitDelay is the time after a request from which a repeated packet of it counts as
-// a retransmission, not as one that was reordered. Clients retransmit after 200 ms.
-const minRetransmitDelay = 150 * clock.Millis(1)
-
-// minUnanswered is the number of retransmissions that a server must leave unanswered, with no
-// answer to any packet in between, for a claim that it has ended to be believed. One packet may
-// be lost on the way.
-const minUnanswered = 2
-
 // Claim is why a server is said to have ended. Announcements, removals and records of other
 // servers can be late, out of order or from another writer, so a claim may be wrong.
 type Claim uint8
@@ -34,10 +25,16 @@
 	return [...]string{"none", "restarted", "removed", "displaced"}[c]
 }
 
+// isSuperseded reports whether the latest record of the server's ID is that of another
+// incarnation. A server keeps its address until it ends.
+func (s *server) isSuperseded() bool {
+	return s.started != s.entry.Started || s.record.Address != s.entry.Address
+}
+
 // claim returns why the server is said to have ended.
 func (s *server) claim() Claim {
 	switch {
-	case s.started != s.entry.Started:
+	case s.isSuperseded():
 		return Restarted
 	case !s.entry.Ended():
 		return NoClaim
@@ -52,7 +49,7 @@
 // server at that address knows whether it holds a flow of s: it may have opened the flow
 // itself before this host knew of its restart.
 func (c *Core) successor(s *server) *server {
-	if s.started == s.entry.Started {
+	if !s.isSuperseded() {
 		return s
 	}
 	if next := c.servers[s.id]; next != nil && next.record.Address == s.record.Address {
@@ -61,23 +58,24 @@
 	return s
 }
 
-// isRetransmission reports whether a packet repeats data of a request that is in flight
-// and acknowledges nothing new.
+// isRetransmission reports whether a packet repeats the latest data of the client, whose
+// answer it has not received.
 func (f *flow) isRetransmission(p *Packet) bool {
-	return f.established && f.inFlight && p.Length > 0 && !seqAfter(p.Ack, f.ack) && !seqAfter(p.Seq+uint32(p.Length), f.dataEnd)
+	return f.established && p.Length > 0 && p.Ack == f.ack && !seqAfter(p.Seq+uint32(p.Length), f.dataEnd)
 }
 
-// recordRetransmission records that the server of a flow has not answered a request.
-func (c *Core) recordRetransmission(now clock.Millis, f *flow, p *Packet) {
-	f.retransmitted = true
-	if !p.late() && f.server.backend.RecordUnanswered(now, f.requestedAt) {
-		c.stats.Avoided++
+// confirmsEnd records what a packet of a flow tells about its server, and reports whether
+// that confirms that the server has ended, as it is said to. Without a claim, a server that
+// doesn't answer is slow or out of reach.
+func (c *Core) confirmsEnd(now clock.Millis, f *flow, s *server, claim Claim, p *Packet) bool {
+	if f != nil && f.server == s && f.isRetransmission(p) && !p.late() && s.silence.Unanswered(now, f.requestedAt) {
+		return claim != NoClaim
 	}
+	return claim != NoClaim && s.silence.Conclusive(now)
 }
 
-// confirms reports whether the retransmission p of a request confirms the claim that the
-// server of its flow has ended. Without a claim, a server that doesn't answer is slow or out
-// of reach.
-func (f *flow) confirms(now clock.Millis, claim Claim, p *Packet) bool {
-	return claim != NoClaim && !p.late() && now-f.requestedAt >= minRetransmitDelay && f.server.backend.Unanswered() >= minUnanswered
+// recordAnswer records that a server has answered a packet.
+func (s *server) recordAnswer(now clock.Millis) {
+	s.backend.RecordAnswer(now)
+	s.silence.Answered(now)
 }
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -14,6 +14,7 @@
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/serve/spans"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
+	"monsooncleat.example/monsooncleat/internal/serve/verify"
 	"monsooncleat.example/monsooncleat/internal/serve/warm"
 )
 
@@ -76,6 +77,8 @@
 	// record is the latest record of this incarnation. Its flows go to the address there.
 	record  fleet.Record
 	backend *choose.Backend
+	// silence is the evidence that the incarnation doesn't answer.
+	silence verify.Silence
 	token   tokens.Token
 	// requests is Core.requests.
 	requests *requests
@@ -248,7 +251,10 @@
 	for i := range u.Servers {
 		s := &u.Servers[i]
 		c.fleet.Apply(now, now-s.Age, s.Record, false)
-		c.fleet.SetEnded(now, s.Record.ID, s.Ended)
+		// The end of another incarnation than the one held says nothing about that.
+		if held := c.fleet.Find(s.Record.ID); held != nil && held.Started == s.Record.Started {
+			c.fleet.SetEnded(now, s.Record.ID, s.Ended)
+		}
 	}
 	c.updateSilent(now, u)
 	changed := c.fleet.ChangedSince(position)
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -180,7 +180,8 @@
 	s, known := c.tokens.Find(p.Token)
 	claim := NoClaim
 	if known {
-		claim, s = s.claim(), c.successor(s)
+		s = c.successor(s)
+		claim = s.claim()
 	}
 	if f != nil {
 		f.moveTo(c.successor(f.server))
@@ -202,23 +203,18 @@
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	switch {
-	case f == nil || !f.established || s != f.server || !sameStream(p.Ack, f.ack):
-	case seqAfter(p.Ack, f.ack):
-		s.backend.RecordAnswer(now)
+	if advances && s == f.server {
+		s.recordAnswer(now)
 		if claim != NoClaim && reason == NoReason {
 			reason = Contradicted
 		}
-	case f.isRetransmission(p):
-		c.recordRetransmission(now, f, p)
-		if !f.confirms(now, claim, p) {
-			break
-		}
+	}
+	if c.confirmsEnd(now, f, s, claim, p) {
 		c.stats.ResetEnded++
 		c.untrack(key)
 		return Action{
 			Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.record.Service,
-			Claim: claim, Unanswered: s.backend.Unanswered(),
+			Claim: claim, Unanswered: s.silence.Count(),
 		}
 	}
 	if f == nil || f.established && !sameStream(p.Ack, f.ack) {
@@ -226,7 +222,7 @@
 	}
 	a := c.forward(s, reason)
 	if claim != NoClaim {
-		a.Claim, a.Unanswered = claim, s.backend.Unanswered()
+		a.Claim, a.Unanswered = claim, s.silence.Count()
 	}
 	c.updateFlow(now, f, s, p, &a)
 	return a
@@ -279,7 +275,7 @@
 		f.established, f.confirmed = true, true
 		f.moveTo(s)
 		f.ack, f.dataEnd = p.Ack, p.Seq
-		s.backend.RecordAnswer(now)
+		s.recordAnswer(now)
 		c.stats.Answered++
 	}
 	if p.Abort || p.Close {
@@ -298,16 +294,26 @@
 			}
 		}
 		f.endRequest()
-		s.backend.RecordAnswer(now)
+		s.recordAnswer(now)
 	}
 	if end := p.Seq + uint32(p.Length); p.Length > 0 && seqAfter(end, f.dataEnd) {
 		f.dataEnd = end
+		if f.retransmitted {
+			// Clients send no new data before the server has acknowledged what was lost.
+			s.silence.Answered(now)
+		}
 		if f.requests > 0 {
 			c.spansOf(s.record.Service).RecordInterval(now - f.requestedAt)
 		}
 		f.beginRequest(now)
 		f.loadAtRequest = s.backend.Utilization()
 		c.countRequest(f, p)
+	} else if p.Length > 0 && f.inFlight {
+		// The client retransmits a request that the server has not answered.
+		f.retransmitted = true
+		if !p.late() && s.backend.RecordUnanswered(now, f.requestedAt) {
+			c.stats.Avoided++
+		}
 	}
 }
 
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -16,7 +16,7 @@
 func (c *Core) updateServers(now clock.Millis, changed []*fleet.Server) {
 	for _, e := range changed {
 		s := c.servers[e.ID]
-		if s == nil || s.started != e.Started || s.entry != e {
+		if s == nil || s.entry != e || s.isSuperseded() {
 			s = c.addServer(now, s, e)
 		}
 		s.record = e.Record
@@ -37,7 +37,10 @@
 func (c *Core) addServer(now clock.Millis, before *server, e *fleet.Server) *server {
 	s := c.findReplaced(e)
 	if s == nil {
-		s = &server{id: e.ID, started: e.Started, entry: e, backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests}
+		s = &server{
+			id: e.ID, started: e.Started, entry: e, record: e.Record,
+			backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests,
+		}
 		c.tokens.Add(e.ID, e.Started, s)
 	}
 	if before == nil {
@@ -58,10 +61,11 @@
 // replaced before and is still known, or nil.
 func (c *Core) findReplaced(e *fleet.Server) *server {
 	s, known := c.tokens.Find(tokens.Candidate(e.ID, e.Started, 0))
-	if known && s.replacedAt > 0 && s.entry == e && s.started == e.Started {
-		return s
+	if !known || s.replacedAt == 0 || s.entry != e || s.isSuperseded() {
+		return nil
 	}
-	return nil
+	c.replaced = slices.DeleteFunc(c.replaced, func(r *server) bool { return r == s })
+	return s
 }
 
 // forgetReplaced forgets the tokens of incarnations that were replaced long ago and have not
