serve/fleet, dir/core: log why a server counts as ended or is superseded

Callers saw flows reset with serverEnded, and no log of a control host told which rule had ended the server: left, address taken by another ID, or another incarnation of its ID.

Change: Options.Report of a Fleet gets each decision with the rule, the records and the ages of both servers. A control host logs it as "Server not used.". No change of what is decided. Evidence: TestReportsWhyAServerIsNotUsed, new, checks rule, rival, starts and ages of the three.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -133,6 +133,7 @@
 	}
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
 	c.lastRequestID = firstRequestID(options.RunID)
+	options.Fleet.Report = c.logDecision
 	c.list = share.NewList(options.Fleet, options.RunID, now, group{c}, func(service string) bool { return c.tables.Allows(service) }, send)
 	c.blocks, c.entryHosts = share.NewBlocks(c.list), advert.New(now)
 	c.centres = map[string]string{addressOf(options.ID): options.Centre}
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -58,6 +58,14 @@
 		"service", r.Service, "address", r.Address.String())
 }
 
+// logDecision logs why a server counts as ended or takes no new flows.
+func (c *Core) logDecision(d fleet.Decision) {
+	c.logLine("Server not used.", "rule", d.Rule.String(), "id", d.Server.ID, "started", int64(d.Server.Started), "seq", d.Server.Seq,
+		"address", d.Server.Address.String(), "service", d.Server.Service, "age", int64(d.Age),
+		"rival", d.Rival.ID, "rivalStarted", int64(d.Rival.Started), "rivalSeq", d.Rival.Seq,
+		"rivalAddress", d.Rival.Address.String(), "rivalService", d.Rival.Service, "rivalAge", int64(d.RivalAge))
+}
+
 // Leave marks a server as left, on the server's own request. It is acknowledged
 // once a quorum knows it.
 func (c *Core) Leave(now clock.Millis, callID CallID, id string) {
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -141,6 +141,8 @@
 	// start times owns an address, and accepts an earlier incarnation that was
 	// announced later than the one held.
 	Follower bool
+	// Report, if set, is called when a server counts as ended or is superseded.
+	Report func(Decision)
 }
 
 // Fleet holds the records of all servers. It is not safe for concurrent use.
@@ -212,7 +214,11 @@
 	if !f.options.Follower || r.Started == s.Started {
 		announcedAt = max(announcedAt, s.announcedAt)
 	}
+	before, beforeAt := s.Record, s.announcedAt
 	s.Record, s.announcedAt, s.silentSince = r, announcedAt, 0
+	if r.Started != before.Started {
+		f.decide(now, RuleSuperseded, &before, beforeAt, s)
+	}
 	f.resolveOwner(now, s)
 	if (oldEndedAt > 0) != s.Ended() {
 		outcome = Changed
@@ -245,20 +251,20 @@
 // their start times are equal. A server that has left is always marked as ended.
 func (f *Fleet) resolveOwner(now clock.Millis, s *Server) {
 	if s.State == Left {
-		f.markEnded(now, s)
+		f.markEnded(now, s, RuleLeft, nil)
 	}
 	owner := f.owners[s.Address]
 	switch {
 	case owner == nil || owner == s:
 		f.owners[s.Address] = s
 	case f.replaces(s, owner):
-		f.markEnded(now, owner)
+		f.markEnded(now, owner, RuleAddressTaken, s)
 		f.owners[s.Address] = s
 		if s.State != Left {
 			s.endedAt = 0
 		}
 	case !f.options.Follower || s.Started != owner.Started:
-		f.markEnded(now, s)
+		f.markEnded(now, s, RuleAddressTaken, owner)
 	}
 }
 
@@ -280,9 +286,10 @@
 	return s.announcedAt-owner.announcedAt >= f.options.ReuseAfter
 }
 
-func (f *Fleet) markEnded(now clock.Millis, s *Server) {
+func (f *Fleet) markEnded(now clock.Millis, s *Server, rule Rule, rival *Server) {
 	if s.endedAt == 0 {
 		s.endedAt = now
+		f.decide(now, rule, &s.Record, s.announcedAt, rival)
 		f.touch(s, true)
 	}
 }
@@ -367,7 +374,8 @@
 	switch {
 	case s == nil || s.Ended() == ended:
 	case ended:
-		f.markEnded(now, s)
+		s.endedAt = now
+		f.touch(s, true)
 	default:
 		s.endedAt = 0
 		f.owners[s.Address] = s
--- a/internal/serve/fleet/fleet_test.go
+++ b/internal/serve/fleet/fleet_test.go
@@ -229,3 +229,20 @@
 		qt.Assert(t, got, qt.DeepEquals, want)
 	}
 }
+
+// TestReportsWhyAServerIsNotUsed checks the rule, the rival and the ages of each decision.
+func TestReportsWhyAServerIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	var got []string
+	o := options
+	o.Report = func(d fleet.Decision) {
+		got = append(got, fmt.Sprint(d.Rule, " ", d.Server.ID, " ", d.Server.Started, " ", d.Age, " ", d.Rival.ID, " ", d.Rival.Started, " ", d.RivalAge))
+	}
+	f := fleet.New(o)
+	f.Apply(1000, 1000, record("a", 5, 1, fleet.Ready), true)
+	f.Apply(1200, 1100, record("a", 6, 1, fleet.Ready), true)
+	f.Apply(4000, 4000, record("b", 7, 1, fleet.Ready), true)
+	f.Apply(4100, 4100, record("b", 7, 2, fleet.Ready), true)
+	f.Leave(5000, "b")
+	c.Check(got, qt.DeepEquals, []string{"superseded a 5 200 a 6 100", "addressTaken a 6 2900 b 7 0", "left b 7 900  0 0"})
+}
