serve/fleet, dir/share: believe the server that goes on announcing itself

Callers saw open flows reset, and sound servers without new flows, after the address of a server was reused by a machine with an earlier clock, after a restart under an ID with an earlier clock, or after one heartbeat of another writer with a later start.

Cause: servers at one address, and incarnations of one ID, were ordered by their start, which is the time of day of the server's machine. The loser at an address counted as ended at once, also on a relay by its own comparison.

Change: at an address, a server takes over if the owner has left or hasn't announced itself for ReuseAfter longer. Until then the one that doesn't own the address is held back, not ended, and ends only once it is ReuseAfter behind the owner. An end is taken back when the server proves alive. Of two that both go on, the earlier start owns the address, so that hosts agree. Under an ID, a later start supersedes unless it was announced before the record held; any other record that isn't the next of the incarnation held (earlier start, other address or service, lower Seq) is believed once it has gone on for ReuseAfter without an announcement of the record held. A host that was down or suspended doesn't count that time against a server. Relays get a server that is held back in the list of silent servers, and end none by comparison: the times that they know are those of changes. A Follower doesn't decide Usable itself either, for the same reason. Messages and the saved list keep their form.

Tests: TestServerWithLaterStartOwnsTheAddress stated the wrong rule. It is replaced by TestServerThatGoesOnOwnsTheAddress, which checks each state after each announcement in both orders of the starts. TestIncarnationThatGoesOnIsBelieved does so for records of an ID, TestFollowerEndsNoServerByComparison for relays, and TestControlHostsAgreeOnLiveServers plays four control hosts that exchange records with delays, restarts, cuts, steps of the clock, delayed calls and another writer.

--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -6,7 +6,9 @@
 package share
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -99,7 +101,10 @@
 }
 
 // Resume delays the expiry of servers after the process was suspended.
-func (l *List) Resume(now clock.Millis) { l.noExpireBefore = now + stallGrace }
+func (l *List) Resume(now clock.Millis) {
+	l.noExpireBefore = now + stallGrace
+	l.fleet.Resume(now)
+}
 
 // SyncDue reports whether the next exchange is due, and schedules the one after it.
 func (l *List) SyncDue(now clock.Millis) bool {
@@ -164,12 +169,13 @@
 	return changed, l.fleet.LastChange()
 }
 
-// Silent returns the IDs of the servers that no longer announce themselves, except
-// those that are known to have ended.
+// Silent returns the IDs of the servers that take no new flows because they no longer
+// announce themselves, or because another server owns their address, except those that are
+// known to have ended.
 func (l *List) Silent() []string {
 	var out []string
 	l.fleet.Each(func(s *fleet.Server) {
-		if s.Silent() && !s.Ended() {
+		if (s.Silent() || s.Contested()) && !s.Ended() {
 			out = append(out, s.ID)
 		}
 	})
@@ -235,17 +241,23 @@
 }
 
 // Encode returns the encoded list.
+//
+// A server whose address another one owns is saved as silent: it takes no flows until it
+// announces itself.
 func (l *List) Encode(now clock.Millis) []byte {
 	l.savedPosition, l.savedAt = l.fleet.LastChange(), now
 	var list []msgs.ServerStatus
-	l.fleet.Each(func(s *fleet.Server) { list = append(list, StatusOf(now, s)) })
+	l.fleet.Each(func(s *fleet.Server) {
+		status := StatusOf(now, s)
+		status.Silent = status.Silent || s.Contested()
+		list = append(list, status)
+	})
 	return record.Append(nil, list)
 }
 
 // Load loads a list that was saved before a restart, by this build or as msgpack by the
 // one before. It sets the time of each server's latest announcement to ReuseAfter before
-// now, so that a server that no longer announces itself becomes silent and its address
-// can be reused.
+// now, so that a server that no longer announces itself becomes silent.
 func (l *List) Load(now clock.Millis, saved []byte) error {
 	list, err := record.Decode(saved, 0)
 	if errors.Is(err, record.ErrVersion) {
@@ -254,6 +266,11 @@
 	if err != nil {
 		return err
 	}
+	l.fleet.Resume(now)
+	// The first server at an address owns it.
+	slices.SortFunc(list, func(a, b msgs.ServerStatus) int {
+		return cmp.Or(cmp.Compare(unusable(&a), unusable(&b)), cmp.Compare(a.Record.ID, b.Record.ID))
+	})
 	for i := range list {
 		l.fleet.Apply(now, now-l.reuseAfter, list[i].Record, false)
 		l.fleet.SetEnded(now, list[i].Record.ID, list[i].Ended)
@@ -262,3 +279,14 @@
 	l.savedPosition = l.fleet.LastChange()
 	return nil
 }
+
+// unusable orders the owners of addresses before the servers that don't own theirs.
+func unusable(s *msgs.ServerStatus) int {
+	switch {
+	case s.Ended || s.Record.State == fleet.Left:
+		return 2
+	case s.Silent:
+		return 1
+	}
+	return 0
+}
--- a/internal/serve/fleet/decision.go
+++ b/internal/serve/fleet/decision.go
@@ -14,11 +14,14 @@
 	// RuleSuperseded means that the rival, an incarnation with the same ID, is believed
 	// instead.
 	RuleSuperseded
+	// RuleAddressContested means that the server takes no new flows, because the rival owns
+	// its address, and both announce themselves.
+	RuleAddressContested
 )
 
 // String returns the name of the rule in logs.
 func (r Rule) String() string {
-	names := [...]string{"unknown", "left", "addressTaken", "superseded"}
+	names := [...]string{"unknown", "left", "addressTaken", "superseded", "addressContested"}
 	if int(r) >= len(names) {
 		return names[0]
 	}
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -1,8 +1,9 @@
 // Package fleet holds the latest announcement of each backend server and
 // distinguishes the incarnations of a server that restarted.
 //
-// Records are merged by last-writer-wins on (start time, sequence number), so
-// hosts that exchange records in any order converge on the same set.
+// The announcements of one incarnation are ordered by their sequence numbers. Of two
+// incarnations of an ID, and of two servers at an address, the one that goes on announcing
+// itself is believed, so hosts that exchange records in any order converge.
 package fleet
 
 import (
@@ -52,17 +53,6 @@
 	Warmup clock.Millis `msgpack:"warmup,omitempty"`
 }
 
-// supersedes reports whether r is newer than old, a record of the same server.
-func (r *Record) supersedes(old *Record) bool {
-	if r.Started != old.Started {
-		return r.Started > old.Started
-	}
-	if r.Seq != old.Seq {
-		return r.Seq > old.Seq
-	}
-	return r.State > old.State
-}
-
 // equivalent reports whether two records agree in every field that routing
 // depends on. Of Warmup it compares only whether the server is cold, since the rest is
 // the passage of time.
@@ -91,6 +81,11 @@
 	silentSince clock.Millis
 	// endedAt is when this host learned that the incarnation has ended, or 0.
 	endedAt clock.Millis
+	// rivalSince is when the server first announced itself at an address that another one
+	// owns, or 0.
+	rivalSince clock.Millis
+	// candidate is another incarnation that announces itself under the ID, or nil.
+	candidate *candidate
 	// lastChange is the position of the server's latest change. lastTouch is the
 	// position of its latest change or direct announcement.
 	lastChange uint64
@@ -106,9 +101,12 @@
 // Ended reports whether the incarnation is known to have ended.
 func (s *Server) Ended() bool { return s.endedAt > 0 }
 
+// Contested reports whether another server owns the address, and both announce themselves.
+func (s *Server) Contested() bool { return s.rivalSince > 0 }
+
 // Usable reports whether the server takes new flows.
 func (s *Server) Usable() bool {
-	return s.State == Ready && s.silentSince == 0 && s.endedAt == 0
+	return s.State == Ready && s.silentSince == 0 && s.endedAt == 0 && s.rivalSince == 0
 }
 
 // Outcome is the result of Fleet.Apply.
@@ -134,12 +132,13 @@
 	// that late announcements are recognised as stale.
 	ForgetAfter clock.Millis
 	// ReuseAfter is how much later than the owner of an address another server must
-	// have announced itself to take the address over, if their start times are equal
-	// and the owner has not left.
+	// have announced itself to take the address over, if the owner has not left. An
+	// incarnation with an earlier start is believed once its announcements went on for as
+	// long, without any of the later one.
 	ReuseAfter clock.Millis
-	// Follower leaves it to SetEnded to decide which of two servers with equal
-	// start times owns an address, and accepts an earlier incarnation that was
-	// announced later than the one held.
+	// Follower leaves it to SetEnded and SetSilent which of two servers owns an address, as
+	// the times of announcements that a Follower knows are those of the latest changes. Of
+	// two incarnations it believes the one announced later.
 	Follower bool
 	// Report, if set, is called when a server counts as ended or is superseded.
 	Report func(Decision)
@@ -149,8 +148,9 @@
 type Fleet struct {
 	options Options
 	servers map[string]*Server
-	// owners maps each address to the server that currently owns it.
-	owners map[netip.AddrPort]*Server
+	addresses
+	// resumedAt is when this host was last started or suspended.
+	resumedAt clock.Millis
 	// position is incremented at every change and every direct announcement.
 	position uint64
 	// lastChange is the position of the latest change.
@@ -162,9 +162,10 @@
 // New returns an empty Fleet.
 func New(options Options) *Fleet {
 	return &Fleet{
-		options: options, servers: map[string]*Server{}, owners: map[netip.AddrPort]*Server{},
-		changes: changeLog{latest: func(s *Server) uint64 { return s.lastChange }},
-		touches: changeLog{latest: func(s *Server) uint64 { return s.lastTouch }},
+		options: options, servers: map[string]*Server{},
+		addresses: addresses{owners: map[netip.AddrPort]*Server{}, rivals: map[netip.AddrPort][]*Server{}},
+		changes:   changeLog{latest: func(s *Server) uint64 { return s.lastChange }},
+		touches:   changeLog{latest: func(s *Server) uint64 { return s.lastTouch }},
 	}
 }
 
@@ -181,6 +182,10 @@
 // accept.
 func (f *Fleet) Position() uint64 { return f.position }
 
+// Resume tells that announcements may have been lost until now, because this host was
+// started or was suspended. No server has ended for not announcing itself before.
+func (f *Fleet) Resume(now clock.Millis) { f.resumedAt = now }
+
 // Apply merges a record announced at announcedAt. Direct is true if this host
 // received the announcement from the server itself.
 func (f *Fleet) Apply(now, announcedAt clock.Millis, r Record, direct bool) Outcome {
@@ -188,11 +193,11 @@
 	if s == nil {
 		s = &Server{Record: r, announcedAt: announcedAt}
 		f.servers[r.ID] = s
-		f.resolveOwner(now, s)
+		f.claimAddress(now, s)
 		f.touch(s, true)
 		return Changed
 	}
-	if !r.supersedes(&s.Record) && !f.followsEarlierStart(s, &r, announcedAt) {
+	if !f.supersedes(now, s, &r, announcedAt) {
 		s.announcedAt = f.latestAnnouncement(s, &r, announcedAt)
 		return Stale
 	}
@@ -200,27 +205,28 @@
 	if !r.equivalent(&s.Record) || s.Silent() {
 		outcome = Changed
 	}
-	oldEndedAt := s.endedAt
+	before, beforeAt, ended, contested := s.Record, s.announcedAt, s.Ended(), s.Contested()
+	same := r.sameProcess(&before)
 	// A new incarnation, or a server that announces itself after it had left, has
 	// not ended.
-	if r.Started != s.Started || s.State == Left {
+	if !same || s.State == Left {
 		s.endedAt = 0
 	}
-	if f.owners[s.Address] == s && s.Address != r.Address {
-		delete(f.owners, s.Address)
+	if s.Address != r.Address {
+		f.releaseAddress(s)
 	}
 	// The times of two incarnations can't be merged: on a Follower, a record may
 	// replace one that was announced later.
-	if !f.options.Follower || r.Started == s.Started {
-		announcedAt = max(announcedAt, s.announcedAt)
+	if same {
+		announcedAt = max(announcedAt, beforeAt)
 	}
-	before, beforeAt := s.Record, s.announcedAt
 	s.Record, s.announcedAt, s.silentSince = r, announcedAt, 0
-	if r.Started != before.Started {
+	if !same || !r.newer(&before) {
+		s.candidate = nil
 		f.decide(now, RuleSuperseded, &before, beforeAt, s)
 	}
-	f.resolveOwner(now, s)
-	if (oldEndedAt > 0) != s.Ended() {
+	f.claimAddress(now, s)
+	if ended != s.Ended() || contested != s.Contested() {
 		outcome = Changed
 	}
 	if outcome == Changed || direct {
@@ -229,13 +235,6 @@
 	return outcome
 }
 
-// followsEarlierStart reports whether a Follower replaces s by r, which has an earlier
-// start. Control hosts send a record only if it is the one that they believe, so the
-// record announced later is their later decision.
-func (f *Fleet) followsEarlierStart(s *Server, r *Record, announcedAt clock.Millis) bool {
-	return f.options.Follower && r.Started < s.Started && announcedAt > s.announcedAt
-}
-
 // latestAnnouncement returns the time of the latest announcement of s after
 // receiving r, which does not supersede its record. Only a duplicate of the
 // current announcement can advance the time.
@@ -246,46 +245,6 @@
 	return s.announcedAt
 }
 
-// resolveOwner decides whether s or the present owner of its address owns it (see
-// replaces), and marks the other server as ended. A Follower marks neither if
-// their start times are equal. A server that has left is always marked as ended.
-func (f *Fleet) resolveOwner(now clock.Millis, s *Server) {
-	if s.State == Left {
-		f.markEnded(now, s, RuleLeft, nil)
-	}
-	owner := f.owners[s.Address]
-	switch {
-	case owner == nil || owner == s:
-		f.owners[s.Address] = s
-	case f.replaces(s, owner):
-		f.markEnded(now, owner, RuleAddressTaken, s)
-		f.owners[s.Address] = s
-		if s.State != Left {
-			s.endedAt = 0
-		}
-	case !f.options.Follower || s.Started != owner.Started:
-		f.markEnded(now, s, RuleAddressTaken, owner)
-	}
-}
-
-// replaces reports whether s takes over the address of owner: if s started later
-// or, with equal start times, if owner has left and s has not, or if s was
-// announced at least ReuseAfter later than an owner that has not left. A delayed
-// announcement of the previous owner fails this test, because the new owner keeps
-// announcing itself. On a Follower, s never replaces an owner with an equal start
-// time.
-func (f *Fleet) replaces(s, owner *Server) bool {
-	switch {
-	case s.Started != owner.Started:
-		return s.Started > owner.Started
-	case f.options.Follower:
-		return false
-	case owner.State == Left:
-		return s.State != Left
-	}
-	return s.announcedAt-owner.announcedAt >= f.options.ReuseAfter
-}
-
 func (f *Fleet) markEnded(now clock.Millis, s *Server, rule Rule, rival *Server) {
 	if s.endedAt == 0 {
 		s.endedAt = now
@@ -315,7 +274,7 @@
 	}
 	if s.State != Left {
 		s.State = Left
-		f.resolveOwner(now, s)
+		f.claimAddress(now, s)
 		f.touch(s, true)
 	}
 	return s.Record, true
@@ -342,10 +301,8 @@
 
 func (f *Fleet) remove(id string, s *Server) {
 	delete(f.servers, id)
+	f.releaseAddress(s)
 	s.lastChange, s.lastTouch = 0, 0
-	if f.owners[s.Address] == s {
-		delete(f.owners, s.Address)
-	}
 }
 
 // ChangedSince returns the servers that changed after position.
@@ -378,7 +335,6 @@
 		f.touch(s, true)
 	default:
 		s.endedAt = 0
-		f.owners[s.Address] = s
 		f.touch(s, true)
 	}
 }
