dir/core: don't acknowledge a drain that has no effect

Cause: Core.Announce didn't look at the outcome, and replicated a record that the others dropped, too. They acknowledged it all the same.

Change: if the record is stale and the one held is ready, the call is answered with Unavailable and logged, and a replicated one gets no reply, so that the server announces its drain again. Evidence: TestDrainWithoutEffectIsNotAcknowledged, with higher seq and with a later start, announced and replicated, got Done before. TestServerIsOfferedAgainAfterADelayedRemoval checks removals that were delayed, with the record and with the ID only; it held before.

--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -17,7 +17,8 @@
 // Announce applies a server's announcement. The announcement that a server is
 // draining or has left is acknowledged once a quorum has it. Any other is
 // acknowledged at once if this host is in contact with a quorum, as servers
-// repeat their announcements anyway.
+// repeat their announcements anyway. A drain that has no effect is not acknowledged, so
+// that the server announces it again.
 func (c *Core) Announce(now clock.Millis, callID CallID, r fleet.Record) {
 	c.advance(now)
 	r.Warmup = c.warmupOf(&r)
@@ -26,6 +27,11 @@
 		c.logServer("Server announced.", &r)
 	}
 	if r.State != fleet.Ready {
+		if outcome == fleet.Stale && c.holdsReady(r.ID) {
+			c.logServer("Drain without effect: another record of the server is believed.", &r)
+			c.acknowledge(callID, false)
+			return
+		}
 		c.departed()
 		c.replicate(callID, r)
 		return
@@ -34,6 +40,13 @@
 	c.acknowledge(callID, c.Current())
 }
 
+// holdsReady reports whether the record of a server says that it is ready. A call or a
+// message that it drains or has left had no effect then, and must not be acknowledged.
+func (c *Core) holdsReady(id string) bool {
+	s := c.list.Fleet().Find(id)
+	return s != nil && s.State == fleet.Ready
+}
+
 func (c *Core) acknowledge(callID CallID, done bool) {
 	if done {
 		c.answer(callID, Done, nil)
@@ -81,6 +94,9 @@
 
 func (c *Core) onReplicateRequest(m *msgs.ReplicateRequest) {
 	c.list.HandleReplication(c.now, m.Record)
+	if c.holdsReady(m.Record.ID) {
+		return
+	}
 	c.departed()
 	c.replyWhenSaved(addressOf(m.From), &msgs.Envelope{ReplicateReply: &msgs.ReplicateReply{From: c.options.ID, RequestID: m.RequestID}})
 }
--- a/internal/dir/core/servers_test.go
+++ b/internal/dir/core/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -68,3 +69,72 @@
 	c.Announce(3150, 92, r)
 	qt.Check(t, c.Fleet().Find("i-1").Usable(), qt.IsTrue)
 }
+
+// TestDrainWithoutEffectIsNotAcknowledged guards against new flows on a server that was told
+// that its drain is known, while a record of another writer under its ID is believed.
+func TestDrainWithoutEffectIsNotAcknowledged(t *testing.T) {
+	own := fleet.Record{
+		ID: "i-1", Number: 1, Started: 100, Seq: 9, Service: "weigh-a7", Centre: "hall-0", Slots: 2, State: fleet.Ready,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+	higher, later, lower := own, own, own
+	higher.Seq, later.Started, lower.Seq = 4000, 5000, 5
+	for name, test := range map[string]struct {
+		held fleet.Record
+		want core.Code
+	}{
+		"higher seq":  {higher, core.Unavailable},
+		"later start": {later, core.Unavailable},
+		"own":         {lower, core.Done},
+	} {
+		for _, way := range []string{"announced", "replicated"} {
+			c := newControlHost(t, 0)
+			c.Announce(3100, 91, test.held)
+			c.Take()
+			drain := own
+			drain.State = fleet.Draining
+			announceAs(c, way, drain)
+			c.Tick(3300)
+			out := c.Take()
+			acknowledged := len(out.SendAfterSync) > 0
+			for _, a := range slices.Concat(out.Answers, out.AnswersAfterSync) {
+				qt.Check(t, a.Code, qt.Equals, test.want, qt.Commentf(name))
+				acknowledged = a.Code == core.Done
+			}
+			qt.Check(t, acknowledged, qt.Equals, test.want == core.Done, qt.Commentf("%s %s", name, way))
+			qt.Check(t, c.Fleet().Find("i-1").Usable(), qt.Equals, test.want != core.Done, qt.Commentf("%s %s", name, way))
+		}
+	}
+}
+
+// TestServerIsOfferedAgainAfterADelayedRemoval removes a server that goes on announcing itself.
+func TestServerIsOfferedAgainAfterADelayedRemoval(t *testing.T) {
+	r := fleet.Record{
+		ID: "i-1", Number: 1, Seq: 9, Service: "weigh-a7", Centre: "hall-0", Slots: 2, State: fleet.Ready,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+	left, onlyID := r, fleet.Record{ID: r.ID, State: fleet.Left}
+	left.State = fleet.Left
+	for _, started := range []clock.Millis{0, 100} {
+		for _, removal := range []*fleet.Record{nil, &onlyID, &left} {
+			for _, way := range []string{"announced", "exchanged"} {
+				c := newControlHost(t, 0)
+				r.Started, left.Started, r.Seq = started, started, 9
+				c.Announce(3100, 91, r)
+				if removal == nil {
+					c.Leave(3150, 92, r.ID)
+				} else {
+					announceAs(c, "replicated", *removal)
+				}
+				s := c.Fleet().Find(r.ID)
+				qt.Check(t, s.Usable(), qt.IsFalse)
+				// An announcement from before the removal changes nothing.
+				announceAs(c, way, r)
+				qt.Check(t, s.Usable(), qt.IsFalse)
+				r.Seq++
+				announceAs(c, way, r)
+				qt.Check(t, s.Usable(), qt.IsTrue, qt.Commentf("started %d, %+v, %s", started, removal, way))
+			}
+		}
+	}
+}
