serve/fleet: count no pause of the host as a server's persistence

Callers would see a server lose its address or its ID to one announcement of another one after its control host was suspended or restarted. A rival from before the pause counted as having gone on.

Cause: the time for which a rival or another incarnation goes on announcing itself included the pause.

Change: count it from the end of the pause at the earliest. Evidence: TestPauseOfAHostDecidesNothing, without its part on the ID, failed after a pause (the owner lost its address) and passed after a restart; it passes now.

--- a/internal/serve/fleet/address.go
+++ b/internal/serve/fleet/address.go
@@ -93,7 +93,7 @@
 
 // persistentRival reports whether s has gone on announcing itself as a rival.
 func (f *Fleet) persistentRival(s *Server) bool {
-	return s.rivalSince > 0 && s.announcedAt-s.rivalSince >= f.options.ReuseAfter
+	return s.rivalSince > 0 && s.announcedAt-max(s.rivalSince, f.resumedAt) >= f.options.ReuseAfter
 }
 
 func (f *Fleet) addRival(now clock.Millis, s, owner *Server) {
--- a/internal/serve/fleet/incarnation.go
+++ b/internal/serve/fleet/incarnation.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	c.record, c.latestAt = *r, max(announcedAt, c.latestAt)
-	return c.latestAt-c.firstAt >= f.options.ReuseAfter
+	return c.latestAt-max(c.firstAt, f.resumedAt) >= f.options.ReuseAfter
 }
 
 // heldAnnounced drops the candidate of s, as the incarnation held announced itself. If both
