--- a/internal/dir/msgs/fetch.go
+++ b/internal/dir/msgs/fetch.go
@@ -136,8 +136,9 @@
 	// reply to a brief Fetch.
 	Position uint64         `msgpack:"position"`
 	Servers  []ServerStatus `msgpack:"news,omitempty"`
-	// SilentServers are the IDs of the servers that no longer announce themselves,
-	// except those whose incarnation is known to have ended.
+	// SilentServers are the IDs of the servers that take no new flows because they no
+	// longer announce themselves, or because another server owns their address, except
+	// those whose incarnation is known to have ended.
 	SilentServers []string `msgpack:"silent,omitempty"`
 	// Delta is an encoded routes.Delta that leads from the entry host's routing table
 	// to the newest one.
--- a/internal/dir/share/blocks.go
+++ b/internal/dir/share/blocks.go
@@ -111,8 +111,7 @@
 	return []msgs.Block{{Data: block.data, Age: now - block.at}}
 }
 
-// Silent returns the IDs of the servers that no longer announce themselves, except
-// those that are known to have ended, sorted, and a number that changes with them.
+// Silent returns the IDs of List.Silent, sorted, and a number that changes with them.
 func (b *Blocks) Silent() (ids []string, version uint64) {
 	b.refresh()
 	if !b.silentKnown {
