dir/watch, dir/core: redial control hosts that do not answer

Cause: a control host dials a connection to each other one, writes to it, and gets the answers on the one that the other dialed. It dials again only after an error. TCP_USER_TIMEOUT sees no error if something on the way acknowledges the bytes. Entry hosts reset such a connection after 1.5 s, control hosts never did.

Change: watch.Answers decides when to dial again. A host that sends Sync, JoinRequest or JoinReply for 1.5 s without a SyncReply redials its own connection; the wait doubles with each redial without an answer, up to 12 s. A Sync of the other host is no answer, because it also arrives if only the connection towards the other is silent. A host can't tell which of the two connections is silent, so both redial, and each repairs its direction. No message, timer or stored record changes; the cost is a map access a Sync.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -97,6 +97,8 @@
 	formerIDs []raft.ID
 	// contacts holds when the control hosts were last heard from.
 	contacts *watch.Tracker
+	// answers decides when to dial a control host again.
+	answers *watch.Answers
 	// resigning is set after Resign, and resigned once the others have removed the
 	// vote of this host.
 	resigning, resigned bool
@@ -128,7 +130,7 @@
 func New(options Options, stored raft.Stored, now clock.Millis, r *rand.Rand) *Core {
 	c := &Core{
 		options: options, rand: r, now: now, evacuations: evac.New(), tickedAt: now,
-		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now), status: status{leaderSeenAt: now},
+		requests: map[uint64]*request{}, proposals: map[uint64]proposal{}, loads: loads.New(), contacts: watch.New(now), answers: watch.NewAnswers(), status: status{leaderSeenAt: now},
 		peers: peers.New(now),
 	}
 	send := func(to raft.ID, e *msgs.Envelope) { c.sendNow(addressOf(to), e) }
@@ -226,6 +228,7 @@
 
 // sendNow sends a message that does not depend on a write to disk.
 func (c *Core) sendNow(address string, e *msgs.Envelope) {
+	c.awaitAnswer(address, e)
 	c.out.SendNow = append(c.out.SendNow, OutMessage{address, msgs.Encode(e)})
 }
 
@@ -243,6 +246,7 @@
 	if now-c.now > stallThreshold {
 		c.list.Resume(now)
 		c.peers.Resume(now)
+		c.answers.Resume(now)
 	}
 	c.now = now
 }
@@ -295,6 +299,7 @@
 	case e.Sync != nil:
 		c.onSync(e.Sync)
 	case e.SyncReply != nil:
+		c.answers.Answered(addressOf(e.SyncReply.From))
 		c.onSyncReply(e.SyncReply)
 	case e.Fetch != nil:
 		c.onFetch(from, e.Fetch)
--- a/internal/dir/core/types.go
+++ b/internal/dir/core/types.go
@@ -81,6 +81,9 @@
 	Advert   []byte
 	AdvertTo []string
 
+	// Redials are the addresses of control hosts to dial again before SendNow and
+	// SendAfterSync are sent, because their connections count as dead.
+	Redials []string
 	// SendNow holds the messages to send without waiting for the disk. Replies and
 	// Answers do not wait for it either.
 	SendNow  []OutMessage
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -394,6 +394,9 @@
 	for _, l := range out.LogLines {
 		d.writeLog(l)
 	}
+	for _, address := range out.Redials {
+		d.peers.Reset(address)
+	}
 	for _, s := range out.SendNow {
 		d.peers.Send(s.Address, s.Body)
 	}
--- a/internal/dir/daemon/metrics.go
+++ b/internal/dir/daemon/metrics.go
@@ -20,6 +20,7 @@
 		"controlBytesIn":   func() int64 { return int64(d.server.BytesIn() + d.peers.BytesIn()) },
 		"controlBytesOut":  func() int64 { return int64(d.server.BytesOut() + d.peers.BytesOut()) },
 		"framesDropped":    func() int64 { return int64(d.peers.Dropped()) },
+		"redials":          func() int64 { return int64(d.peers.Resets()) },
 		"configVersion":    func() int64 { return int64(d.version.Load()) },
 		"logCurrent":       func() int64 { return d.current.Load() },
 		"logVoters":        func() int64 { return d.voters.Load() },
--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -106,6 +106,9 @@
 	// cutLinks holds the directed links, as sender and receiver, that drop all
 	// messages.
 	cutLinks map[[2]string]bool
+	// silentConns holds the directed links, as sender and receiver, whose connections
+	// drop all messages until the sender dials again.
+	silentConns map[[2]string]bool
 	// lossRate is the part of all messages that is lost.
 	lossRate float64
 	// slowRate is the part of all messages that take up to maxDelay.
@@ -151,7 +154,7 @@
 func newSimulationWithLosses(t *testing.T, seed uint64, n, maxLosses int) *simulation {
 	sim := &simulation{
 		c: qt.New(t), now: 1, rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*host{}, maxLosses: maxLosses,
-		cutLinks: map[[2]string]bool{}, answers: map[core.CallID]func(core.Answer){},
+		cutLinks: map[[2]string]bool{}, silentConns: map[[2]string]bool{}, answers: map[core.CallID]func(core.Answer){},
 		leaders: map[uint64]raft.ID{}, votes: map[vote]raft.ID{}, committed: map[uint64]uint64{},
 	}
 	for i := 1; i <= min(n, 3); i++ {
@@ -237,6 +240,9 @@
 			sim.logf("%d %s: %s %v", sim.now, h.address, l.Text, l.Fields)
 		}
 	}
+	for _, address := range out.Redials {
+		delete(sim.silentConns, [2]string{h.address, address})
+	}
 	for _, s := range out.SendNow {
 		sim.send(h.address, s)
 	}
@@ -280,7 +286,8 @@
 // unless the link is cut or the message is lost.
 func (sim *simulation) send(from string, s core.OutMessage) {
 	sim.bytesSent += len(s.Body)
-	if sim.cutLinks[[2]string{from, s.Address}] || sim.rand.Float64() < sim.lossRate {
+	link := [2]string{from, s.Address}
+	if sim.cutLinks[link] || sim.silentConns[link] || sim.rand.Float64() < sim.lossRate {
 		return
 	}
 	delay := 1 + clock.Millis(sim.rand.IntN(2))
--- a/internal/wire/link/peers.go
+++ b/internal/wire/link/peers.go
@@ -41,6 +41,7 @@
 	bytesOut atomic.Uint64
 	bytesIn  atomic.Uint64
 	dropped  atomic.Uint64
+	resets   atomic.Uint64
 }
 
 // NewPeers returns a Peers that passes received replies to handler.
@@ -74,6 +75,9 @@
 // be sent. Frames that Send drops because the queue is full are not counted.
 func (p *Peers) Dropped() uint64 { return p.dropped.Load() }
 
+// Resets returns the number of calls of Reset.
+func (p *Peers) Resets() uint64 { return p.resets.Load() }
+
 // Depth returns the number of queued frames for all peers.
 func (p *Peers) Depth() int {
 	p.mu.Lock()
@@ -94,6 +98,7 @@
 // Reset makes the sender for addr close its connection and dial again before it
 // writes the next frame. Use it when replies from addr have stopped arriving.
 func (p *Peers) Reset(addr string) {
+	p.resets.Add(1)
 	p.mu.Lock()
 	s := p.senders[addr]
 	p.mu.Unlock()
