dir/daemon: return to the log after a full queue for the disk

What callers saw: a control host whose queue of 256 batches was full left the log, and answered "unavailable" until a disk error or a restart.

Cause: execute stops the Raft node when it loses a batch, because the node is then ahead of the disk. Only the path after a disk error starts it again.

Change: the core goroutine queues one more batch as soon as there is room. The disk goroutine reaches it after all waiting ones, and then reopens the store as after a disk error, so that the node starts from the state on disk.

Open: the answers in the lost batch are not given; their callers time out, as with those that wait for a disk that fails. internal/ctrl/daemon still leaves its log until a restart, after a full queue and after a disk error.

--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -106,6 +106,8 @@
 type batch struct {
 	core.Output
 	generation int
+	// reopen is set on a batch without output, after which the store is opened again.
+	reopen bool
 }
 
 // Daemon is a running control host.
@@ -125,7 +127,10 @@
 	// generation counts how often the store was reopened. It belongs to the core
 	// goroutine; runDisk keeps its own count and discards batches of another
 	// generation.
-	generation     int
+	generation int
+	// overflowed is set from the loss of a batch, for which the queue had no room, until
+	// the batch that opens the store again is queued. It belongs to the core goroutine.
+	overflowed     bool
 	peers          *link.Peers
 	server         *link.Server
 	api            *http.Server
@@ -368,6 +373,7 @@
 	case e.reopened != nil:
 		d.log.Info("Disk works again.", "id", e.reopened.id, "term", e.reopened.stored.State.Term, "entries", len(e.reopened.stored.Entries))
 		d.generation++
+		d.overflowed = false
 		d.core.Restart(now, e.reopened.id, e.reopened.stored)
 	case e.resigned != nil:
 		d.resigned = e.resigned
@@ -408,9 +414,15 @@
 	}
 	d.sendAdverts(&out)
 	d.deliver(out.Answers)
-	if out.NeedsDisk() && !d.core.Failed() && !d.batches.Offer(batch{out, d.generation}) {
+	if out.NeedsDisk() && !d.core.Failed() && !d.batches.Offer(batch{Output: out, generation: d.generation}) {
 		d.log.Error("Disk is too slow. This host leaves the log.", "waiting", d.batches.Depth())
 		d.core.Fail()
+		d.overflowed = true
+	}
+	// The Raft node is ahead of the disk by the lost batch, so it starts again from the
+	// state on disk.
+	if d.overflowed && d.batches.Offer(batch{generation: d.generation, reopen: true}) {
+		d.overflowed = false
 	}
 }
 
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -23,6 +23,13 @@
 			if b.generation != generation {
 				continue
 			}
+			if b.reopen {
+				if !d.reopen(ctx) {
+					return nil
+				}
+				generation++
+				continue
+			}
 			start := time.Now()
 			synced, wrote, err := d.save(&b.Output)
 			if wrote {
--- a/internal/dir/daemon/silence_test.go
+++ b/internal/dir/daemon/silence_test.go
@@ -82,12 +82,14 @@
 	}
 }
 
+// loopbackSubnet returns the start of addresses that other processes hardly use.
+func loopbackSubnet() string { return fmt.Sprintf("127.%d.%d", 100+rand.IntN(100), rand.IntN(250)) }
+
 // startBehindSilencers runs three control hosts that reach each other through silencers.
 func startBehindSilencers(c *qt.C) ([]*daemon.Daemon, []*silencer) {
 	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
 	c.Assert(err, qt.IsNil)
-	// Other processes use other addresses of the loopback network.
-	subnet := fmt.Sprintf("127.%d.%d", 100+rand.IntN(100), rand.IntN(250))
+	subnet := loopbackSubnet()
 	address := func(host, port int) netip.AddrPort {
 		return netip.MustParseAddrPort(fmt.Sprintf("%s.%d:%d", subnet, host+1, port))
 	}
