proof/soak: restart servers under their ID, with failing tests of the flows that are reset

The servers of the soak got a new ID at each start and announced no start, so that no test with the real programs restarted a server under its ID.

Packets that reach other servers are counted.

The function addServer loses a parameter that was not used.

--- a/internal/proof/soak/endpoints_test.go
+++ b/internal/proof/soak/endpoints_test.go
@@ -19,9 +19,15 @@
 	flagAck    = 128
 )
 
+// serverSum is the checksum of the packets that servers send.
+const serverSum = 1
+
 // packet is a packet between a client and a server. The echo field of the header
 // carries the token of the flow, which the client returns in each packet.
 type packet struct {
+	// sum is the checksum, which the stand-ins don't calculate: it is serverSum in the
+	// packets of servers, and 0 in those of relays.
+	sum             uint32
 	seq, ack, token uint32
 	src, dst        [4]byte
 	sport, dport    uint16
@@ -31,6 +37,7 @@
 
 func (pkt *packet) encode() []byte {
 	b := make([]byte, headerSize, headerSize+len(pkt.data))
+	binary.BigEndian.PutUint32(b, pkt.sum)
 	binary.BigEndian.PutUint32(b[4:], pkt.seq)
 	binary.BigEndian.PutUint32(b[8:], pkt.ack)
 	binary.BigEndian.PutUint16(b[12:], uint16(len(pkt.data)))
@@ -48,6 +55,7 @@
 		return pkt, false
 	}
 	pkt = packet{
+		sum: binary.BigEndian.Uint32(b),
 		seq: binary.BigEndian.Uint32(b[4:]), ack: binary.BigEndian.Uint32(b[8:]), token: binary.BigEndian.Uint32(b[28:]),
 		sport: binary.BigEndian.Uint16(b[22:]), dport: binary.BigEndian.Uint16(b[24:]), flags: b[26], data: b[headerSize:],
 	}
@@ -76,6 +84,9 @@
 	// forwards.
 	number  uint64
 	service string
+	// born is the time of day of the start in Unix milliseconds, by the clock of the server,
+	// or 0 if the server doesn't announce it.
+	born    int64
 	address string
 	zone    string
 	conn    *net.UDPConn
@@ -93,6 +104,11 @@
 	// leavingSince is when the server first requested its removal, or zero.
 	leavingSince time.Time
 	closed       bool
+	// muted is set while the server doesn't announce itself.
+	muted bool
+	// claimed is set while a fault or a replacement acts on the server. It is guarded by
+	// testEnv.mu.
+	claimed bool
 	// coldOpenings are the times of the flows opened while cold, the last second only.
 	coldOpenings []time.Time
 	// uploads maps the key of a flow and the address of a relay to the number of the last
@@ -117,6 +133,9 @@
 		}
 		if n < 8 || binary.BigEndian.Uint64(buf) != s.number {
 			// The packet is meant for the previous server at this address.
+			if pkt, ok := parsePacket(buf[min(8, n):n]); ok {
+				s.env.recordMisdirected(&pkt)
+			}
 			continue
 		}
 		if pkt, ok := parsePacket(append([]byte(nil), buf[8:n]...)); ok {
@@ -130,6 +149,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	isn, open := s.flows[pkt.key()]
+	if open && pkt.flags&flagSyn == 0 && sameFlow(pkt.ack, isn) {
+		s.env.recordArrival(pkt)
+	} else if pkt.flags&flagSyn == 0 {
+		s.env.recordMisdirected(pkt)
+	}
 	switch {
 	case pkt.flags&flagSyn != 0:
 		if !open {
@@ -156,6 +180,7 @@
 }
 
 func (s *server) send(pkt *packet) {
+	pkt.sum = serverSum
 	to := &net.UDPAddr{IP: pkt.dst[:], Port: s.env.dataPort}
 	_, _ = s.conn.WriteToUDP(pkt.encode(), to)
 }
@@ -169,6 +194,10 @@
 	// inbound maps a local port to the packets received for its flow.
 	inbound  map[uint16]chan packet
 	lastPort uint16
+	// latestTokens maps a local port to the token of the latest packet received for its
+	// flow, whoever sent it. It is nil for a client that takes tokens only from the packets
+	// that it waits for.
+	latestTokens map[uint16]uint32
 }
 
 // listen passes packets to their flows until the socket is closed. Packets of
@@ -186,6 +215,9 @@
 		}
 		c.mu.Lock()
 		queue := c.inbound[pkt.dport]
+		if c.latestTokens != nil {
+			c.latestTokens[pkt.dport] = pkt.token
+		}
 		c.mu.Unlock()
 		select {
 		case queue <- pkt:
@@ -202,6 +234,10 @@
 	in       chan packet
 	seq, ack uint32
 	token    uint32
+	// relay is the address to which all packets go, or "" for the choice of the routers.
+	relay string
+	// resetBy names the sender of the reset that ended the flow.
+	resetBy string
 }
 
 const (
@@ -214,10 +250,13 @@
 
 // open opens a flow with a handshake. It returns nil if the flow is reset or none of
 // three opening packets is answered.
-func (c *client) open(dstPort uint16) *flow {
+func (c *client) open(dstPort uint16) *flow { return c.openThrough("", dstPort) }
+
+// openThrough opens a flow whose packets all go to one relay, unless relay is "".
+func (c *client) openThrough(relay string, dstPort uint16) *flow {
 	c.mu.Lock()
 	c.lastPort++
-	f := &flow{client: c, port: 10000 + c.lastPort, dstPort: dstPort, in: make(chan packet, 16), seq: c.env.randUint32()}
+	f := &flow{client: c, port: 10000 + c.lastPort, dstPort: dstPort, in: make(chan packet, 16), seq: c.env.randUint32(), relay: relay}
 	c.inbound[f.port] = f.in
 	c.mu.Unlock()
 	for attempt := range uint32(3) {
@@ -252,8 +291,16 @@
 
 // packet returns a packet from the client to the server of the flow.
 func (f *flow) packet(flags byte, ack uint32, data []byte) *packet {
+	token := f.token
+	if flags&flagSyn == 0 {
+		f.client.mu.Lock()
+		if latest, ok := f.client.latestTokens[f.port]; ok {
+			token = latest
+		}
+		f.client.mu.Unlock()
+	}
 	return &packet{
-		seq: f.seq, ack: ack, token: f.token, src: f.client.ip, sport: f.port, dst: [4]byte{198, 18, 0, 1}, dport: f.dstPort,
+		seq: f.seq, ack: ack, token: token, src: f.client.ip, sport: f.port, dst: [4]byte{198, 18, 0, 1}, dport: f.dstPort,
 		flags: flags, data: data,
 	}
 }
@@ -261,7 +308,17 @@
 func (f *flow) key() string { return f.packet(0, 0, nil).key() }
 
 func (f *flow) send(flags byte, ack uint32, data []byte) {
-	f.client.env.sendToRelay(f.client, f.packet(flags, ack, data))
+	f.sendPacket(f.packet(flags, ack, data))
+}
+
+// sendPacket sends a packet through the relay of the flow.
+func (f *flow) sendPacket(pkt *packet) {
+	if f.relay == "" {
+		f.client.env.sendToRelay(f.client, pkt)
+		return
+	}
+	to := &net.UDPAddr{IP: net.ParseIP(f.relay), Port: f.client.env.dataPort}
+	_, _ = f.client.conn.WriteToUDP(pkt.encode(), to)
 }
 
 // requestOutcome is how a request ended for its client.
@@ -287,6 +344,7 @@
 			case pkt := <-f.in:
 				f.token = pkt.token
 				if pkt.flags&flagReset != 0 {
+					f.resetBy = senderOf(&pkt)
 					return wasReset
 				}
 				if len(pkt.data) == len(rejection) && bytes.Equal(pkt.data, rejection) {
@@ -311,6 +369,7 @@
 func (f *flow) close() {
 	f.client.mu.Lock()
 	delete(f.client.inbound, f.port)
+	delete(f.client.latestTokens, f.port)
 	f.client.mu.Unlock()
 }
 
--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -103,7 +103,15 @@
 	relays    map[string]*relayState
 	// refused holds the keys of flows whose first opening packet was reset.
 	refused map[string]bool
-	load    loadCounts
+	// misdirected counts, by the key of a flow, the packets that reached other servers since
+	// the last one that reached its own.
+	misdirected map[string]int
+	// latestFault holds the latest fault that acted on a server, by its ID.
+	latestFault map[string]string
+	// announcesBorn is set if servers announce the time of their start.
+	announcesBorn bool
+	rebirths      rebirthCounts
+	load          loadCounts
 	// stall is the longest stall of the machine in nanoseconds, since the last reset, and
 	// longestStall that of the whole run.
 	stall, longestStall atomic.Int64
@@ -168,7 +176,7 @@
 	env := &testEnv{
 		c: c, folder: c.TempDir(), bin: bin, subnet: firstSubnet + int((seed+uint64(os.Getpid()))%subnetCount), dataPort: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
 		servers: map[string]*server{}, extraRuns: map[uint64]int{}, lastRuns: map[uint64]string{}, stop: make(chan struct{}),
-		mode: mode, zones: map[string]*zoneState{"a": {}, "b": {}}, relays: map[string]*relayState{}, refused: map[string]bool{}, calm: make(chan struct{}),
+		mode: mode, zones: map[string]*zoneState{"a": {}, "b": {}}, relays: map[string]*relayState{}, refused: map[string]bool{}, misdirected: map[string]int{}, latestFault: map[string]string{}, calm: make(chan struct{}),
 	}
 	env.proxies = []*proxy{env.claimSubnet()}
 	for i := range controlCount {
@@ -238,7 +246,7 @@
 addr_reuse_s = 2
 max_flow_s = 60
 ack_ms = %d
-%s`, name, ip, zoneOf(i), strings.Join(seeds, ","), data, heartbeatInterval.Milliseconds(), ip, env.dataPort, ip, ip, repeatWindow.Milliseconds(), env.mode.limits())
+%s`, name, ip, zoneOf(i), strings.Join(seeds, ","), data, env.mode.heartbeat().Milliseconds(), ip, env.dataPort, ip, ip, repeatWindow.Milliseconds(), env.mode.limits())
 	settings := filepath.Join(env.folder, name+".toml")
 	env.c.Assert(os.WriteFile(settings, []byte(text), 0o600), qt.IsNil)
 	log, err := os.Create(filepath.Join(env.folder, name+".log"))
@@ -383,15 +391,17 @@
 		s.mu.Lock()
 		isn, holds := s.flows[f.key()]
 		s.mu.Unlock()
-		// The flow is the same if the client acknowledges bytes shortly after the
-		// initial sequence number. No flow carries 1 MiB.
-		if holds && f.ack-isn < 1<<20 {
+		if holds && sameFlow(f.ack, isn) {
 			return s
 		}
 	}
 	return nil
 }
 
+// sameFlow reports whether a client that acknowledges ack has the flow of an initial sequence
+// number: it acknowledges bytes shortly after that. No flow carries 1 MiB.
+func sameFlow(ack, isn uint32) bool { return ack-isn < 1<<20 }
+
 // allServers returns the servers that run. The lock of a server is always taken before
 // env.mu, so env.mu must not be held while that of a server is taken.
 func (env *testEnv) allServers() []*server {
--- a/internal/proof/soak/explain_test.go
+++ b/internal/proof/soak/explain_test.go
@@ -36,7 +36,7 @@
 	env := newTestEnv(t, 7, build(t), plain)
 	env.runInBackground(env.probeRelays)
 	for i := range 3 {
-		env.addServer(fmt.Sprintf("i-7%x", i+1), uint64(i+1), "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
+		env.addServer(fmt.Sprintf("i-7%x", i+1), "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
 	}
 	env.publish(1)
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
--- a/internal/proof/soak/load_test.go
+++ b/internal/proof/soak/load_test.go
@@ -19,6 +19,8 @@
 	narrowLinks mode = "narrow links"
 	// overloaded asks for more short flows than the servers bear.
 	overloaded mode = "overloaded"
+	// rareHeartbeats has four times the interval between announcements. No seed selects it.
+	rareHeartbeats mode = "rare heartbeats"
 )
 
 func modeOf(seed uint64) mode {
@@ -33,6 +35,14 @@
 	return ""
 }
 
+// heartbeat returns the interval between announcements of a server.
+func (m mode) heartbeat() time.Duration {
+	if m == rareHeartbeats {
+		return 4 * heartbeatInterval
+	}
+	return heartbeatInterval
+}
+
 // latencyGoal returns the goal of service y in milliseconds, or 0 for none.
 func (m mode) latencyGoal() int {
 	if m == overloaded {
@@ -114,6 +124,7 @@
 			f.close()
 		default:
 			env.load.uploadsFailed.Add(1)
+			env.verifyDirected(f)
 			f.close()
 		}
 	}
@@ -133,7 +144,7 @@
 	send := func(index uint32) {
 		pkt := f.packet(flagAck, f.ack, uploadData(index, sent, f.seq+index*uploadSize))
 		pkt.seq += index * uploadSize
-		f.client.env.sendToRelay(f.client, pkt)
+		f.sendPacket(pkt)
 		sent++
 	}
 	for end := time.Now().Add(uploadTimeout); time.Now().Before(end); {
@@ -147,6 +158,7 @@
 		case pkt := <-f.in:
 			f.token = pkt.token
 			if pkt.flags&flagReset != 0 {
+				f.resetBy = senderOf(&pkt)
 				return wasReset
 			}
 			if len(pkt.data) == uploadHeader {
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -68,13 +68,15 @@
 // requests, an operator publishes versions and servers are replaced.
 func soak(t *testing.T, seed uint64, duration time.Duration, bin, cause string) {
 	env := newTestEnv(t, seed, bin, modeOf(seed))
+	_, regression := regressionSeeds[seed]
+	env.announcesBorn = !regression
 	env.runInBackground(env.probeRelays)
 	for i := range 6 {
 		service := "x"
 		if i%3 == 2 {
 			service = "y"
 		}
-		env.addServer(fmt.Sprintf("i-%x%x", seed, i+1), uint64(i+1), service, fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
+		env.addServer(fmt.Sprintf("i-%x%x", seed, i+1), service, fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
 	}
 	env.publish(1)
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
@@ -84,6 +86,9 @@
 	env.runInBackground(env.publishAndRead)
 	env.runInBackground(env.replaceServers)
 	env.startLoads(seed)
+	if !regression {
+		env.startRebirths(seed)
+	}
 	env.injectFaults(duration)
 	close(env.calm)
 	env.verifyRecovery()
@@ -98,14 +103,20 @@
 	t.Logf("seed %d (%s): %d requests answered, %d failed, of these %d on flows that stayed open; version %d",
 		seed, cause, env.answered.Load(), env.failed.Load(), env.unansweredHeld.Load(), env.acked)
 	t.Logf("%s: %s; longest stall of the machine %v", env.mode, env.load.String(), time.Duration(env.longestStall.Load()))
+	t.Log(env.rebirths.String())
 	if len(env.violations) > 0 {
-		logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
-		env.c.Check(err, qt.IsNil)
-		env.c.Check(os.CopyFS(logDir, os.DirFS(env.folder)), qt.IsNil)
-		t.Errorf("logs in %s:\n%s", logDir, strings.Join(env.violations, "\n"))
+		t.Errorf("logs in %s:\n%s", env.keepLogs(fmt.Sprintf("soak-%d-", seed)), strings.Join(env.violations, "\n"))
 	}
 }
 
+// keepLogs copies the logs to a new folder, whose path it returns.
+func (env *testEnv) keepLogs(prefix string) string {
+	logDir, err := os.MkdirTemp("", prefix)
+	env.c.Check(err, qt.IsNil)
+	env.c.Check(os.CopyFS(logDir, os.DirFS(env.folder)), qt.IsNil)
+	return logDir
+}
+
 // runInBackground runs a task in a goroutine that close waits for.
 func (env *testEnv) runInBackground(task func()) { env.tasks.Go(task) }
 
@@ -157,15 +168,24 @@
 
 // addServer starts a stand-in that serves packets and announces itself.
 // For the time of warmup, it announces that it is cold.
-func (env *testEnv) addServer(id string, number uint64, service, address string, warmup time.Duration) *server {
+func (env *testEnv) addServer(id, service, address string, warmup time.Duration) *server {
+	born := int64(0)
+	if env.announcesBorn {
+		born = time.Now().UnixMilli()
+	}
+	return env.addIncarnation(id, service, address, warmup, born)
+}
+
+// addIncarnation starts a stand-in as addServer does, with the time of its start.
+func (env *testEnv) addIncarnation(id, service, address string, warmup time.Duration, born int64) *server {
 	addr, err := net.ResolveUDPAddr("udp4", address)
 	env.c.Assert(err, qt.IsNil)
-	conn, err := net.ListenUDP("udp4", addr)
+	conn, err := bindAgain(addr)
 	env.c.Assert(err, qt.IsNil)
 	n, err := strconv.ParseUint(strings.TrimPrefix(id, "i-"), 16, 64)
 	env.c.Assert(err, qt.IsNil)
 	s := &server{
-		env: env, id: id, number: n, service: service, address: address, conn: conn, flows: map[string]uint32{},
+		env: env, id: id, number: n, service: service, address: address, born: born, conn: conn, flows: map[string]uint32{},
 		zone: zoneOf(int(addr.IP.To4()[3]) / 4), warmAt: time.Now().Add(warmup), uploads: map[string]uint32{}, slots: newSlots(),
 	}
 	env.mu.Lock()
@@ -180,13 +200,15 @@
 func (env *testEnv) announce(s *server) {
 	for {
 		s.mu.Lock()
-		closed := s.closed
+		closed, muted := s.closed, s.muted
 		s.mu.Unlock()
 		if closed {
 			return
 		}
-		env.callControl(http.MethodPut, "/instances/"+s.id, s.announcement(), controlCount)
-		if !env.sleep(heartbeatInterval) {
+		if !muted {
+			env.callControl(http.MethodPut, "/instances/"+s.id, s.announcement(), controlCount)
+		}
+		if !env.sleep(env.mode.heartbeat()) {
 			return
 		}
 	}
@@ -201,10 +223,14 @@
 	if s.draining {
 		state = "draining"
 	}
-	return map[string]any{
+	body := map[string]any{
 		"service": s.service, "addr": s.address, "zone": s.zone, "version": "v1", "capacity": 2, "state": state,
 		"warmup_left_ms": max(time.Until(s.warmAt).Milliseconds(), 0), "seq": s.seq,
 	}
+	if s.born > 0 {
+		body["born"] = s.born
+	}
+	return body
 }
 
 // replaceServers drains and removes one server after another. A new server of the
@@ -218,10 +244,13 @@
 			count[s.service]++
 		}
 		for _, s := range env.servers {
-			if count[s.service] > 2 && (old == nil || s.id < old.id) {
+			if count[s.service] > 2 && !s.claimed && (old == nil || s.id < old.id) {
 				old = s
 			}
 		}
+		if old != nil {
+			old.claimed = true
+		}
 		env.mu.Unlock()
 		if old == nil {
 			continue
@@ -230,6 +259,7 @@
 		old.draining = true
 		old.mu.Unlock()
 		if !env.callControl(http.MethodPut, "/instances/"+old.id, old.announcement(), 60) {
+			env.release(old)
 			continue
 		}
 		old.mu.Lock()
@@ -253,7 +283,7 @@
 			return
 		}
 		other := map[string]string{"x": "y", "y": "x"}[old.service]
-		env.addServer(fmt.Sprintf("i-%x", 0xa000+n), n, other, old.address, warmup)
+		env.addIncarnation(fmt.Sprintf("i-%x", 0xa000+n), other, old.address, warmup, env.bornAfter(old))
 	}
 }
 
@@ -344,6 +374,7 @@
 			if s := env.serverOf(f); s != nil && !s.isLeaving() {
 				env.unansweredHeld.Add(1)
 			}
+			env.verifyDirected(f)
 			f.close()
 		}
 		f = nil
@@ -355,7 +386,7 @@
 // is not acknowledged, so its flows may be reset from then on.
 func (env *testEnv) verifyReset(f *flow) {
 	if s := env.serverOf(f); s != nil && !s.isLeaving() {
-		env.recordViolation("flow %s was reset although server %s holds it open", f.key(), s.id)
+		env.recordViolation("flow %s was reset although server %s holds it open (by a %s; latest fault there: %s)", f.key(), s.id, f.resetBy, env.latestFaultOf(s.id))
 	}
 }
 
