--- a/internal/proof/soak/claims_test.go
+++ b/internal/proof/soak/claims_test.go
@@ -235,13 +235,14 @@
 		s.muted = s.seq > seq
 		return s.muted
 	})
-	// The heartbeat arrives before the call that follows.
-	time.Sleep(200 * time.Millisecond)
 	time.AfterFunc(p.mode.heartbeat()*5/2, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.muted = false
 	})
+	// All control hosts have the heartbeat after two exchanges: it undoes a removal at one
+	// that doesn't have it yet.
+	time.Sleep(700 * time.Millisecond)
 }
 
 // TestAnotherWritersRecordResetsNoFlow guards against a reset, or packets sent elsewhere, on
