proof/soak: end the restarts of servers before the checks after the faults

A server that was absent, or served on after its removal, could do so for some seconds into the checks after the faults, which expect calm. These faults now end early when no more are injected, and the checks wait for them.

--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -111,7 +111,9 @@
 	// announcesBorn is set if servers announce the time of their start.
 	announcesBorn bool
 	rebirths      rebirthCounts
-	load          loadCounts
+	// rebirthTasks are the faults that rebirths counts.
+	rebirthTasks sync.WaitGroup
+	load         loadCounts
 	// stall is the longest stall of the machine in nanoseconds, since the last reset, and
 	// longestStall that of the whole run.
 	stall, longestStall atomic.Int64
@@ -312,6 +314,7 @@
 		_ = s.conn.Close()
 	}
 	env.mu.Unlock()
+	env.rebirthTasks.Wait()
 	env.tasks.Wait()
 }
 
--- a/internal/proof/soak/reborn_test.go
+++ b/internal/proof/soak/reborn_test.go
@@ -143,7 +143,7 @@
 // returns nil if the run ends.
 func (env *testEnv) restartServer(s *server, gap time.Duration, born func() int64) *server {
 	env.end(s)
-	if gap > 0 && !env.sleep(gap) {
+	if gap > 0 && !env.sleepWhileFaulty(gap) {
 		return nil
 	}
 	return env.addIncarnation(s.id, s.service, s.address, 0, born())
@@ -168,7 +168,7 @@
 			env.rebirths.latestTokenClients.Add(1)
 		}
 	}
-	env.runInBackground(func() {
+	env.rebirthTasks.Go(func() {
 		others := []rebirth{
 			{"restarted at once", env.restartAtOnce},
 			{"restarted after a gap", env.restartAfterGap},
@@ -188,6 +188,8 @@
 			}
 			for _, fault := range faults {
 				select {
+				case <-env.stop:
+					return
 				case <-env.calm:
 					return
 				case <-time.After(time.Duration(300+r.IntN(600)) * time.Millisecond):
@@ -197,7 +199,7 @@
 					env.mu.Lock()
 					env.latestFault[s.id] = time.Now().Format("15:04:05.000 ") + fault.name
 					env.mu.Unlock()
-					env.runInBackground(func() { fault.inject(s, own) })
+					env.rebirthTasks.Go(func() { fault.inject(s, own) })
 				}
 			}
 		}
@@ -217,6 +219,19 @@
 	return env.latestFault[id]
 }
 
+// sleepWhileFaulty is sleep, but returns early once no more faults are injected: none of the
+// faults above lasts longer.
+func (env *testEnv) sleepWhileFaulty(duration time.Duration) bool {
+	select {
+	case <-env.stop:
+		return false
+	case <-env.calm:
+		return true
+	case <-time.After(duration):
+		return true
+	}
+}
+
 // between returns a random duration from least to most.
 func between(r *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(r.Int64N(int64(most-least)))
@@ -238,7 +253,7 @@
 	p := env.procs[r.IntN(len(env.procs))]
 	p.signal(syscall.SIGSTOP)
 	env.restartServer(s, 0, now)
-	env.sleep(between(r, 100*time.Millisecond, 1300*time.Millisecond))
+	env.sleepWhileFaulty(between(r, 100*time.Millisecond, 1300*time.Millisecond))
 	p.signal(syscall.SIGCONT)
 }
 
@@ -250,7 +265,7 @@
 	proxy.dropOut.Store(true)
 	proxy.dropIn.Store(r.IntN(2) == 0)
 	env.restartServer(s, 0, now)
-	env.sleep(between(r, 100*time.Millisecond, 2600*time.Millisecond))
+	env.sleepWhileFaulty(between(r, 100*time.Millisecond, 2600*time.Millisecond))
 	proxy.clearFaults()
 	proxy.reset()
 }
@@ -265,7 +280,7 @@
 func (env *testEnv) delayHeartbeat(s *server, r *rand.Rand) {
 	late := s.announcement()
 	env.restartServer(s, 0, now)
-	if env.sleep(between(r, 100*time.Millisecond, maxCallDelay)) {
+	if env.sleepWhileFaulty(between(r, 100*time.Millisecond, maxCallDelay)) {
 		env.rebirths.lateHeartbeats.Add(1)
 		env.callOnce(http.MethodPut, s.id, late)
 	}
@@ -274,7 +289,7 @@
 // delayRemoval restarts a server, after which the removal of the incarnation before arrives.
 func (env *testEnv) delayRemoval(s *server, r *rand.Rand) {
 	env.restartServer(s, 0, now)
-	if env.sleep(between(r, 100*time.Millisecond, maxCallDelay)) {
+	if env.sleepWhileFaulty(between(r, 100*time.Millisecond, maxCallDelay)) {
 		env.rebirths.lateRemovals.Add(1)
 		env.callOnce(http.MethodDelete, s.id, nil)
 	}
@@ -293,7 +308,7 @@
 	s.mu.Lock()
 	s.drainAckedAt = time.Now()
 	s.mu.Unlock()
-	if !env.sleep(drainGrace) {
+	if !env.sleepWhileFaulty(drainGrace) {
 		return
 	}
 	env.rebirths.unacknowledgedRemovals.Add(1)
@@ -301,7 +316,7 @@
 	s.muted = r.IntN(2) == 0
 	s.mu.Unlock()
 	env.callOnce(http.MethodDelete, s.id, nil)
-	if env.sleep(between(r, time.Second, 3*time.Second)) {
+	if env.sleepWhileFaulty(between(r, time.Second, 3*time.Second)) {
 		env.restartServer(s, 0, now)
 	}
 }
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -91,6 +91,7 @@
 	}
 	env.injectFaults(duration)
 	close(env.calm)
+	env.rebirthTasks.Wait()
 	env.verifyRecovery()
 	env.mu.Lock()
 	defer env.mu.Unlock()
