--- a/internal/serve/fleet/address.go
+++ b/internal/serve/fleet/address.go
@@ -77,8 +77,16 @@
 	if f.lapsed(owner, s) || owner.Silent() {
 		return true
 	}
-	precedes := s.Started < owner.Started || s.Started == owner.Started && s.ID < owner.ID
-	return precedes && f.persistentRival(s)
+	return s.precedes(&owner.Record) && f.persistentRival(s)
+}
+
+// precedes orders the servers at one address: a known start before an unknown one, the
+// earlier start first, then the lower ID.
+func (r *Record) precedes(other *Record) bool {
+	if (r.Started == 0) != (other.Started == 0) {
+		return other.Started == 0
+	}
+	return r.Started < other.Started || r.Started == other.Started && r.ID < other.ID
 }
 
 // lapsed reports whether s has left, or has not announced itself for ReuseAfter longer
