--- a/internal/serve/fleet/address.go
+++ b/internal/serve/fleet/address.go
@@ -77,12 +77,12 @@
 	if f.lapsed(owner, s) || owner.Silent() {
 		return true
 	}
-	return s.precedes(&owner.Record) && f.persistentRival(s)
+	return s.ownsBefore(&owner.Record) && f.persistentRival(s)
 }
 
-// precedes orders the servers at one address: a known start before an unknown one, the
+// ownsBefore orders the servers at one address: a known start before an unknown one, the
 // earlier start first, then the lower ID.
-func (r *Record) precedes(other *Record) bool {
+func (r *Record) ownsBefore(other *Record) bool {
 	if (r.Started == 0) != (other.Started == 0) {
 		return other.Started == 0
 	}
