--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -58,6 +58,11 @@
 	return s
 }
 
+// isAdvancedBy reports whether a packet acknowledges new data of the server. F may be nil.
+func (f *flow) isAdvancedBy(p *Packet) bool {
+	return f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
+}
+
 // isRetransmission reports whether a packet repeats the latest data of the client, whose
 // answer it has not received.
 func (f *flow) isRetransmission(p *Packet) bool {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -177,33 +177,13 @@
 		c.untrack(key)
 		return Action{Verdict: Reset, Reason: RouteRemoved}
 	}
-	s, known := c.tokens.Find(p.Token)
-	claim := NoClaim
-	if known {
-		s = c.successor(s)
-		claim = s.claim()
-	}
-	if f != nil {
-		f.moveTo(c.successor(f.server))
-	}
-	reason := NoReason
-	advances := f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
-	if advances && known && !f.confirmed {
-		f.moveTo(s)
-		f.confirmed = true
-	}
-	if f != nil && f.established && sameStream(p.Ack, f.ack) && (!known || s != f.server) && !c.options.Off.Has(tune.CorrectTokens) {
-		// The token is unknown, or is that of another server, for example of one that
-		// answered another transmission of the opening packet.
-		s, known, reason = f.server, true, CorrectedToken
-		claim = s.claim()
-		c.stats.Corrected++
-	}
-	if !known {
+	s, reason := c.serverOf(f, p)
+	if s == nil {
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	if advances && s == f.server {
+	claim := s.claim()
+	if f.isAdvancedBy(p) && s == f.server {
 		s.recordAnswer(now)
 		if claim != NoClaim && reason == NoReason {
 			reason = Contradicted
@@ -228,6 +208,30 @@
 	return a
 }
 
+// serverOf returns the server that a packet goes to, or nil if that is not known: the one
+// that its token names, unless the flow is known to be with another one. F may be nil.
+func (c *Core) serverOf(f *flow, p *Packet) (*server, Reason) {
+	s, known := c.tokens.Find(p.Token)
+	if known {
+		s = c.successor(s)
+	}
+	if f == nil {
+		return s, NoReason
+	}
+	f.moveTo(c.successor(f.server))
+	if f.isAdvancedBy(p) && known && !f.confirmed {
+		f.moveTo(s)
+		f.confirmed = true
+	}
+	if f.established && sameStream(p.Ack, f.ack) && s != f.server && !c.options.Off.Has(tune.CorrectTokens) {
+		// The token is unknown, or is that of another server, for example of one that
+		// answered another transmission of the opening packet.
+		c.stats.Corrected++
+		return f.server, CorrectedToken
+	}
+	return s, NoReason
+}
+
 // adopt starts tracking a flow that was opened through another host.
 func (c *Core) adopt(now clock.Millis, key flowKey, s *server, p *Packet) *flow {
 	if old := c.flows[key]; old != nil {
