--- a/internal/token/core/verify_test.go
+++ b/internal/token/core/verify_test.go
@@ -19,6 +19,23 @@
 	h.Learn(now, &core.Update{Servers: []core.ServerUpdate{{Record: r, Ended: ended}}})
 }
 
+// newHostWithAClaim returns a host with an open flow whose server is said to have ended, and
+// the action of the flow's opening.
+func newHostWithAClaim(c *qt.C) (*core.Core, core.Action) {
+	h := newStartedCore(1)
+	first, server := openFlow(c, h)
+	h.HandlePacket(20, data(first.Token, 9000, 0), true)
+	learn(h, 100, server, true)
+	return h, first
+}
+
+// checkForwarded sends a packet of n bytes at an offset of the client's data.
+func checkForwarded(c *qt.C, h *core.Core, now clock.Millis, first *core.Action, offset uint32, n int) {
+	p := data(first.Token, 9000, n)
+	p.Seq += offset
+	c.Check(h.HandlePacket(now, p, true).Verdict, qt.Equals, core.Forward, qt.Commentf("offset %d at %d", offset, now))
+}
+
 // TestSlowAnswerOfARestartedServerKeepsItsFlow guards against a reset of a flow under the token of the incarnation before.
 func TestSlowAnswerOfARestartedServerKeepsItsFlow(t *testing.T) {
 	for _, opener := range []bool{true, false} {
@@ -41,15 +58,10 @@
 // TestOneLostWindowConfirmsNoClaim guards against counting the packets of one request that are lost at one moment.
 func TestOneLostWindowConfirmsNoClaim(t *testing.T) {
 	c := qt.New(t)
-	h := newStartedCore(1)
-	first, server := openFlow(c, h)
-	h.HandlePacket(20, data(first.Token, 9000, 0), true)
-	learn(h, 100, server, true)
+	h, first := newHostWithAClaim(c)
 	for _, now := range []clock.Millis{1000, 1200} {
 		for n := range uint32(2) {
-			p := data(first.Token, 9000, 1200)
-			p.Seq += n * 1200
-			c.Check(h.HandlePacket(now, p, true).Verdict, qt.Equals, core.Forward, qt.Commentf("packet %d at %d", n, now))
+			checkForwarded(c, h, now, &first, n*1200, 1200)
 		}
 	}
 }
@@ -77,15 +89,10 @@
 // TestUploadThatGoesOnIsNotReset guards against losses of an upload, in which only new data shows that the server answers.
 func TestUploadThatGoesOnIsNotReset(t *testing.T) {
 	c := qt.New(t)
-	h := newStartedCore(1)
-	first, server := openFlow(c, h)
-	h.HandlePacket(20, data(first.Token, 9000, 0), true)
-	learn(h, 100, server, true)
+	h, first := newHostWithAClaim(c)
 	send := func(now clock.Millis, from, to uint32) {
 		for n := from; n < to; n++ {
-			p := data(first.Token, 9000, 1200)
-			p.Seq += n * 1200
-			c.Assert(h.HandlePacket(now, p, true).Verdict, qt.Equals, core.Forward, qt.Commentf("packet %d at %d", n, now))
+			checkForwarded(c, h, now, &first, n*1200, 1200)
 		}
 	}
 	send(1000, 0, 18) // Packet 2 is lost behind the host.
@@ -97,16 +104,11 @@
 // TestReorderedPacketsAreNotUnanswered guards against counting packets that arrive out of order.
 func TestReorderedPacketsAreNotUnanswered(t *testing.T) {
 	c := qt.New(t)
-	h := newStartedCore(1)
-	first, server := openFlow(c, h)
-	h.HandlePacket(20, data(first.Token, 9000, 0), true)
-	learn(h, 100, server, true)
+	h, first := newHostWithAClaim(c)
 	for _, n := range []uint32{2, 0, 1} {
-		p := data(first.Token, 9000, 1200)
-		p.Seq += n * 1200
-		h.HandlePacket(1000, p, true)
+		checkForwarded(c, h, 1000, &first, n*1200, 1200)
 	}
-	c.Check(h.HandlePacket(1200, data(first.Token, 9000, 1200), true).Verdict, qt.Equals, core.Forward)
+	checkForwarded(c, h, 1200, &first, 0, 1200)
 }
 
 // TestRecordOfTheSameStartMovesNoOpenFlow guards against packets that follow another address under the ID of their server.
