agree/disk: sync what was read before building on it

Callers saw an older configuration in force for good: after a loss of power, two of three control hosts found a gap in their log, deleted it, and no quorum was left.

Cause: a process that is killed between a write and its sync leaves entries in the page cache. The next one read them, counted them as stored and put later entries into a new, synced segment.

'log entry 81 is missing' on two hosts that had opened their logs with 81 after a kill of all control hosts. TestEntriesThatWereReadSurvivePowerLoss failed with 'log entry 3 is missing' before and holds now.

Change: Open syncs the newest segment that it has read.

--- a/internal/agree/disk/disk.go
+++ b/internal/agree/disk/disk.go
@@ -51,6 +51,8 @@
 // because it is then unknown what reached the disk.
 type Store struct {
 	folder string
+	// sync syncs a segment to disk.
+	sync func(*os.File) error
 	// segment is the newest segment, with its size in bytes and its number.
 	segment *os.File
 	size    int64
@@ -63,12 +65,14 @@
 
 // Open opens the data folder, creating it if it doesn't exist, and returns the
 // store and its content. It always starts a new segment.
-func Open(folder string) (*Store, raft.Stored, error) {
+func Open(folder string) (*Store, raft.Stored, error) { return openWith(folder, (*os.File).Sync) }
+
+func openWith(folder string, sync func(*os.File) error) (*Store, raft.Stored, error) {
 	var stored raft.Stored
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, stored, eris.Wrap(err, "create data folder")
 	}
-	s := &Store{folder: folder}
+	s := &Store{folder: folder, sync: sync}
 	if err := s.readSnapshot(&stored.Snapshot); err != nil {
 		return nil, stored, err
 	}
@@ -125,7 +129,21 @@
 			return err
 		}
 	}
-	return nil
+	if len(paths) == 0 {
+		return nil
+	}
+	return s.syncSegment(paths[len(paths)-1])
+}
+
+// syncSegment syncs the newest segment after it was read. A process that was killed may have
+// written the end of it without a sync, and all that was read counts as stored from now on.
+func (s *Store) syncSegment(path string) error {
+	f, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return eris.Wrap(err, "open segment")
+	}
+	defer f.Close()
+	return eris.Wrap(s.sync(f), "sync segment")
 }
 
 // readSegment adds the records of the segment file at path to stored. A torn record
@@ -269,7 +287,7 @@
 		return eris.Wrap(err, "write segment")
 	}
 	s.size += int64(len(b))
-	return eris.Wrap(s.segment.Sync(), "sync segment")
+	return eris.Wrap(s.sync(s.segment), "sync segment")
 }
 
 // Save writes state, unless it is nil, and entries, and syncs them to disk.
--- a/internal/agree/disk/disk_test.go
+++ b/internal/agree/disk/disk_test.go
@@ -169,3 +169,37 @@
 		}
 	})
 }
+
+// TestEntriesThatWereReadSurvivePowerLoss guards against an entry that a killed process had written and not synced, and that is read and followed by others.
+func TestEntriesThatWereReadSurvivePowerLoss(t *testing.T) {
+	c := qt.New(t)
+	folder := c.TempDir()
+	durable, killed := map[string]int64{}, false
+	sync := func(f *os.File) error {
+		if killed {
+			return nil
+		}
+		info, err := f.Stat()
+		c.Assert(err, qt.IsNil)
+		durable[f.Name()] = info.Size()
+		return f.Sync()
+	}
+	first, _, err := disk.OpenWith(folder, sync)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Save(&raft.HardState{Term: 1}, []raft.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}}), qt.IsNil)
+	killed = true
+	c.Assert(first.Save(nil, []raft.Entry{{Index: 3, Term: 1}}), qt.IsNil)
+	killed = false
+	second, stored, err := disk.OpenWith(folder, sync)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.Entries, qt.HasLen, 3)
+	c.Assert(second.Save(nil, []raft.Entry{{Index: 4, Term: 1}}), qt.IsNil)
+	segments, err := filepath.Glob(filepath.Join(folder, "*.wal"))
+	c.Assert(err, qt.IsNil)
+	for _, path := range segments {
+		c.Assert(os.Truncate(path, durable[path]), qt.IsNil)
+	}
+	_, stored, err = disk.Open(folder)
+	c.Assert(err, qt.IsNil)
+	c.Check(stored.Entries, qt.HasLen, 4)
+}
