token/core: drop copies of openings whose flow is closed

What callers saw: a copy of an opening took a place on another server and counted as load until it expired, and the client's flow had a second token.

Cause: packets of open flows are decided before openings, so on a host that is behind, a copy is decided after its flow was answered and closed. handleOpening took it for another flow of the port, since the record was closed.

Change: a copy of a flow that the host knows to be closed is dropped, with the reason closedFlow. Another opening of the port has another sequence number and opens a flow (TestPortOfAClosedFlowOpensTheNext).

--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -35,7 +35,11 @@
 		return Action{Verdict: Drop, Reason: Stalled}
 	}
 	f := c.flows[key]
-	if f != nil && f.isOpenedBy(p) && !f.closed {
+	if f != nil && f.isOpenedBy(p) {
+		if f.closed {
+			c.stats.DroppedCopies++
+			return Action{Verdict: Drop, Reason: ClosedFlow}
+		}
 		return c.handleRetransmittedOpening(now, f, p)
 	}
 	// A copy may follow an opening that was forwarded by another host.
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -119,6 +119,8 @@
 	ColdServers
 	// Stalled means that the opening packet may have waited while the process was stalled.
 	Stalled
+	// ClosedFlow means that the opening packet is a copy, and that its flow was closed.
+	ClosedFlow
 	// Reasons is the number of reasons.
 	Reasons
 )
@@ -128,6 +130,7 @@
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
 		"serverEnded", "newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
+		"closedFlow",
 	}[r]
 }
 
