token/core: give a server time to answer before a copy goes to another

What callers saw: both servers answered one opening. The client kept one flow with two tokens, and the packets with the other token went to a server without the flow on each host that had no state for it.

Cause: handleRetransmittedOpening took the server for one that doesn't answer as soon as a copy came, also 3 ms after the transmission before it. Copies that waited on the way, for example behind a pause of the host, are read together.

Evidence: TestCopiesReadTogetherGoToOneServer failed for gaps of 0 to 120 ms on, TestCopyReadTogetherStaysWithASuspectedServer for a server that other flows had found unresponsive.

Change: a copy shows that a server doesn't answer, and may go to another one, 150 ms after the opening was first sent to the server. Clients send copies after 200 and 600 ms.

--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -24,7 +24,9 @@
 	// opening packet from a new flow.
 	seq      uint32
 	openedAt clock.Millis
-	lastAt   clock.Millis
+	// offeredAt is when the opening packet was first sent to the present server.
+	offeredAt clock.Millis
+	lastAt    clock.Millis
 	// established is set once the client has acknowledged the server's handshake.
 	established bool
 	// inFlight is set while a request, sent at requestedAt, is in flight. Previous and next
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -62,7 +62,7 @@
 	if !admitted {
 		return c.refuseOverloaded(p, s, load)
 	}
-	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, lastAt: now}
+	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, offeredAt: now, lastAt: now}
 	c.track(key, f)
 	f.beginRequest(now)
 	if kind == choose.Long {
@@ -129,6 +129,9 @@
 	if !f.route.Allows(s.record.Service) {
 		return c.moveToAllowedService(now, f, p)
 	}
+	if now-f.offeredAt < minAnswerTime {
+		return c.forward(s, NoReason)
+	}
 	if !p.late() && s.backend.RecordUnanswered(now, f.openedAt) {
 		c.stats.Avoided++
 	}
@@ -158,6 +161,7 @@
 // moveOpening sends the retransmission of an opening packet to another server.
 func (c *Core) moveOpening(now clock.Millis, f *flow, to *server) Action {
 	f.moveTo(to)
+	f.offeredAt = now
 	c.stats.Moved++
 	c.recordOpening(now, to)
 	return c.forward(to, MovedFlow)
