token/daemon: log the sequence number and the wait of a decided packet

The logs couldn't tell a copy of an opening from another flow of the port (seq), nor a transmission that waited on the host from one that came late (waited).

--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -317,7 +317,7 @@
 		return
 	}
 	f.d.log.Info("Flow decided.", "flow", f.packet.From.String()+">"+f.packet.To.String(), "outcome", a.Verdict.String(),
-		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "ack", f.packet.Ack, "token", uint32(f.packet.Token),
-		"claim", a.Claim.String(), "unanswered", a.Unanswered,
+		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "seq", f.packet.Seq, "ack", f.packet.Ack, "token", uint32(f.packet.Token),
+		"claim", a.Claim.String(), "unanswered", a.Unanswered, "waited", int64(f.packet.Waited),
 		"version", f.d.core.Version(), "newsAge", int64(now-f.confirmedAt), "omitted", omitted)
 }
