token/intake: measure the wait of datagrams while the host is behind

Cause: the wait of a datagram was bounded by the time since the socket was last empty. A packet counted as late then says nothing, and no rule on waits can tell outdated openings from fresh ones. After a stall, all openings counted as arrived during it until the socket was empty.

Change: while the socket isn't empty, the host sends a probe to its own address every 20 ms. What is read after a probe arrived after it was sent, so the bound is the true wait plus 20 ms. A probe that is lost leaves the bound as it was. The stalled mark ends with the first probe sent after the stall, and is kept for each opening that was read before.

Evidence: TestWaitIsKnownWhileTheHostIsBehind and TestProbeAfterAStallEndsIt fail without probes.

--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -79,7 +79,7 @@
 		behindLimiter: logs.NewLimiter(behindLinesPerSecond),
 	}
 	f.shaping = newShaping(d.settings)
-	f.queue = intake.New(f, d.clock.Now, maxDatagram)
+	f.queue = intake.New(f, d.clock.Now, maxDatagram, f.probe)
 	return f
 }
 
@@ -239,6 +239,9 @@
 	}
 }
 
+// probe implements intake.Prober.
+func (f *forwarder) probe(datagram []byte) { f.send(f.d.settings.Packets, datagram) }
+
 func (f *forwarder) send(to netip.AddrPort, datagram []byte) {
 	if !to.Addr().Unmap().Is4() {
 		f.d.reasons.Add("sendFailed", 1)
--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -64,9 +64,9 @@
 // opening is an opening packet that waits.
 type opening struct {
 	datagram []byte
-	// emptySince is when the source was last known to be empty before the datagram was
-	// read.
-	emptySince clock.Millis
+	// arrivedAfter and stalled are those of the Queue when the datagram was read.
+	arrivedAfter clock.Millis
+	stalled      bool
 }
 
 // Queue holds the openings that wait. It is not safe for concurrent use.
@@ -74,39 +74,54 @@
 	handler Handler
 	now     func() clock.Millis
 	buffer  []byte
-	// emptyAt is when the source was last empty. Whatever is read has arrived later. If
-	// drained, it was empty when the latest call of Receive returned, and the next call
-	// comes when something has arrived.
-	emptyAt clock.Millis
-	drained bool
-	// aliveAt is when the process was last known to run, and stalled is set after a stall
-	// until the source is empty.
-	aliveAt clock.Millis
-	stalled bool
+	probes  probes
+	// arrivedAfter is a time after which whatever is read has arrived: when the source was last
+	// empty, or when the latest probe that was read was sent. If drained, the source was empty
+	// when the latest call of Receive returned, and the next call comes when something has
+	// arrived.
+	arrivedAfter clock.Millis
+	drained      bool
+	// aliveAt is when the process was last known to run. Stalled is set after a stall, which
+	// ended at stalledUntil, until what arrived meanwhile has been read.
+	aliveAt, stalledUntil clock.Millis
+	stalled               bool
+	// deciding is the opening that is decided, or nil.
+	deciding *opening
 	// openings is a ring: the oldest is at first.
 	openings    [maxOpenings]opening
 	first, size int
 	stats       Stats
 }
 
-// New returns an empty Queue for datagrams of up to maxDatagram bytes.
-func New(handler Handler, now func() clock.Millis, maxDatagram int) *Queue {
-	return &Queue{handler: handler, now: now, buffer: make([]byte, maxDatagram), drained: true, aliveAt: now()}
+// New returns an empty Queue for datagrams of up to maxDatagram bytes. Probe sends probes to
+// the source; without it, if it is nil, waits are overstated while the source is never empty.
+func New(handler Handler, now func() clock.Millis, maxDatagram int, probe Prober) *Queue {
+	return &Queue{
+		handler: handler, now: now, buffer: make([]byte, maxDatagram), probes: newProbes(probe),
+		drained: true, aliveAt: now(),
+	}
 }
 
 // Alive must be called every 100 ms or so. It notices that the process did not run: what is
 // read next may have arrived at any time since then, although the source was empty before.
 func (q *Queue) Alive(now clock.Millis) {
-	q.stalled = q.stalled || now-q.aliveAt > stallThreshold
+	if now-q.aliveAt > stallThreshold {
+		q.stalled, q.stalledUntil = true, now
+	}
 	if q.drained && now-q.aliveAt > aliveThreshold {
-		q.emptyAt, q.drained = q.aliveAt, false
+		q.arrivedAfter, q.drained = q.aliveAt, false
 	}
 	q.aliveAt = now
 }
 
 // Stalled reports whether the datagram that is decided may have arrived while the process
 // was stalled.
-func (q *Queue) Stalled() bool { return q.stalled }
+func (q *Queue) Stalled() bool {
+	if q.deciding != nil {
+		return q.deciding.stalled
+	}
+	return q.stalled
+}
 
 // Receive takes a datagram that was just read, then reads more from source and decides
 // until none is left or limit has passed. Openings that are left over are decided by
@@ -115,14 +130,14 @@
 	start := q.now()
 	q.Alive(start)
 	if q.drained {
-		q.emptyAt, q.drained = start, false
+		q.arrivedAfter, q.drained = start, false
 	}
 	q.accept(datagram)
 	for {
 		empty := q.read(source)
 		now := q.now()
 		if empty {
-			q.emptyAt = now
+			q.arrivedAfter = now
 		}
 		if empty && q.size == 0 {
 			q.drained, q.stalled = true, false
@@ -155,9 +170,16 @@
 }
 
 func (q *Queue) accept(datagram []byte) {
+	if sentAt, ok := q.probes.decode(datagram); ok {
+		q.arrivedAfter = max(q.arrivedAfter, sentAt)
+		q.stalled = q.stalled && sentAt < q.stalledUntil
+		return
+	}
+	now := q.now()
+	q.probes.sendIfDue(now, q.arrivedAfter)
 	switch q.handler.Classify(datagram) {
 	case Established:
-		waited := q.now() - q.emptyAt
+		waited := now - q.arrivedAfter
 		q.stats.LongestWait = max(q.stats.LongestWait, waited)
 		q.handler.Decide(datagram, waited)
 	case Opening:
@@ -173,7 +195,7 @@
 		q.size--
 	}
 	o := &q.openings[(q.first+q.size)%maxOpenings]
-	o.datagram, o.emptySince = append(o.datagram[:0], datagram...), q.emptyAt
+	o.datagram, o.arrivedAfter, o.stalled = append(o.datagram[:0], datagram...), q.arrivedAfter, q.stalled
 	q.size++
 }
 
@@ -182,10 +204,12 @@
 		o := &q.openings[q.first]
 		q.first = (q.first + 1) % maxOpenings
 		q.size--
-		waited := q.now() - o.emptySince
+		q.deciding = o
+		waited := q.now() - o.arrivedAfter
 		q.stats.LongestOpeningWait = max(q.stats.LongestOpeningWait, waited)
 		q.handler.Decide(o.datagram, waited)
 	}
+	q.deciding = nil
 }
 
 // Len returns the number of openings that wait.
--- a/internal/token/intake/intake_test.go
+++ b/internal/token/intake/intake_test.go
@@ -19,6 +19,9 @@
 	decided     map[intake.Class][]clock.Millis
 	order       []intake.Class
 	promised    []clock.Millis
+	// probes are the probes that have not been read, sent at probedAt.
+	probes   [][]byte
+	probedAt []clock.Millis
 }
 
 func (h *host) Classify(d []byte) intake.Class { return intake.Class(d[0]) }
@@ -33,6 +36,11 @@
 
 // read is an intake.Source of what has arrived by now.
 func (h *host) read(buffer []byte) (int, bool) {
+	if len(h.probes) > 0 && (len(h.arriving) == 0 || 10*clock.Millis(h.arriving[0][1]) > h.probedAt[0]) {
+		n := copy(buffer, h.probes[0])
+		h.probes, h.probedAt = h.probes[1:], h.probedAt[1:]
+		return n, true
+	}
 	if len(h.arriving) == 0 || 10*clock.Millis(h.arriving[0][1]) > h.now {
 		return 0, false
 	}
@@ -41,9 +49,13 @@
 	return n, true
 }
 
+func (h *host) probe(datagram []byte) {
+	h.probes, h.probedAt = append(h.probes, datagram), append(h.probedAt, h.now)
+}
+
 func newHost(perDecision clock.Millis) (*host, *intake.Queue) {
 	h := &host{perDecision: perDecision, decided: map[intake.Class][]clock.Millis{}}
-	return h, intake.New(h, func() clock.Millis { return h.now }, 16)
+	return h, intake.New(h, func() clock.Millis { return h.now }, 16, h.probe)
 }
 
 // serve calls Receive whenever something has arrived, as an event loop does.
@@ -105,6 +117,40 @@
 	}
 }
 
+// TestWaitIsKnownWhileTheHostIsBehind guards against openings that are dropped as outdated on
+// a host that is busy all the time, but decides them soon.
+func TestWaitIsKnownWhileTheHostIsBehind(t *testing.T) {
+	h, q := newHost(1)
+	for tick := range byte(200) {
+		for range 10 {
+			h.arriving = append(h.arriving, [2]byte{byte(intake.Established), tick})
+		}
+	}
+	h.serve(q, 3000)
+	waits := h.decided[intake.Established]
+	qt.Assert(t, waits, qt.HasLen, 2000)
+	for i, waited := range waits {
+		qt.Check(t, h.promised[i] <= waited+30, qt.IsTrue, qt.Commentf("packet %d: waited %d, bound %d", i, waited, h.promised[i]))
+	}
+}
+
+// TestProbeAfterAStallEndsIt guards against openings that are dropped for a stall long before
+// they arrived, on a host that stays behind.
+func TestProbeAfterAStallEndsIt(t *testing.T) {
+	h, q := newHost(1)
+	q.Alive(h.now)
+	h.now = 700
+	for tick := range byte(150) {
+		for range 10 {
+			h.arriving = append(h.arriving, [2]byte{byte(intake.Established), 60 + tick})
+		}
+	}
+	for h.now < 1000 {
+		q.Receive([]byte{byte(intake.Established), byte(h.now / 10)}, h.read, 50)
+	}
+	qt.Check(t, q.Stalled(), qt.IsFalse)
+}
+
 func TestQuietHostDecidesInOrder(t *testing.T) {
 	h, q := newHost(0)
 	h.arriving = [][2]byte{{byte(intake.Opening), 1}, {byte(intake.Established), 2}, {byte(intake.Invalid), 3}, {byte(intake.Opening), 4}}
