token/core: drop openings whose client has sent a copy meanwhile

What callers saw: two servers answered one opening. A host that was slow or short of processor time forwarded the first transmission as a new flow 0.2 to 0.9 s after a copy had opened the flow through another host.

Cause: only packets read after a stall of 500 ms counted as outdated.

Evidence: TestOpeningWhoseCopyWasSentOpensNoFlow failed for each transmission.

Change: an opening is dropped if it has waited on the host until its client sent the next copy, or gave up. The copy is behind it in the same socket, or went to another host, and decides.

--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -152,6 +152,7 @@
 	"coldServers":  "all its servers were cold, and the host had no grant left to open a flow on one",
 	"stalled":      "the entry host was stalled when the opening packet arrived",
 	"closedFlow":   "it is a copy of an opening packet whose flow was already closed",
+	"outdated":     "its client had sent a copy of the opening packet, or had given up, while it waited on the entry host",
 	"unknownFlow":  "the entry host had no record of the flow and could not find its server",
 	"noProgress":   "its client kept retransmitting a segment that its server did not acknowledge",
 	"clientSilent": "its client answered no probe",
--- a/internal/token/core/copies_test.go
+++ b/internal/token/core/copies_test.go
@@ -83,3 +83,20 @@
 	next.From = netip.MustParseAddrPort("100.64.0.9:1")
 	c.Check(h.HandlePacket(110, next, true).Reason, qt.Equals, core.NewFlow)
 }
+
+// TestOpeningWhoseCopyWasSentOpensNoFlow guards against a second server that answers a client
+// whose copy has opened the flow through another host while the opening waited on this one.
+func TestOpeningWhoseCopyWasSentOpensNoFlow(t *testing.T) {
+	for attempt, interval := range []clock.Millis{200, 400, 800} {
+		for _, waited := range []clock.Millis{0, interval - 1, interval, 2000} {
+			h := newStartedCore(1)
+			p := syn(uint32(attempt))
+			p.Waited = waited
+			want := core.Forward
+			if waited >= interval {
+				want = core.Drop
+			}
+			qt.Check(t, h.HandlePacket(3000, p, true).Verdict, qt.Equals, want, qt.Commentf("transmission %d waited %d", attempt, waited))
+		}
+	}
+}
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -32,7 +32,11 @@
 	}
 	if p.isOutdated() {
 		c.stats.DroppedCopies++
-		return Action{Verdict: Drop, Reason: Stalled}
+		reason := Outdated
+		if p.AfterStall {
+			reason = Stalled
+		}
+		return Action{Verdict: Drop, Reason: reason}
 	}
 	f := c.flows[key]
 	if f != nil && f.isOpenedBy(p) {
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -54,12 +54,15 @@
 // this host.
 func (p *Packet) mayBeRefused() bool { return !p.mayHaveCopy() && p.Waited < copyAges[1] }
 
-// isOutdated reports whether an opening packet was read after a stall and its client has
-// sent a copy or given up meanwhile, or will soon send a copy. If routers have sent a copy to
-// another host, a second server would answer the client of an open flow.
+// isOutdated reports whether the client has sent a copy of an opening packet, or has given
+// up, while the packet waited on this host. After a stall, it will soon do so. If routers have
+// sent the copy to another host, a second server would answer the client of an open flow.
 func (p *Packet) isOutdated() bool {
-	age := copyAges[min(int(p.Ack), len(copyAges)-1)]
-	return p.AfterStall && (p.Ack == 0 || p.Waited >= handshakeTimeout-age)
+	sent, next := copyAges[min(int(p.Ack), len(copyAges)-1)], handshakeTimeout
+	if n := int(p.Ack) + 1; n < len(copyAges) {
+		next = copyAges[n]
+	}
+	return p.AfterStall && p.Ack == 0 || p.Waited >= next-sent
 }
 
 // late reports whether the packet may have waited for so long that it says little about
@@ -121,6 +124,9 @@
 	Stalled
 	// ClosedFlow means that the opening packet is a copy, and that its flow was closed.
 	ClosedFlow
+	// Outdated means that the client has sent a copy of the opening packet, or has given up,
+	// while the packet waited on this host.
+	Outdated
 	// Reasons is the number of reasons.
 	Reasons
 )
@@ -130,7 +136,7 @@
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
 		"serverEnded", "newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
-		"closedFlow",
+		"closedFlow", "outdated",
 	}[r]
 }
 
