token/daemon: don't add the shaper's delay to the wait of openings

The shaper sends packets without data at once, so an opening never waits there. Its wait decides since whether it is outdated: an opening from the port of a flow that was delayed in the last second would be dropped.

--- a/internal/token/daemon/shaping.go
+++ b/internal/token/daemon/shaping.go
@@ -97,9 +97,9 @@
 
 // waited returns for how long f.packet may have waited if it waited for the given time
 // until it was read. Packets of a flow that the shaper delays are answered late through
-// no fault of the server.
+// no fault of the server. It delays no openings.
 func (f *forwarder) waited(now, untilRead clock.Millis) clock.Millis {
-	if f.shaping.shaper != nil && f.shaping.shaper.Delayed(now, &shape.Flow{Client: f.packet.From, Route: f.packet.To}) {
+	if !f.packet.Open && f.shaping.shaper != nil && f.shaping.shaper.Delayed(now, &shape.Flow{Client: f.packet.From, Route: f.packet.To}) {
 		return max(untilRead, shapingWait)
 	}
 	return untilRead
