token/intake: date an empty socket before the read that finds it empty

What callers saw: a host reset the first transmission of an opening after a copy had opened the flow through another host, the users' line "an open flow was reset while its server serves".

Cause: a host short of processor time may be paused between the read that finds its socket empty and the call of the clock. What arrived meanwhile was taken for fresh, so its wait was understated.

Change: the time is taken before the read.

--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -135,15 +135,11 @@
 	q.accept(datagram)
 	for {
 		empty := q.read(source)
-		now := q.now()
-		if empty {
-			q.arrivedAfter = now
-		}
 		if empty && q.size == 0 {
 			q.drained, q.stalled = true, false
 			return
 		}
-		if now-start >= limit {
+		if q.now()-start >= limit {
 			return
 		}
 		q.decideOpenings(openingBurst)
@@ -157,11 +153,14 @@
 	}
 }
 
-// read reads a burst from source and reports whether that is empty now.
+// read reads a burst from source and reports whether that was empty in the end.
 func (q *Queue) read(source Source) (empty bool) {
 	for range readBurst {
+		// The process may be paused after the source has found nothing.
+		before := q.now()
 		n, ok := source(q.buffer)
 		if !ok {
+			q.arrivedAfter = before
 			return true
 		}
 		q.accept(q.buffer[:n])
--- a/internal/token/intake/intake_test.go
+++ b/internal/token/intake/intake_test.go
@@ -151,6 +151,27 @@
 	qt.Check(t, q.Stalled(), qt.IsFalse)
 }
 
+// TestArrivalBesideAnEmptyReadIsNotUnderstated guards against a pause right after a read that
+// finds the source empty: what arrives meanwhile is taken for fresh.
+func TestArrivalBesideAnEmptyReadIsNotUnderstated(t *testing.T) {
+	h, q := newHost(1)
+	for range 40 {
+		h.arriving = append(h.arriving, [2]byte{byte(intake.Opening), 0})
+	}
+	h.arriving = append(h.arriving, [2]byte{byte(intake.Established), 3})
+	q.Receive([]byte{byte(intake.Opening), 0}, func(buffer []byte) (int, bool) {
+		n, ok := h.read(buffer)
+		if !ok {
+			h.now += 40
+		}
+		return n, ok
+	}, 500)
+	at := slices.Index(h.order, intake.Established)
+	qt.Assert(t, at >= 0, qt.IsTrue)
+	waited := h.decided[intake.Established][0]
+	qt.Check(t, h.promised[at] >= waited-1, qt.IsTrue, qt.Commentf("waited %d, bound %d", waited, h.promised[at]))
+}
+
 func TestQuietHostDecidesInOrder(t *testing.T) {
 	h, q := newHost(0)
 	h.arriving = [][2]byte{{byte(intake.Opening), 1}, {byte(intake.Established), 2}, {byte(intake.Invalid), 3}, {byte(intake.Opening), 4}}
