token/core, token/intake: count the pauses of a starved host against openings

What callers saw: a first transmission was answered with a reset, or opened a second server, after a copy had opened the flow through another host.

Cause: the wait of a datagram assumed that the process runs as soon as something arrives, and that its decision leaves the host at once. A host short of processor time is paused between the two, and for up to 100 ms before the first.

Change: an opening also carries the longest wait, which counts from when the process was last known to run. It is outdated 50 ms before its client sends the next copy, and isn't reset from 100 ms before, since a reset can't be taken back. Measurements of servers use the likely wait, as before.

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -26,6 +26,10 @@
 	// copy shows that the server doesn't answer. Copies that are read sooner have waited on
 	// the way: clients send the first one after 200 ms.
 	minAnswerTime = 150 * clock.Millis(1)
+	// decisionTime is how long a decision may take to leave a host that is short of processor
+	// time. RefusalTime is the same for a reset, which can't be taken back.
+	decisionTime = 50 * clock.Millis(1)
+	refusalTime  = 100 * clock.Millis(1)
 	// sweepInterval is the time between two passes over the flows.
 	sweepInterval = 500 * clock.Millis(1)
 	// requestIdleTimeout is the time without packets after which the request of a
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -35,8 +35,11 @@
 	Close bool
 	Abort bool
 	// Waited is the longest time for which the packet may have waited on this host
-	// before it is decided.
+	// before it is decided, if the process ran as soon as something had arrived.
 	Waited clock.Millis
+	// LongestWait is the same for a process that may have been short of processor time. It
+	// is 0 if that isn't known.
+	LongestWait clock.Millis
 	// AfterStall is set if the packet may have arrived while the process was stalled.
 	// Routers may have sent copies of it to other hosts meanwhile.
 	AfterStall bool
@@ -52,17 +55,24 @@
 // mayBeRefused reports whether an opening packet that can't be served may be answered with
 // a reset: it has no copy, neither an earlier one nor one that was sent while it waited on
 // this host.
-func (p *Packet) mayBeRefused() bool { return !p.mayHaveCopy() && p.Waited < copyAges[1] }
+func (p *Packet) mayBeRefused() bool { return !p.mayHaveCopy() && !p.mayBeOvertaken(refusalTime) }
 
-// isOutdated reports whether the client has sent a copy of an opening packet, or has given
-// up, while the packet waited on this host. After a stall, it will soon do so. If routers have
-// sent the copy to another host, a second server would answer the client of an open flow.
-func (p *Packet) isOutdated() bool {
+// mayBeOvertaken reports whether the client may have sent a copy of an opening packet, or may
+// have given up, before a decision that takes the given time takes effect.
+func (p *Packet) mayBeOvertaken(taking clock.Millis) bool {
 	sent, next := copyAges[min(int(p.Ack), len(copyAges)-1)], handshakeTimeout
 	if n := int(p.Ack) + 1; n < len(copyAges) {
 		next = copyAges[n]
 	}
-	return p.AfterStall && p.Ack == 0 || p.Waited >= next-sent
+	return max(p.Waited, p.LongestWait)+taking >= next-sent
+}
+
+// isOutdated reports whether the client may have sent a copy of an opening packet, or may
+// have given up, while the packet waited on this host. After a stall, it will soon do so. If
+// routers have sent the copy to another host, a second server would answer the client of an
+// open flow.
+func (p *Packet) isOutdated() bool {
+	return p.AfterStall && p.Ack == 0 || p.mayBeOvertaken(decisionTime)
 }
 
 // late reports whether the packet may have waited for so long that it says little about
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -213,14 +213,14 @@
 }
 
 // Decide implements intake.Handler.
-func (f *forwarder) Decide(datagram []byte, waited clock.Millis) {
+func (f *forwarder) Decide(datagram []byte, waited intake.Wait) {
 	now := f.d.clock.Now()
 	// Apply queued updates first, so that the packet is routed by the latest state.
 	if f.d.updates.Depth() > 0 || now-f.tickedAt >= clock.FromDuration(tickInterval) {
 		f.runPeriodic(now)
 	}
 	f.d.codec.Decode(datagram, &f.packet)
-	f.packet.Waited, f.packet.LinkFull = f.waited(now, waited), f.linkFull(now)
+	f.packet.Waited, f.packet.LongestWait, f.packet.LinkFull = f.waited(now, waited.Likely), waited.Longest, f.linkFull(now)
 	// After a stall, the host knows what was true before it.
 	f.packet.AfterStall = f.queue.Stalled()
 	upToDate := f.confirmedAt > 0 && now-f.confirmedAt < confirmationTTL && !f.packet.AfterStall
@@ -321,6 +321,6 @@
 	}
 	f.d.log.Info("Flow decided.", "flow", f.packet.From.String()+">"+f.packet.To.String(), "outcome", a.Verdict.String(),
 		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "seq", f.packet.Seq, "ack", f.packet.Ack, "token", uint32(f.packet.Token),
-		"claim", a.Claim.String(), "unanswered", a.Unanswered, "waited", int64(f.packet.Waited),
+		"claim", a.Claim.String(), "unanswered", a.Unanswered, "waited", int64(f.packet.LongestWait),
 		"version", f.d.core.Version(), "newsAge", int64(now-f.confirmedAt), "omitted", omitted)
 }
--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -43,9 +43,17 @@
 type Handler interface {
 	// Classify returns the class of a datagram.
 	Classify(datagram []byte) Class
-	// Decide decides on a datagram. Waited is the longest time for which it may have
-	// waited on this host since it arrived.
-	Decide(datagram []byte, waited clock.Millis)
+	// Decide decides on a datagram, which has waited on this host since it arrived.
+	Decide(datagram []byte, waited Wait)
+}
+
+// Wait bounds the time for which a datagram has waited on this host.
+type Wait struct {
+	// Likely is the bound if the process ran as soon as something had arrived, and if it wasn't
+	// paused for longer than aliveThreshold.
+	Likely clock.Millis
+	// Longest also covers a process that was short of processor time.
+	Longest clock.Millis
 }
 
 // Source reads a datagram that has arrived into buffer. It returns false if there is
@@ -64,23 +72,30 @@
 // opening is an opening packet that waits.
 type opening struct {
 	datagram []byte
-	// arrivedAfter and stalled are those of the Queue when the datagram was read.
-	arrivedAfter clock.Millis
-	stalled      bool
+	// arrived and stalled are those of the Queue when the datagram was read.
+	arrived bounds
+	stalled bool
 }
 
+// bounds are times after which what is read has arrived: when the source was last empty, or
+// when the latest probe that was read was sent.
+type bounds struct {
+	// likely assumes that the process ran when something arrived while the source was empty.
+	likely, certain clock.Millis
+}
+
+func (b *bounds) wait(now clock.Millis) Wait { return Wait{now - b.likely, now - b.certain} }
+
 // Queue holds the openings that wait. It is not safe for concurrent use.
 type Queue struct {
 	handler Handler
 	now     func() clock.Millis
 	buffer  []byte
 	probes  probes
-	// arrivedAfter is a time after which whatever is read has arrived: when the source was last
-	// empty, or when the latest probe that was read was sent. If drained, the source was empty
-	// when the latest call of Receive returned, and the next call comes when something has
-	// arrived.
-	arrivedAfter clock.Millis
-	drained      bool
+	arrived bounds
+	// drained is set if the source was empty when the latest call of Receive returned. The next
+	// call comes when something has arrived.
+	drained bool
 	// aliveAt is when the process was last known to run. Stalled is set after a stall, which
 	// ended at stalledUntil, until what arrived meanwhile has been read.
 	aliveAt, stalledUntil clock.Millis
@@ -109,7 +124,7 @@
 		q.stalled, q.stalledUntil = true, now
 	}
 	if q.drained && now-q.aliveAt > aliveThreshold {
-		q.arrivedAfter, q.drained = q.aliveAt, false
+		q.arrived, q.drained = bounds{q.aliveAt, q.aliveAt}, false
 	}
 	q.aliveAt = now
 }
@@ -127,10 +142,10 @@
 // until none is left or limit has passed. Openings that are left over are decided by
 // the next call of Receive or Resume.
 func (q *Queue) Receive(datagram []byte, source Source, limit clock.Millis) {
-	start := q.now()
+	start, alive := q.now(), q.aliveAt
 	q.Alive(start)
 	if q.drained {
-		q.arrivedAfter, q.drained = start, false
+		q.arrived, q.drained = bounds{start, alive}, false
 	}
 	q.accept(datagram)
 	for {
@@ -160,7 +175,7 @@
 		before := q.now()
 		n, ok := source(q.buffer)
 		if !ok {
-			q.arrivedAfter = before
+			q.arrived = bounds{before, before}
 			return true
 		}
 		q.accept(q.buffer[:n])
@@ -170,16 +185,16 @@
 
 func (q *Queue) accept(datagram []byte) {
 	if sentAt, ok := q.probes.decode(datagram); ok {
-		q.arrivedAfter = max(q.arrivedAfter, sentAt)
+		q.arrived = bounds{max(q.arrived.likely, sentAt), max(q.arrived.certain, sentAt)}
 		q.stalled = q.stalled && sentAt < q.stalledUntil
 		return
 	}
 	now := q.now()
-	q.probes.sendIfDue(now, q.arrivedAfter)
+	q.probes.sendIfDue(now, q.arrived.certain)
 	switch q.handler.Classify(datagram) {
 	case Established:
-		waited := now - q.arrivedAfter
-		q.stats.LongestWait = max(q.stats.LongestWait, waited)
+		waited := q.arrived.wait(now)
+		q.stats.LongestWait = max(q.stats.LongestWait, waited.Likely)
 		q.handler.Decide(datagram, waited)
 	case Opening:
 		q.push(datagram)
@@ -194,7 +209,7 @@
 		q.size--
 	}
 	o := &q.openings[(q.first+q.size)%maxOpenings]
-	o.datagram, o.arrivedAfter, o.stalled = append(o.datagram[:0], datagram...), q.arrivedAfter, q.stalled
+	o.datagram, o.arrived, o.stalled = append(o.datagram[:0], datagram...), q.arrived, q.stalled
 	q.size++
 }
 
@@ -204,8 +219,8 @@
 		q.first = (q.first + 1) % maxOpenings
 		q.size--
 		q.deciding = o
-		waited := q.now() - o.arrivedAfter
-		q.stats.LongestOpeningWait = max(q.stats.LongestOpeningWait, waited)
+		waited := o.arrived.wait(q.now())
+		q.stats.LongestOpeningWait = max(q.stats.LongestOpeningWait, waited.Likely)
 		q.handler.Decide(o.datagram, waited)
 	}
 	q.deciding = nil
--- a/internal/token/intake/probe.go
+++ b/internal/token/intake/probe.go
@@ -36,8 +36,8 @@
 	return p
 }
 
-// sendIfDue sends a probe if the arrival of what is read is known only to be after
-// arrivedAfter.
+// sendIfDue sends a probe if what is read is only known to have arrived after a time that is
+// long ago.
 func (p *probes) sendIfDue(now, arrivedAfter clock.Millis) {
 	if p.send == nil || now-max(arrivedAfter, p.sentAt) < probeInterval {
 		return
