token/daemon: count the probes that measure waits

Without a probe that comes back, for example behind a packet filter, waits are overstated on a busy host, and its openings are dropped as outdated.

--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -106,6 +106,8 @@
 	inputWait         *admin.Histogram
 	openingWait       *admin.Histogram
 	openingsDiscarded atomic.Int64
+	// waitProbesSent and waitProbesRead count the datagrams that measure waits.
+	waitProbesSent, waitProbesRead atomic.Int64
 	// evacuations is the number of evacuated data centres.
 	evacuations atomic.Int64
 	coldServers atomic.Int64
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -133,6 +133,8 @@
 	f.d.inputWait.Record(s.LongestWait.Duration())
 	f.d.openingWait.Record(s.LongestOpeningWait.Duration())
 	f.d.openingsDiscarded.Store(int64(s.Discarded))
+	f.d.waitProbesSent.Store(int64(s.ProbesSent))
+	f.d.waitProbesRead.Store(int64(s.ProbesRead))
 	if max(s.LongestWait, s.LongestOpeningWait) < behindThreshold {
 		return
 	}
--- a/internal/token/daemon/metrics.go
+++ b/internal/token/daemon/metrics.go
@@ -44,6 +44,8 @@
 	d.handshakes, d.responses = d.metrics.Histogram("handshakeMicros"), d.metrics.Histogram("responseMicros")
 	d.inputWait, d.openingWait = d.metrics.Histogram("inputWaitMicros"), d.metrics.Histogram("openingWaitMicros")
 	d.metrics.Gauge("openingsDiscarded", d.openingsDiscarded.Load)
+	d.metrics.Gauge("waitProbesSent", d.waitProbesSent.Load)
+	d.metrics.Gauge("waitProbesRead", d.waitProbesRead.Load)
 	d.metrics.Gauge("coldServers", d.coldServers.Load)
 	d.metrics.Gauge("malformedReplies", d.malformedReplies.Load)
 	d.metrics.Gauge("sharingHosts", d.sharingHosts.Load)
--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -64,6 +64,8 @@
 type Stats struct {
 	// Discarded counts openings for which there was no room.
 	Discarded uint64
+	// ProbesSent and ProbesRead count the probes.
+	ProbesSent, ProbesRead uint64
 	// LongestWait is the longest wait of a packet of an open flow, and
 	// LongestOpeningWait that of an opening, since the previous call of Stats.
 	LongestWait, LongestOpeningWait clock.Millis
@@ -187,10 +189,13 @@
 	if sentAt, ok := q.probes.decode(datagram); ok {
 		q.arrived = bounds{max(q.arrived.likely, sentAt), max(q.arrived.certain, sentAt)}
 		q.stalled = q.stalled && sentAt < q.stalledUntil
+		q.stats.ProbesRead++
 		return
 	}
 	now := q.now()
-	q.probes.sendIfDue(now, q.arrived.certain)
+	if q.probes.sendIfDue(now, q.arrived.certain) {
+		q.stats.ProbesSent++
+	}
 	switch q.handler.Classify(datagram) {
 	case Established:
 		waited := q.arrived.wait(now)
--- a/internal/token/intake/probe.go
+++ b/internal/token/intake/probe.go
@@ -37,14 +37,15 @@
 }
 
 // sendIfDue sends a probe if what is read is only known to have arrived after a time that is
-// long ago.
-func (p *probes) sendIfDue(now, arrivedAfter clock.Millis) {
+// long ago, and reports whether it did.
+func (p *probes) sendIfDue(now, arrivedAfter clock.Millis) bool {
 	if p.send == nil || now-max(arrivedAfter, p.sentAt) < probeInterval {
-		return
+		return false
 	}
 	p.sentAt = now
 	datagram := append(make([]byte, 0, probeSize), p.key[:]...)
 	p.send(binary.BigEndian.AppendUint64(datagram, uint64(now)))
+	return true
 }
 
 // decode returns the time at which a probe was sent, or false for another datagram.
