--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -71,8 +71,8 @@
 
 // confirmsEnd records what a packet of a flow tells about its server, and reports whether
 // that confirms that the server has ended, as it is said to. Without a claim, a server that
-// doesn't answer is slow or out of reach.
-func (c *Core) confirmsEnd(now clock.Millis, f *flow, s *server, claim Claim, p *Packet) bool {
+// doesn't answer is slow or out of reach. F may be nil.
+func (s *server) confirmsEnd(now clock.Millis, f *flow, claim Claim, p *Packet) bool {
 	if f != nil && f.server == s && f.isRetransmission(p) && !p.late() && s.silence.Unanswered(now, f.requestedAt) {
 		return claim != NoClaim
 	}
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -201,7 +201,7 @@
 			reason = Contradicted
 		}
 	}
-	if c.confirmsEnd(now, f, s, claim, p) {
+	if s.confirmsEnd(now, f, claim, p) {
 		c.stats.ResetEnded++
 		c.untrack(key)
 		return Action{
