--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -345,12 +345,3 @@
 		visit(s)
 	}
 }
-
-// EndedFor returns the time since this host learned that the incarnation has
-// ended, or 0 if it has not ended.
-func (s *Server) EndedFor(now clock.Millis) clock.Millis {
-	if s.endedAt == 0 {
-		return 0
-	}
-	return now - s.endedAt
-}
