token/core: count only silence since the claim, and let it expire

What callers saw: a request that was sent once was reset by a host, though its server, which was about to leave, still answered.

Cause: requests that went unanswered counted before anyone claimed that the server had ended, and three of them over a second ended any other flow for 15 s. A cut that had healed before the claim was taken for the end of the server.

Evidence: TestSilenceOlderThanTheClaimEndsNoFlow, six cases, failed.

Change: the evidence restarts when a claim begins, as it does at an answer. A request that was sent before counts from its first repetition since, which is the first packet that the claim's truth shows in.

What it costs clients of servers that have ended (on a core.Core, one flow, retransmissions after 0.2, 0.6, 1.4, 3.0 and 4.6 s): nothing for requests sent after the claim, 0.6 s before and now. A request that is in flight when the claim begins ends later: claim after 0.1 s: 1.4 s (0.6 before); 0.3 s: 3.0 s (0.6); 0.7 s: 4.6 s (1.4); sooner if other flows of the server give evidence.

--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// updateClaim returns the server's claim, and restarts the evidence of its silence when one
+// begins.
+func (s *server) updateClaim(now clock.Millis) Claim {
+	claim := s.claim()
+	if claim != NoClaim && !s.claimed {
+		s.silence.Restart(now)
+	}
+	s.claimed = claim != NoClaim
+	return claim
+}
+
 // successor returns the incarnation that has replaced s at the same address, or s. Only the
 // server at that address knows whether it holds a flow of s: it may have opened the flow
 // itself before this host knew of its restart.
@@ -73,14 +84,29 @@
 // that confirms that the server has ended, as it is said to. Without a claim, a server that
 // doesn't answer is slow or out of reach. F may be nil.
 func (s *server) confirmsEnd(now clock.Millis, f *flow, claim Claim, p *Packet) bool {
-	if f != nil && f.server == s && f.isRetransmission(p) && !p.late() && s.silence.Unanswered(now, f.requestedAt) {
-		return claim != NoClaim
+	if claim == NoClaim {
+		return false
+	}
+	if f != nil && f.server == s && f.isRetransmission(p) && s.hasIgnored(now, f, p) {
+		return true
+	}
+	return s.silence.Conclusive(now)
+}
+
+// hasIgnored records the retransmission of a request, and reports whether it confirms that
+// the server doesn't answer.
+func (s *server) hasIgnored(now clock.Millis, f *flow, p *Packet) bool {
+	sent := max(f.requestedAt, f.repeatedAt)
+	if sent < s.silence.Since() {
+		// The transmissions before may have gone unanswered before the evidence began.
+		f.repeatedAt = now
+		return false
 	}
-	return claim != NoClaim && s.silence.Conclusive(now)
+	return !p.late() && s.silence.Unanswered(now, sent)
 }
 
 // recordAnswer records that a server has answered a packet.
 func (s *server) recordAnswer(now clock.Millis) {
 	s.backend.RecordAnswer(now)
-	s.silence.Answered(now)
+	s.silence.Restart(now)
 }
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -81,8 +81,10 @@
 	// record is the latest record of this incarnation. Its flows go to the address there.
 	record  fleet.Record
 	backend *choose.Backend
-	// silence is the evidence that the incarnation doesn't answer.
+	// silence is the evidence that the incarnation doesn't answer. Claimed is set while it is
+	// said to have ended.
 	silence verify.Silence
+	claimed bool
 	token   tokens.Token
 	// requests is Core.requests.
 	requests *requests
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -194,7 +194,7 @@
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	claim := s.claim()
+	claim := s.updateClaim(now)
 	if f.isAdvancedBy(p) && s == f.server {
 		s.recordAnswer(now)
 		if claim != NoClaim && reason == NoReason {
@@ -316,7 +316,7 @@
 		f.dataEnd = end
 		if f.retransmitted {
 			// Clients send no new data before the server has acknowledged what was lost.
-			s.silence.Answered(now)
+			s.silence.Restart(now)
 		}
 		if f.requests > 0 {
 			c.spansOf(s.record.Service).RecordInterval(now - f.requestedAt)
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -20,6 +20,7 @@
 			s = c.addServer(now, s, e)
 		}
 		s.record = e.Record
+		s.updateClaim(now)
 		c.list(s)
 		s.token = c.tokens.TokenFor(s.id, s.started)
 	}
@@ -47,6 +48,7 @@
 		c.ordered = append(c.ordered, s)
 	} else {
 		c.unlist(before)
+		before.updateClaim(now)
 		c.ordered[slices.Index(c.ordered, before)] = s
 		if before.started != s.started {
 			before.replacedAt = now
