--- a/internal/token/core/silence_test.go
+++ b/internal/token/core/silence_test.go
@@ -57,3 +57,58 @@
 		}
 	}
 }
+
+// TestOneLossReadAroundAPauseConfirmsNoClaim guards against counting two packets of one moment that a short pause of the host separates.
+func TestOneLossReadAroundAPauseConfirmsNoClaim(t *testing.T) {
+	c := qt.New(t)
+	h, first := newHostWithAClaim(c)
+	for i, now := range []clock.Millis{900, 1000, 1000, 1200, 1345} {
+		p := data(first.Token, 9000, min(i, 1)*50)
+		if i%2 == 0 {
+			p.From = otherClient
+		}
+		c.Check(h.HandlePacket(now, p, true).Verdict, qt.Equals, core.Forward, qt.Commentf("at %d", now))
+	}
+}
+
+// TestLatePacketBeforeAnAnswerIsNotReset guards against a reset while the answer of another flow waits on the host.
+func TestLatePacketBeforeAnAnswerIsNotReset(t *testing.T) {
+	c := qt.New(t)
+	h, first := newHostWithAClaim(c)
+	send := func(now, waited clock.Millis, from netip.AddrPort, ack uint32) core.Verdict {
+		p := data(first.Token, ack, 50)
+		p.From, p.Waited = from, waited
+		return h.HandlePacket(now, p, true).Verdict
+	}
+	answered := netip.MustParseAddrPort("100.64.0.10:1")
+	send(900, 0, answered, 9000)
+	for _, now := range []clock.Millis{1000, 1200, 1600} {
+		send(now, 0, client, 9000)
+	}
+	for _, now := range []clock.Millis{1800, 2000} {
+		send(now, 0, otherClient, 9000)
+	}
+	c.Check(send(2600, 500, thirdClient, 9000), qt.Equals, core.Forward)
+	send(2600, 500, answered, 9100)
+	c.Check(send(2600, 0, thirdClient, 9000), qt.Equals, core.Forward)
+}
+
+// TestPacketsReadTogetherLetNoServerBeAvoided guards against a backoff of a server that had no time to answer.
+func TestPacketsReadTogetherLetNoServerBeAvoided(t *testing.T) {
+	type packet struct{ at, waited, offset clock.Millis }
+	for name, packets := range map[string][]packet{
+		"a copy behind its late request": {{1000, 195, 0}, {1005, 5, 0}},
+		"packets out of order":           {{1000, 0, 1200}, {1001, 0, 0}},
+	} {
+		c := qt.New(t)
+		h := newStartedCore(1)
+		first, _ := openFlow(c, h)
+		h.HandlePacket(20, data(first.Token, 9000, 0), true)
+		for _, sent := range packets {
+			p := data(first.Token, 9000, 1200)
+			p.Seq, p.Waited = p.Seq+uint32(sent.offset), sent.waited
+			h.HandlePacket(sent.at, p, true)
+		}
+		c.Check(h.Stats().Avoided, qt.Equals, uint64(0), qt.Commentf(name))
+	}
+}
