serve/verify: exceed unnoticed pauses with the gap between two retransmissions

What callers saw: a flow of a server that is said to have ended was reset although its one packet and that of another flow were lost at one moment.

Cause: retransmissions counted as two moments from 100 ms on, but a host notices only pauses above 150 ms (intake.aliveThreshold). The copies of packets that were lost at one moment, one read before such a pause and one after it, were two.

Evidence: TestOneLossReadAroundAPauseConfirmsNoClaim (145 ms) failed.

Change: 150 ms. Clients repeat a request after 200 ms, so one flow alone learns that its server has ended as soon as before.

--- a/internal/serve/verify/verify.go
+++ b/internal/serve/verify/verify.go
@@ -15,8 +15,9 @@
 	// retransmission, and not one that was reordered. Clients retransmit after 200 ms.
 	minAge = 150 * clock.Millis(1)
 	// minGap is the least time between two retransmissions that count. Packets that are
-	// lost at one moment are retransmitted at one moment.
-	minGap = 100 * clock.Millis(1)
+	// lost at one moment are retransmitted at one moment, but a pause of the host that it
+	// doesn't notice may separate them by as much.
+	minGap = 150 * clock.Millis(1)
 	// confirming is the number of retransmissions that end the flow of one of them.
 	confirming = 2
 	// conclusive is the number of retransmissions, and conclusiveSpan the time from the first
