token/core: reset no packet that waited on the host

What callers saw: after a pause of a host, the first packet of a flow was reset, though its server had answered another flow meanwhile.

Cause: conclusive evidence ended any flow, also that of a packet which had waited behind a pause of the host, before the answers behind it in the same burst were read.

Evidence: TestLatePacketBeforeAnAnswerIsNotReset failed.

Change: conclusive evidence ends no flow at a late packet, as a late retransmission counts for nothing. The packet is forwarded, and the client's next one decides.

--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -90,7 +90,8 @@
 	if f != nil && f.server == s && f.isRetransmission(p) && s.hasIgnored(now, f, p) {
 		return true
 	}
-	return s.silence.Conclusive(now)
+	// Answers of the server may wait behind a late packet.
+	return !p.late() && s.silence.Conclusive(now)
 }
 
 // hasIgnored records the retransmission of a request, and reports whether it confirms that
