token/core: give a server time to answer a request before it is avoided

What callers saw: new flows avoided a server for 0.8 s and more that had had no time to answer.

Cause: a copy of a request counted as unanswered whenever it was read, also a few milliseconds after the request, which had waited on the host, or if packets of one request came out of order. Only copies of openings had a least age.

Evidence: TestPacketsReadTogetherLetNoServerBeAvoided failed in both cases.

Change: the least age of copies of openings holds for those of requests.

--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -327,7 +327,7 @@
 	} else if p.Length > 0 && f.inFlight {
 		// The client retransmits a request that the server has not answered.
 		f.retransmitted = true
-		if !p.late() && s.backend.RecordUnanswered(now, f.requestedAt) {
+		if !p.late() && now-f.requestedAt >= minAnswerTime && s.backend.RecordUnanswered(now, f.requestedAt) {
 			c.stats.Avoided++
 		}
 	}
