token/core: reproduce drops of packets whose server was forgotten

Callers saw no answer on an open flow whose server had been cut off from all control hosts for more than 90 s. The hosts cut off with it still open flows there; another host, which knows that the server is silent, dropped their packets.

--- a/internal/token/core/silence_test.go
+++ b/internal/token/core/silence_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 	"monsooncleat.example/monsooncleat/internal/token/core"
 )
 
@@ -112,3 +113,25 @@
 		c.Check(h.Stats().Avoided, qt.Equals, uint64(0), qt.Commentf(name))
 	}
 }
+
+// TestServerThatWasForgottenGetsThePacketsOfItsFlows guards against drops while a server is cut off from the control hosts for long.
+func TestServerThatWasForgottenGetsThePacketsOfItsFlows(t *testing.T) {
+	c := qt.New(t)
+	h := newStartedCore(1)
+	cut := func(id string) (silent, known bool) { return id == "i-1", true }
+	h.Learn(100, &core.Update{Silence: cut})
+	p := data(tokens.Candidate("i-1", 1000, 0), 9000, 50)
+	for now := clock.Millis(500); now < 280_000; now += 500 {
+		h.Tick(now)
+	}
+	c.Check(h.Servers(), qt.Equals, 2)
+	c.Check(h.HandlePacket(280_000, p, true).Number, qt.Equals, uint64(1))
+	back := startedRecord(1)
+	back.Seq = 2
+	learn(h, 281_000, back, false)
+	for now := clock.Millis(281_000); now < 700_000; now += 500 {
+		h.Tick(now)
+	}
+	c.Check(h.UsableServers(), qt.Equals, 3)
+	c.Check(h.HandlePacket(700_000, p, true).Number, qt.Equals, uint64(1))
+}
