token/core: keep the tokens of servers whose records are forgotten

What callers saw: no answer on an open flow whose server had been cut off from all control hosts for more than 90 s, through any host that wasn't, though that host reached the server.

Cause: a host forgot the token of a silent server with its record, as flows end after 60 s and a silent server gets no new ones. Hosts that are cut off with the server don't know that it is silent and go on opening flows there.

Evidence: TestServerThatWasForgottenGetsThePacketsOfItsFlows failed.

Change: the tokens of forgotten servers are kept like those of replaced incarnations, both for 5 minutes. A server that returns is found by its token and keeps its counts. A server that is cut off for longer, and hosts that start meanwhile, remain: nobody tells them of the server.

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -51,6 +51,9 @@
 	// removedRouteTTL is how long the address of a removed route is kept, so that
 	// packets of its flows are reset at once. It is the maximum lifetime of a flow.
 	removedRouteTTL = 60 * clock.Second
+	// tokenTTL is how long the token of a server is kept after its record was forgotten or
+	// replaced. A server that is out of reach of the control hosts may serve on for as long.
+	tokenTTL = 5 * clock.Minute
 )
 
 // Options are the settings of a Core.
@@ -96,8 +99,9 @@
 	// coldUntil is the time until which the server takes only the flows of budget, or 0.
 	coldUntil clock.Millis
 	budget    warm.Budget
-	// replacedAt is when another incarnation last replaced this one, or 0.
-	replacedAt clock.Millis
+	// retiredAt is when another incarnation last replaced this one, or its record was last
+	// forgotten, or 0.
+	retiredAt clock.Millis
 }
 
 // Core makes the routing decisions of one host. It is not safe for concurrent
@@ -116,9 +120,9 @@
 	tokens  *tokens.Index[*server]
 	// sharedTokens is set if tokens were shared by servers at the latest change.
 	sharedTokens bool
-	// replaced holds the previous incarnations of restarted servers in the order in
-	// which they were replaced. Clients may still send their tokens.
-	replaced []*server
+	// retired holds the previous incarnations of restarted servers, and those whose records
+	// were forgotten, in the order in which that happened. Clients may still send their tokens.
+	retired []*server
 	// services maps each service to its usable servers outside the evacuated data centres,
 	// sorted by ID.
 	services   map[string][]*server
@@ -360,7 +364,7 @@
 			delete(c.removed, address)
 		}
 	}
-	c.forgetReplaced(now)
+	c.forgetRetired(now)
 	c.updateServers(now, c.expireServers(now))
 	return timeouts
 }
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -34,9 +34,9 @@
 }
 
 // addServer adds an incarnation, which replaces the one before, if that is not nil. It may be
-// one that was replaced earlier, by a record that turned out to be wrong.
+// one that was replaced earlier, by a record that turned out to be wrong, or that was forgotten.
 func (c *Core) addServer(now clock.Millis, before *server, e *fleet.Server) *server {
-	s := c.findReplaced(e)
+	s := c.findRetired(e)
 	if s == nil {
 		s = &server{
 			id: e.ID, started: e.Started, entry: e, record: e.Record,
@@ -51,31 +51,38 @@
 		before.updateClaim(now)
 		c.ordered[slices.Index(c.ordered, before)] = s
 		if before.started != s.started {
-			before.replacedAt = now
-			c.replaced = append(c.replaced, before)
+			c.retire(now, before)
 		}
 	}
 	c.servers[e.ID] = s
 	return s
 }
 
-// findReplaced returns the incarnation that an entry of the fleet describes if it was
-// replaced before and is still known, or nil.
-func (c *Core) findReplaced(e *fleet.Server) *server {
+// retire keeps the token of an incarnation that was replaced or forgotten. It may still serve
+// flows, also new ones of hosts that are cut off from the control hosts with it.
+func (c *Core) retire(now clock.Millis, s *server) {
+	s.retiredAt = now
+	c.retired = append(c.retired, s)
+}
+
+// findRetired returns the incarnation that an entry of the fleet describes if its token was
+// kept when it was replaced or forgotten, or nil.
+func (c *Core) findRetired(e *fleet.Server) *server {
 	s, known := c.tokens.Find(tokens.Candidate(e.ID, e.Started, 0))
-	if !known || s.replacedAt == 0 || s.entry != e || s.isSuperseded() {
+	if !known || s.retiredAt == 0 || s.id != e.ID || s.started != e.Started || s.record.Address != e.Address {
 		return nil
 	}
-	c.replaced = slices.DeleteFunc(c.replaced, func(r *server) bool { return r == s })
+	s.entry = e
+	c.retired = slices.DeleteFunc(c.retired, func(r *server) bool { return r == s })
 	return s
 }
 
-// forgetReplaced forgets the tokens of incarnations that were replaced long ago and have not
+// forgetRetired forgets the tokens of incarnations that were retired long ago and have not
 // returned.
-func (c *Core) forgetReplaced(now clock.Millis) {
-	for len(c.replaced) > 0 && now-c.replaced[0].replacedAt > c.options.Fleet.ForgetAfter {
-		s := c.replaced[0]
-		c.replaced = c.replaced[1:]
+func (c *Core) forgetRetired(now clock.Millis) {
+	for len(c.retired) > 0 && now-c.retired[0].retiredAt > tokenTTL {
+		s := c.retired[0]
+		c.retired = c.retired[1:]
 		if current := c.servers[s.id]; current == nil || current.started != s.started {
 			c.tokens.Remove(s.id, s.started)
 		}
@@ -116,7 +123,7 @@
 
 func compareID(s *server, id string) int { return strings.Compare(s.id, id) }
 
-// expireServers forgets the servers that ended long ago, and returns the entries of the
+// expireServers forgets the servers that ended long ago, but not yet their tokens, and returns the entries of the
 // fleet that changed.
 func (c *Core) expireServers(now clock.Millis) []*fleet.Server {
 	position := c.fleet.Position()
@@ -130,7 +137,7 @@
 		}
 		c.unlist(s)
 		delete(c.servers, s.id)
-		c.tokens.Remove(s.id, s.started)
+		c.retire(now, s)
 		return true
 	})
 	return c.fleet.ChangedSince(position)
