token/core: reproduce the reset of a later flow of a port

A caller that opens a flow from the port of an earlier one, on a route that was removed and came back, is reset by the host that held the earlier flow.

--- a/internal/token/core/silence_test.go
+++ b/internal/token/core/silence_test.go
@@ -135,3 +135,15 @@
 	c.Check(h.UsableServers(), qt.Equals, 3)
 	c.Check(h.HandlePacket(700_000, p, true).Number, qt.Equals, uint64(1))
 }
+
+// TestRemovedRouteEndsNoLaterFlowOfThePort guards against a reset of a flow that another host has opened from the port of an earlier one.
+func TestRemovedRouteEndsNoLaterFlowOfThePort(t *testing.T) {
+	c := qt.New(t)
+	h := newStartedCore(1)
+	first, _ := openFlow(c, h)
+	h.HandlePacket(20, data(first.Token, 9000, 50), true)
+	h.Configure(1000, table(2, routeY))
+	p := data(first.Token, 9000+1<<28, 50)
+	p.Seq += 1 << 28
+	c.Check(h.HandlePacket(1210, p, true).Verdict, qt.Equals, core.Forward)
+}
