token/core: reset only the flow itself when its route was removed

What callers saw: a flow on a route that had come back was reset by a host that didn't know of that yet.

Cause: the host took a packet from the address and port of a flow that it had opened before the removal for one of that flow. Another host had opened the later one.

Evidence: TestRemovedRouteEndsNoLaterFlowOfThePort failed.

Change: the packet's acknowledgement must belong to the stream of the flow's server, as for all other decisions on a flow.

--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -76,6 +76,12 @@
 	return f.seq == p.Seq
 }
 
+// hasOpened reports whether a later packet is one of a flow that this host has opened. F may
+// be nil.
+func (f *flow) hasOpened(p *Packet) bool {
+	return f != nil && !f.openedElsewhere && (!f.established || sameStream(p.Ack, f.ack))
+}
+
 // maxAckDistance bounds the distance between the acknowledgement numbers of two
 // packets of one flow. Initial sequence numbers of servers are random, so a larger
 // distance means that the flow is with another server.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -182,9 +182,9 @@
 // handleSubsequent decides on a packet that follows the opening packet.
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
 	f := c.flows[key]
-	// A flow that was opened through another host may be one from after the route was added
-	// again.
-	if removedAt, removed := c.removed[p.To]; removed && f != nil && f.openedAt < removedAt && !f.openedElsewhere {
+	// A flow that was opened through another host, also one from the port of f, may be one
+	// from after the route was added again.
+	if removedAt, removed := c.removed[p.To]; removed && f.hasOpened(p) && f.openedAt < removedAt {
 		c.stats.ResetRemoved++
 		c.untrack(key)
 		return Action{Verdict: Reset, Reason: RouteRemoved}
