--- a/internal/serve/verify/verify.go
+++ b/internal/serve/verify/verify.go
@@ -2,7 +2,7 @@
 // hosts hear of a server (announcements, removals, records of other servers at its address)
 // can be late, out of order or from another writer. Only the server knows which flows it
 // holds, and it resets those that it doesn't hold. A host ends a flow in its place only if
-// the server is said to have ended and leaves retransmitted requests unanswered.
+// the server is said to have ended and leaves requests unanswered from then on.
 //
 // The evidence is made for lossy links and for servers with few flows through a host: one
 // moment of loss never suffices, however many packets and flows it hits.
