--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -22,9 +22,9 @@
 	// handshakeTimeout is how long a client waits for the answer to an opening
 	// packet. The clients' protocol, which package platform implements, defines it.
 	handshakeTimeout = 1400 * clock.Millis(1)
-	// minAnswerTime is the time after an opening packet was sent to a server from which a
-	// copy shows that the server doesn't answer. Copies that are read sooner have waited on
-	// the way: clients send the first one after 200 ms.
+	// minAnswerTime is the time after a packet was sent to a server from which a copy shows
+	// that the server doesn't answer. Copies that are read sooner have waited on the way or
+	// were reordered: clients send the first one after 200 ms.
 	minAnswerTime = 150 * clock.Millis(1)
 	// decisionTime is how long a decision may take to leave a host that is short of processor
 	// time. RefusalTime is the same for a reset, which can't be taken back.
@@ -55,6 +55,9 @@
 	// removedRouteTTL is how long the address of a removed route is kept, so that
 	// packets of its flows are reset at once. It is the maximum lifetime of a flow.
 	removedRouteTTL = 60 * clock.Second
+	// tokenTTL is how long the token of a server is kept after its record was forgotten or
+	// replaced. A server that is out of reach of the control hosts may serve on for as long.
+	tokenTTL = 5 * clock.Minute
 )
 
 // Options are the settings of a Core.
@@ -85,8 +88,10 @@
 	// record is the latest record of this incarnation. Its flows go to the address there.
 	record  fleet.Record
 	backend *choose.Backend
-	// silence is the evidence that the incarnation doesn't answer.
+	// silence is the evidence that the incarnation doesn't answer. Claimed is set while it is
+	// said to have ended.
 	silence verify.Silence
+	claimed bool
 	token   tokens.Token
 	// requests is Core.requests.
 	requests *requests
@@ -98,8 +103,9 @@
 	// coldUntil is the time until which the server takes only the flows of budget, or 0.
 	coldUntil clock.Millis
 	budget    warm.Budget
-	// replacedAt is when another incarnation last replaced this one, or 0.
-	replacedAt clock.Millis
+	// retiredAt is when another incarnation replaced this one, or its record was forgotten,
+	// or 0 if it hasn't been or has returned.
+	retiredAt clock.Millis
 }
 
 // Core makes the routing decisions of one host. It is not safe for concurrent
@@ -118,9 +124,9 @@
 	tokens  *tokens.Index[*server]
 	// sharedTokens is set if tokens were shared by servers at the latest change.
 	sharedTokens bool
-	// replaced holds the previous incarnations of restarted servers in the order in
-	// which they were replaced. Clients may still send their tokens.
-	replaced []*server
+	// retired holds the previous incarnations of restarted servers, and those whose records
+	// were forgotten, in the order in which that happened. Clients may still send their tokens.
+	retired []retirement
 	// services maps each service to its usable servers outside the evacuated data centres,
 	// sorted by ID.
 	services   map[string][]*server
@@ -362,7 +368,7 @@
 			delete(c.removed, address)
 		}
 	}
-	c.forgetReplaced(now)
+	c.forgetRetired(now)
 	c.updateServers(now, c.expireServers(now))
 	return timeouts
 }
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -34,6 +34,9 @@
 	inFlight       bool
 	previous, next *flow
 	requestedAt    clock.Millis
+	// repeatedAt is when a request of the flow was first repeated after the evidence of its
+	// server's silence had begun, or 0.
+	repeatedAt clock.Millis
 	// loadAtRequest is the number of requests in flight per slot of the server when
 	// the request began, with this one.
 	loadAtRequest float64
@@ -73,6 +76,12 @@
 	return f.seq == p.Seq
 }
 
+// hasOpened reports whether a later packet is one of a flow that this host has opened. F may
+// be nil.
+func (f *flow) hasOpened(p *Packet) bool {
+	return f != nil && !f.openedElsewhere && (!f.established || sameStream(p.Ack, f.ack))
+}
+
 // maxAckDistance bounds the distance between the acknowledgement numbers of two
 // packets of one flow. Initial sequence numbers of servers are random, so a larger
 // distance means that the flow is with another server.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -182,9 +182,9 @@
 // handleSubsequent decides on a packet that follows the opening packet.
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
 	f := c.flows[key]
-	// A flow that was opened through another host may be one from after the route was added
-	// again.
-	if removedAt, removed := c.removed[p.To]; removed && f != nil && f.openedAt < removedAt && !f.openedElsewhere {
+	// A flow that was opened through another host, also one from the port of f, may be one
+	// from after the route was added again.
+	if removedAt, removed := c.removed[p.To]; removed && f.hasOpened(p) && f.openedAt < removedAt {
 		c.stats.ResetRemoved++
 		c.untrack(key)
 		return Action{Verdict: Reset, Reason: RouteRemoved}
@@ -194,14 +194,14 @@
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	claim := s.claim()
+	claim := s.updateClaim(now)
 	if f.isAdvancedBy(p) && s == f.server {
 		s.recordAnswer(now)
 		if claim != NoClaim && reason == NoReason {
 			reason = Contradicted
 		}
 	}
-	if c.confirmsEnd(now, f, s, claim, p) {
+	if s.confirmsEnd(now, f, claim, p) {
 		c.stats.ResetEnded++
 		c.untrack(key)
 		return Action{
@@ -316,7 +316,7 @@
 		f.dataEnd = end
 		if f.retransmitted {
 			// Clients send no new data before the server has acknowledged what was lost.
-			s.silence.Answered(now)
+			s.silence.Restart(now)
 		}
 		if f.requests > 0 {
 			c.spansOf(s.record.Service).RecordInterval(now - f.requestedAt)
@@ -327,7 +327,7 @@
 	} else if p.Length > 0 && f.inFlight {
 		// The client retransmits a request that the server has not answered.
 		f.retransmitted = true
-		if !p.late() && s.backend.RecordUnanswered(now, f.requestedAt) {
+		if !p.late() && now-f.requestedAt >= minAnswerTime && s.backend.RecordUnanswered(now, f.requestedAt) {
 			c.stats.Avoided++
 		}
 	}
