serve/fleet: reproduce a late announcement of a known server that ends its successor

A server that has ended is still known when its second announcement arrives 4.6 s after the first. The running server at its address has missed one announcement by then, and counts as ended. The same as TestDelayedAnnouncementEndsNoOwnerThatMissedOne, whose late announcement is of a server that this host didn't know.

--- a/internal/serve/fleet/believe_test.go
+++ b/internal/serve/fleet/believe_test.go
@@ -104,6 +104,12 @@
 			{4700, ready("b", 100, 2), "b:usable"},
 			{6100, ready("b", 100, 3), "a:ended b:usable"},
 		}},
+		{"delayed announcement of a known server", []step{
+			{1000, ready("a", 200, 1), "a:usable"},
+			{3500, ready("b", 100, 1), "a:ended b:usable"},
+			{5600, ready("a", 200, 2), "a:ended b:usable"},
+			{5900, ready("b", 100, 3), "a:ended b:usable"},
+		}},
 		{"server that was taken for ended goes on", []step{
 			{1000, ready("a", 100, 1), "a:usable"},
 			{3200, ready("b", 200, 1), "a:ended b:usable"},
