serve/fleet: let one announcement that may be late end no owner of an address

A running server that had missed one announcement (1.2 s apart) took no new flows for 2 s or more after one late announcement of the server before at its address.

Cause: the owner of an address counted as ended as soon as another server was announced ReuseAfter (2 s) later. One lost announcement is a silence of 2.4 s, and the only announcement of a server that has ended is also later.

Change: a server takes the address over with its first announcement only if it can have started since the owner was heard: this host didn't know it before, and its Seq is no higher than the announcements that there was time for. Otherwise it is a rival until it announces itself again, and the owner goes on taking flows. An owner that has left or is silent is replaced at once, as before. Messages and saved lists are unchanged.

Evidence: TestDelayedAnnouncementEndsNoOwnerThatMissedOne and TestServerThatGoesOnOwnsTheAddress/delayed_announcement_of_a_known_server failed before and pass.

Open: two late announcements of a server before, with different Seq, still end an owner that missed one.

--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -217,7 +217,10 @@
 		Timing:  raft.Timing{Heartbeat: heartbeatInterval, Election: electionTimeout},
 		Centres: d.settings.Centres, RepeatWindow: d.settings.RepeatWindow,
 		MaxLosses: d.settings.MaxLosses, EvictAfter: d.settings.RecoveryTime / 2,
-		Fleet: fleet.Options{SilentAfter: missedAnnouncements * d.settings.AnnounceInterval, ForgetAfter: forgetAfter, ReuseAfter: d.settings.AddressReuseDelay},
+		Fleet: fleet.Options{
+			SilentAfter: missedAnnouncements * d.settings.AnnounceInterval, ForgetAfter: forgetAfter,
+			Interval: d.settings.AnnounceInterval, ReuseAfter: d.settings.AddressReuseDelay,
+		},
 	}
 	if d.canBootstrap() {
 		for _, seed := range o.Seeds {
--- a/internal/dir/share/converge_test.go
+++ b/internal/dir/share/converge_test.go
@@ -86,7 +86,7 @@
 
 func (h *hosts) newList(i int) *share.List {
 	h.runs++
-	options := fleet.Options{SilentAfter: 3600, ForgetAfter: 90_000, ReuseAfter: 2000}
+	options := fleet.Options{SilentAfter: 3600, ForgetAfter: 90_000, ReuseAfter: 2000, Interval: announceInterval}
 	send := func(to raft.ID, e *msgs.Envelope) {
 		for j := range h.lists {
 			if hostID(j) == to && !h.cut[i] && !h.cut[j] {
--- a/internal/serve/fleet/address.go
+++ b/internal/serve/fleet/address.go
@@ -18,8 +18,9 @@
 
 // claimAddress decides whether s, which has just announced itself, owns its address. The
 // server that goes on announcing itself does: s takes the address over if the owner has
-// left, or was announced ReuseAfter before s. Until then s is a rival. A rival that has
-// not announced itself for ReuseAfter longer than the owner has ended.
+// left, or was announced ReuseAfter before s. Until then s is a rival, also while its only
+// announcement may be a delayed one. A rival that has not announced itself for ReuseAfter
+// longer than the owner has ended.
 func (f *Fleet) claimAddress(now clock.Millis, s *Server) {
 	if s.State == Left {
 		f.markEnded(now, s, RuleLeft, nil)
@@ -74,12 +75,26 @@
 // takesOver reports whether s takes the address over. Of two that both go on announcing
 // themselves, the one with the earlier start owns it, so that all hosts agree.
 func (f *Fleet) takesOver(s, owner *Server) bool {
-	if f.lapsed(owner, s) || owner.Silent() {
+	switch {
+	case owner.State == Left, owner.Silent():
 		return true
+	case f.lapsed(owner, s):
+		return f.startedSince(s, owner) || s.rivalSince > 0 && s.announcedAt > s.rivalSince
 	}
 	return s.ownsBefore(&owner.Record) && f.persistentRival(s)
 }
 
+// startedSince reports whether s can have started after the latest announcement of owner:
+// this host learned of it later, and its Seq is no higher than the announcements that there
+// was time for. Neither holds for a delayed announcement of the server before owner.
+func (f *Fleet) startedSince(s, owner *Server) bool {
+	sent := uint64(1)
+	if f.options.Interval > 0 {
+		sent += uint64((s.announcedAt - f.seenAt(owner)) / f.options.Interval)
+	}
+	return s.firstAt > owner.announcedAt && s.Seq <= sent
+}
+
 // ownsBefore orders the servers at one address: a known start before an unknown one, the
 // earlier start first, then the lower ID.
 func (r *Record) ownsBefore(other *Record) bool {
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -75,8 +75,9 @@
 // or reported by another one.
 type Server struct {
 	Record
-	// announcedAt is the time of the latest announcement known to this host.
-	announcedAt clock.Millis
+	// firstAt and announcedAt are the times of the first and the latest announcement of the
+	// incarnation known to this host.
+	firstAt, announcedAt clock.Millis
 	// silentSince is when the server was marked silent, or 0.
 	silentSince clock.Millis
 	// endedAt is when this host learned that the incarnation has ended, or 0.
@@ -131,6 +132,8 @@
 	// ForgetAfter is how long the record of an ended or silent server is kept, so
 	// that late announcements are recognised as stale.
 	ForgetAfter clock.Millis
+	// Interval is the time between two announcements of a server, or 0 if it isn't known.
+	Interval clock.Millis
 	// ReuseAfter is how much later than the owner of an address another server must
 	// have announced itself to take the address over, if the owner has not left. An
 	// incarnation with an earlier start is believed once its announcements went on for as
@@ -191,7 +194,7 @@
 func (f *Fleet) Apply(now, announcedAt clock.Millis, r Record, direct bool) Outcome {
 	s := f.servers[r.ID]
 	if s == nil {
-		s = &Server{Record: r, announcedAt: announcedAt}
+		s = &Server{Record: r, firstAt: announcedAt, announcedAt: announcedAt}
 		f.servers[r.ID] = s
 		f.claimAddress(now, s)
 		f.touch(s, true)
@@ -219,6 +222,8 @@
 	// replace one that was announced later.
 	if same {
 		announcedAt = max(announcedAt, beforeAt)
+	} else {
+		s.firstAt = announcedAt
 	}
 	s.Record, s.announcedAt, s.silentSince = r, announcedAt, 0
 	if !same || !r.newer(&before) {
