serve/fleet: let one record with a later start move no running server

New flows avoided a running server for 2 s or a little longer, and went to an address at which it didn't run, after a single record under its ID with a later start and another address.

Cause: a later start was believed at once, whatever it named. The running server, with the earlier start, then had to go on announcing itself for ReuseAfter.

Change: a later start that names another service or address is believed at its second announcement, if the one held was not announced between the two, or once it has gone on for ReuseAfter. It is believed at once if the one held takes no flows (left, draining, silent, displaced) or has not announced itself for ReuseAfter. A later start at the same place is believed at once, as before: its packets reach the same address, and flows have to open at a restarted server. If both go on, the later start is chosen on all hosts, as before. Messages and saved lists are unchanged.

Evidence: TestOneLaterStartReplacesNoServerThatGoesOn failed before and passes.

--- a/internal/serve/fleet/incarnation.go
+++ b/internal/serve/fleet/incarnation.go
@@ -7,8 +7,9 @@
 )
 
 // candidate is a record of a server's ID that does not supersede the record held, as the
-// clock of the server's machine was set, or another writer uses the ID. It is believed
-// once its announcements go on while those of the record held don't.
+// clock of the server's machine was set, the server started again elsewhere, or another
+// writer uses the ID. It is believed once its announcements go on while those of the record
+// held don't.
 type candidate struct {
 	record Record
 	// firstAt and latestAt are the times of its first and latest announcement.
@@ -17,8 +18,11 @@
 
 // sameProcess reports whether two records of one ID are of the same incarnation. A server
 // keeps its service and address until it ends.
-func (r *Record) sameProcess(old *Record) bool {
-	return r.Started == old.Started && r.Service == old.Service && r.Address == old.Address
+func (r *Record) sameProcess(old *Record) bool { return r.Started == old.Started && r.samePlace(old) }
+
+// samePlace reports whether two records name the same service and address.
+func (r *Record) samePlace(old *Record) bool {
+	return r.Service == old.Service && r.Address == old.Address
 }
 
 // newer reports whether r is a later announcement than old of the same incarnation.
@@ -35,7 +39,7 @@
 		return true
 	case f.options.Follower:
 		return f.follows(s, r, announcedAt)
-	case r.Started > s.Started:
+	case r.Started > s.Started && (r.samePlace(&s.Record) || f.replaceable(s, announcedAt)):
 		return announcedAt >= s.announcedAt
 	case announcedAt <= s.announcedAt, r.State == Left, same && (s.State != Ready || r.Seq == s.Seq):
 		return false
@@ -43,6 +47,12 @@
 	return f.persists(now, s, r, announcedAt)
 }
 
+// replaceable reports whether s takes no new flows or has not announced itself for ReuseAfter,
+// so that a single record may move its ID to another place.
+func (f *Fleet) replaceable(s *Server, announcedAt clock.Millis) bool {
+	return !s.Usable() || announcedAt-f.seenAt(s) >= f.options.ReuseAfter
+}
+
 // follows reports whether a Follower replaces the record of s. Control hosts send a record
 // only if they believe it, so the one that was announced later is their later decision. A
 // later start replaces always, as the times that a Follower knows are inexact, and a lower
@@ -55,7 +65,8 @@
 }
 
 // persists notes the announcement r of a candidate, and reports whether it has gone on
-// announcing itself for ReuseAfter.
+// announcing itself for ReuseAfter. A later start at another place is believed at its second
+// announcement if the record held was not announced since the first.
 func (f *Fleet) persists(now clock.Millis, s *Server, r *Record, announcedAt clock.Millis) bool {
 	c := s.candidate
 	switch {
@@ -66,23 +77,24 @@
 	case !c.record.sameProcess(r) || r.Seq <= c.record.Seq:
 		return false
 	}
+	unopposed := r.Started > s.Started && f.seenAt(s) < c.latestAt
 	c.record, c.latestAt = *r, max(announcedAt, c.latestAt)
-	return c.latestAt-max(c.firstAt, f.resumedAt) >= f.options.ReuseAfter
+	return unopposed || c.latestAt-max(c.firstAt, f.resumedAt) >= f.options.ReuseAfter
 }
 
 // heldAnnounced drops the candidate of s, as the incarnation held announced itself. If both
-// go on, all hosts must choose the same one: the later start, and with equal starts the one
-// that precedes the other by address and service.
+// go on, all hosts must choose the same one, the one that precedes the other.
 func (f *Fleet) heldAnnounced(s *Server, announcedAt clock.Millis) {
 	c := s.candidate
 	if c == nil || announcedAt < c.firstAt {
 		return
 	}
-	if c.record.Started < s.Started || !c.record.precedes(&s.Record) || announcedAt-c.latestAt >= f.options.ReuseAfter {
+	if !c.record.precedes(&s.Record) || announcedAt-c.latestAt >= f.options.ReuseAfter {
 		s.candidate = nil
 	}
 }
 
+// precedes orders records of an ID: the later start first, then by address and service.
 func (r *Record) precedes(other *Record) bool {
-	return cmp.Or(r.Address.Compare(other.Address), cmp.Compare(r.Service, other.Service)) < 0
+	return cmp.Or(cmp.Compare(other.Started, r.Started), r.Address.Compare(other.Address), cmp.Compare(r.Service, other.Service)) < 0
 }
