serve/fleet, dir/share: let what other control hosts hold replace a loaded record

A server accepted flows 4.0 s after its drain was acknowledged (bound 3 s): it ran with an earlier start than the incarnation before it under its ID, and a control host was restarted.

Cause: the restarted host dated the ready record of the incarnation before, from its saved list, as 2 s old, and compared it with the drain of the running one as if it had heard both. An earlier start has to go on for ReuseAfter to be believed. The other hosts had been through that; the restarted one began anew, and relays heard ready and draining in turn.

Change: a ready record that was loaded and not heard of since yields to the record of another incarnation that another control host sends, as an exchange or to replicate it, if it was announced later than the loaded one is dated. A direct announcement still has to go on (TestPauseOfAHostDecidesNothing, unchanged), and loaded drains and departures stay. Messages and saved lists are unchanged.

Evidence: TestLoadedRecordOutranksNoDrainThatOthersHold failed before and passes.

If all control hosts restart, none holds more than the others.

--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -272,7 +272,7 @@
 		return cmp.Or(cmp.Compare(unusable(&a), unusable(&b)), cmp.Compare(a.Record.ID, b.Record.ID))
 	})
 	for i := range list {
-		l.fleet.Apply(now, now-l.reuseAfter, list[i].Record, false)
+		l.fleet.Restore(now, now-l.reuseAfter, list[i].Record)
 		l.fleet.SetEnded(now, list[i].Record.ID, list[i].Ended)
 		l.fleet.SetSilent(now, list[i].Record.ID, list[i].Silent)
 	}
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -85,6 +85,8 @@
 	// rivalSince is when the server first announced itself at an address that another one
 	// owns, or 0.
 	rivalSince clock.Millis
+	// restored is set until the server is heard of after a restart of this host.
+	restored bool
 	// candidate is another incarnation that announces itself under the ID, or nil.
 	candidate *candidate
 	// lastChange is the position of the server's latest change. lastTouch is the
@@ -189,6 +191,14 @@
 // started or was suspended. No server has ended for not announcing itself before.
 func (f *Fleet) Resume(now clock.Millis) { f.resumedAt = now }
 
+// Restore adds a record that was saved before a restart of this host, as announced at
+// announcedAt. If the server is ready, the record of another incarnation replaces it that
+// another host believes: that host may have heard both.
+func (f *Fleet) Restore(now, announcedAt clock.Millis, r Record) {
+	f.Apply(now, announcedAt, r, false)
+	f.servers[r.ID].restored = r.State == Ready
+}
+
 // Apply merges a record announced at announcedAt. Direct is true if this host
 // received the announcement from the server itself.
 func (f *Fleet) Apply(now, announcedAt clock.Millis, r Record, direct bool) Outcome {
@@ -200,7 +210,7 @@
 		f.touch(s, true)
 		return Changed
 	}
-	if !f.supersedes(now, s, &r, announcedAt) {
+	if !f.supersedes(now, s, &r, announcedAt, direct) {
 		s.announcedAt = f.latestAnnouncement(s, &r, announcedAt)
 		return Stale
 	}
@@ -225,7 +235,7 @@
 	} else {
 		s.firstAt = announcedAt
 	}
-	s.Record, s.announcedAt, s.silentSince = r, announcedAt, 0
+	s.Record, s.announcedAt, s.silentSince, s.restored = r, announcedAt, 0, false
 	if !same || !r.newer(&before) {
 		s.candidate = nil
 		f.decide(now, RuleSuperseded, &before, beforeAt, s)
--- a/internal/serve/fleet/incarnation.go
+++ b/internal/serve/fleet/incarnation.go
@@ -31,7 +31,7 @@
 }
 
 // supersedes reports whether r, announced at announcedAt, replaces the record of s.
-func (f *Fleet) supersedes(now clock.Millis, s *Server, r *Record, announcedAt clock.Millis) bool {
+func (f *Fleet) supersedes(now clock.Millis, s *Server, r *Record, announcedAt clock.Millis, direct bool) bool {
 	same := r.sameProcess(&s.Record)
 	switch {
 	case same && r.newer(&s.Record):
@@ -41,6 +41,8 @@
 		return f.follows(s, r, announcedAt)
 	case r.Started > s.Started && (r.samePlace(&s.Record) || f.replaceable(s, announcedAt)):
 		return announcedAt >= s.announcedAt
+	case s.restored && !direct && !same && announcedAt > s.announcedAt:
+		return true
 	case announcedAt <= s.announcedAt, r.State == Left, same && (s.State != Ready || r.Seq == s.Seq):
 		return false
 	}
