--- a/internal/dir/share/restart_test.go
+++ b/internal/dir/share/restart_test.go
@@ -51,3 +51,12 @@
 		qt.Check(t, l.Fleet().Find("s").Record, qt.Equals, drain)
 	}
 }
+
+// TestLoadedRecordReplacesNoneOnOtherHosts guards against a running server that loses its ID on all hosts to what one of them loaded.
+func TestLoadedRecordReplacesNoneOnOtherHosts(t *testing.T) {
+	running := incarnation(1, 3, fleet.Ready)
+	other := loneList(3)
+	other.Apply(restartedAt-2100, restartedAt-2100, running, true)
+	exchange(t, restartedAt+50, restartedList(t), other)
+	qt.Check(t, other.Fleet().Find("s").Record, qt.Equals, running)
+}
