dir/share: keep loaded ready records from the other control hosts

New flows would avoid a running server for 2 s on all control hosts, after one of them was restarted and one announcement was lost. Shown on lists only, not seen on the programs.

Cause: a restarted host sent its saved list to the others at the first exchange, dated as 2 s old. Its time is a guess, but it was compared with announcements that were heard: of an incarnation with the later start it replaced the running one, if that was last heard 2.1 s ago.

Change: a record that was loaded as ready is left out of the exchange until the server is heard of. Loaded drains and departures are sent as before. A host whose own list lacks a server learns of it from the server's next announcement (1.2 s), not from another host's saved list. The form of the messages is unchanged.

--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -139,11 +139,14 @@
 }
 
 // ReplyToSync returns the announcements that another control host asks for. They
-// include the repeated ones, which change nothing but the age.
+// include the repeated ones, which change nothing but the age, but not those loaded as ready
+// at the start: it isn't known when they were made.
 func (l *List) ReplyToSync(now clock.Millis, m *msgs.Sync) *msgs.SyncReply {
 	r := &msgs.SyncReply{From: l.group.Self(), RunID: l.runID, Position: l.fleet.Position()}
 	for _, s := range l.fleet.TouchedSince(l.since(m.RunID, m.Since)) {
-		r.Servers = append(r.Servers, StatusOf(now, s))
+		if !s.Restored() {
+			r.Servers = append(r.Servers, StatusOf(now, s))
+		}
 	}
 	if m.Form == msgs.BlockForm && len(r.Servers) > 0 {
 		r.Blocks, r.Servers = []msgs.Block{{Data: record.Append(nil, r.Servers)}}, nil
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -101,6 +101,10 @@
 // Silent reports whether the server has stopped sending announcements.
 func (s *Server) Silent() bool { return s.silentSince > 0 }
 
+// Restored reports whether the server is ready by a record that was saved before a restart of
+// this host, and has not been heard of since.
+func (s *Server) Restored() bool { return s.restored }
+
 // Ended reports whether the incarnation is known to have ended.
 func (s *Server) Ended() bool { return s.endedAt > 0 }
 
