--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -139,11 +139,14 @@
 }
 
 // ReplyToSync returns the announcements that another control host asks for. They
-// include the repeated ones, which change nothing but the age.
+// include the repeated ones, which change nothing but the age, but not those loaded as ready
+// at the start: it isn't known when they were made.
 func (l *List) ReplyToSync(now clock.Millis, m *msgs.Sync) *msgs.SyncReply {
 	r := &msgs.SyncReply{From: l.group.Self(), RunID: l.runID, Position: l.fleet.Position()}
 	for _, s := range l.fleet.TouchedSince(l.since(m.RunID, m.Since)) {
-		r.Servers = append(r.Servers, StatusOf(now, s))
+		if !s.Restored() {
+			r.Servers = append(r.Servers, StatusOf(now, s))
+		}
 	}
 	if m.Form == msgs.BlockForm && len(r.Servers) > 0 {
 		r.Blocks, r.Servers = []msgs.Block{{Data: record.Append(nil, r.Servers)}}, nil
@@ -272,7 +275,7 @@
 		return cmp.Or(cmp.Compare(unusable(&a), unusable(&b)), cmp.Compare(a.Record.ID, b.Record.ID))
 	})
 	for i := range list {
-		l.fleet.Apply(now, now-l.reuseAfter, list[i].Record, false)
+		l.fleet.Restore(now, now-l.reuseAfter, list[i].Record)
 		l.fleet.SetEnded(now, list[i].Record.ID, list[i].Ended)
 		l.fleet.SetSilent(now, list[i].Record.ID, list[i].Silent)
 	}
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -75,8 +75,9 @@
 // or reported by another one.
 type Server struct {
 	Record
-	// announcedAt is the time of the latest announcement known to this host.
-	announcedAt clock.Millis
+	// firstAt and announcedAt are the times of the first and the latest announcement of the
+	// incarnation known to this host.
+	firstAt, announcedAt clock.Millis
 	// silentSince is when the server was marked silent, or 0.
 	silentSince clock.Millis
 	// endedAt is when this host learned that the incarnation has ended, or 0.
@@ -84,6 +85,8 @@
 	// rivalSince is when the server first announced itself at an address that another one
 	// owns, or 0.
 	rivalSince clock.Millis
+	// restored is set until the server is heard of after a restart of this host.
+	restored bool
 	// candidate is another incarnation that announces itself under the ID, or nil.
 	candidate *candidate
 	// lastChange is the position of the server's latest change. lastTouch is the
@@ -98,6 +101,10 @@
 // Silent reports whether the server has stopped sending announcements.
 func (s *Server) Silent() bool { return s.silentSince > 0 }
 
+// Restored reports whether the server is ready by a record that was saved before a restart of
+// this host, and has not been heard of since.
+func (s *Server) Restored() bool { return s.restored }
+
 // Ended reports whether the incarnation is known to have ended.
 func (s *Server) Ended() bool { return s.endedAt > 0 }
 
@@ -131,6 +138,8 @@
 	// ForgetAfter is how long the record of an ended or silent server is kept, so
 	// that late announcements are recognised as stale.
 	ForgetAfter clock.Millis
+	// Interval is the time between two announcements of a server, or 0 if it isn't known.
+	Interval clock.Millis
 	// ReuseAfter is how much later than the owner of an address another server must
 	// have announced itself to take the address over, if the owner has not left. An
 	// incarnation with an earlier start is believed once its announcements went on for as
@@ -186,18 +195,26 @@
 // started or was suspended. No server has ended for not announcing itself before.
 func (f *Fleet) Resume(now clock.Millis) { f.resumedAt = now }
 
+// Restore adds a record that was saved before a restart of this host, as announced at
+// announcedAt. If the server is ready, the record of another incarnation replaces it that
+// another host believes: that host may have heard both.
+func (f *Fleet) Restore(now, announcedAt clock.Millis, r Record) {
+	f.Apply(now, announcedAt, r, false)
+	f.servers[r.ID].restored = r.State == Ready
+}
+
 // Apply merges a record announced at announcedAt. Direct is true if this host
 // received the announcement from the server itself.
 func (f *Fleet) Apply(now, announcedAt clock.Millis, r Record, direct bool) Outcome {
 	s := f.servers[r.ID]
 	if s == nil {
-		s = &Server{Record: r, announcedAt: announcedAt}
+		s = &Server{Record: r, firstAt: announcedAt, announcedAt: announcedAt}
 		f.servers[r.ID] = s
 		f.claimAddress(now, s)
 		f.touch(s, true)
 		return Changed
 	}
-	if !f.supersedes(now, s, &r, announcedAt) {
+	if !f.supersedes(now, s, &r, announcedAt, direct) {
 		s.announcedAt = f.latestAnnouncement(s, &r, announcedAt)
 		return Stale
 	}
@@ -219,8 +236,10 @@
 	// replace one that was announced later.
 	if same {
 		announcedAt = max(announcedAt, beforeAt)
+	} else {
+		s.firstAt = announcedAt
 	}
-	s.Record, s.announcedAt, s.silentSince = r, announcedAt, 0
+	s.Record, s.announcedAt, s.silentSince, s.restored = r, announcedAt, 0, false
 	if !same || !r.newer(&before) {
 		s.candidate = nil
 		f.decide(now, RuleSuperseded, &before, beforeAt, s)
