dir/share, token/core: reproduce tokens of an earlier incarnation that relays don't know

The flow had opened at a server that had restarted under its ID, under the token of the incarnation before, and moved to a relay that was started later.

Both tests fail: the relay drops the packet as unknownToken, and a control host gives the latest start of a server only. The field that they need is there, without effect.

--- a/internal/dir/msgs/sync.go
+++ b/internal/dir/msgs/sync.go
@@ -31,6 +31,8 @@
 	Silent bool `msgpack:"silent"`
 	// Ended reports whether the incarnation is known to have ended.
 	Ended bool `msgpack:"ended"`
+	// Aliases are those of the server. Hosts of earlier builds neither send nor read them.
+	Aliases []fleet.Alias `msgpack:"aliases,omitempty"`
 }
 
 // Sync asks a control host for the announcements after a position.
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -240,4 +240,6 @@
 	Age clock.Millis
 	// Ended is true if the incarnation is known to have ended.
 	Ended bool
+	// Aliases are the other starts under whose tokens packets may come.
+	Aliases []fleet.Alias
 }
