proof/soak: reproduce flows without an answer on relays started after their server

A server restarts under its ID, with its control hosts paused or with an earlier clock, and two flows open there under the token of the incarnation before. Two relays are then restarted.

A request of each flow through a restarted relay gets no answer until its deadline; the relay drops each transmission as unknownToken.

--- a/internal/proof/soak/claims_test.go
+++ b/internal/proof/soak/claims_test.go
@@ -128,6 +128,39 @@
 	}
 }
 
+// TestRelayStartedAfterItsServerKeepsItsFlows guards against flows without an answer on relays
+// that don't know the incarnation under whose token they opened.
+func TestRelayStartedAfterItsServerKeepsItsFlows(t *testing.T) {
+	bin := build(t)
+	tests := []struct {
+		name   string
+		paused int
+		step   time.Duration
+	}{{"control hosts paused", controlCount, 2 * time.Second}, {"earlier clock", 0, -time.Second}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPlay(t, 14, bin, plain)
+			hosts := p.procs[:test.paused]
+			p.signalControl(hosts, syscall.SIGSTOP)
+			p.restart(test.step)
+			flows := []*flow{p.openFlow(0), p.openFlow(0)}
+			p.signalControl(hosts, syscall.SIGCONT)
+			// A start that is earlier is believed after the delay.
+			time.Sleep(addrReuseDelay)
+			p.awaitStart()
+			for _, relay := range p.procs[controlCount+1 : controlCount+relayCount] {
+				p.testEnv.restart(relay, syscall.SIGKILL, 0)
+			}
+			p.await("the relays are ready again", func() bool { return len(p.readyRelays()) == relayCount })
+			for i, f := range flows {
+				f.relay = p.ip(relayGroup, i+1)
+				p.c.Check(f.request(p.nextID.Add(1)), qt.Equals, answered, qt.Commentf("relay %d", i+1))
+			}
+			p.c.Check(p.violations, qt.HasLen, 0)
+		})
+	}
+}
+
 // TestEarlierClockEndsNoSoundServer guards against a server that counts as ended because its
 // clock is behind that of the server before: it takes no flows, and its flows are reset.
 func TestEarlierClockEndsNoSoundServer(t *testing.T) {
