serve/fleet, dir, token/core: tell relays the earlier starts of a server

Cause: a token names an incarnation. A relay that doesn't know of a restart yet opens flows under the token of the incarnation before, and the present one accepts them. Control hosts hand out the latest start only, so a relay that is started later can't map that token.

Change: a control host keeps the starts that it replaced at the address of a server, four at most, for 90 s, and hands them out with the record as its aliases. Relays send packets with their tokens to the present incarnation, which alone knows whether it holds the flow. Control hosts exchange the aliases and save them. In a block of records they are an additional name to which no record refers; builds before ignore it, and a block without aliases is as before. Hosts learn no alias from others that is older than 60 s, the lifetime of a flow: they forget it at different times, and would learn it again from each other.

Ruled out: tokens of a server instead of an incarnation. They need two landings, a second set of tokens for each server in each relay, and end the difference between a flow of the server before and one of this.

An alias takes 12 bytes, 39 with four, and nothing without a restart.

--- a/internal/dir/record/decode.go
+++ b/internal/dir/record/decode.go
@@ -33,9 +33,35 @@
 	if d.failed || len(d.rest) > 0 {
 		return nil, fmt.Errorf("%w: %d bytes after %d records", ErrMalformed, len(d.rest), n)
 	}
+	for _, extension := range d.names[d.referred:] {
+		if extension == "" || extension[0] != aliasKind {
+			continue
+		}
+		if !addAliases(servers, []byte(extension[1:]), elapsed) {
+			return nil, fmt.Errorf("%w: aliases", ErrMalformed)
+		}
+	}
 	return servers, nil
 }
 
+// addAliases adds the aliases in an extension to servers, and reports whether it is well
+// formed.
+func addAliases(servers []msgs.ServerStatus, extension []byte, elapsed clock.Millis) bool {
+	d := decoder{rest: extension}
+	for len(d.rest) > 0 {
+		record := d.uvarint()
+		for range d.count() {
+			started, age := d.varint(), d.uvarint()
+			if d.failed || record >= uint64(len(servers)) {
+				return false
+			}
+			s := &servers[record]
+			s.Aliases = append(s.Aliases, fleet.Alias{Started: clock.Millis(started), Age: clock.Millis(min(age, math.MaxInt32)) + elapsed})
+		}
+	}
+	return !d.failed
+}
+
 // All returns the servers of a list and of blocks.
 func All(list []msgs.ServerStatus, blocks []msgs.Block) ([]msgs.ServerStatus, error) {
 	for _, b := range blocks {
@@ -54,6 +80,8 @@
 	rest   []byte
 	names  []string
 	failed bool
+	// referred is the number of names up to the last one that a record refers to.
+	referred uint64
 	// warmups is set for a block that may have warm-ups.
 	warmups bool
 }
@@ -83,6 +111,16 @@
 	return v
 }
 
+func (d *decoder) varint() int64 {
+	v, n := binary.Varint(d.rest)
+	if n <= 0 {
+		d.fail()
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return v
+}
+
 // count reads the number of items that follow. Each takes a byte or more.
 func (d *decoder) count() uint64 {
 	n := d.uvarint()
@@ -101,6 +139,7 @@
 		d.fail()
 		return ""
 	}
+	d.referred = max(d.referred, n+1)
 	return d.names[n]
 }
 
@@ -122,12 +161,7 @@
 	r.Seq = d.uvarint()
 	s.Age = clock.Millis(min(d.uvarint(), math.MaxInt32)) + elapsed
 	if f&startedFlag != 0 {
-		started, n := binary.Varint(d.rest)
-		if n <= 0 {
-			d.fail()
-			return s
-		}
-		d.rest, r.Started = d.rest[n:], clock.Millis(started)
+		r.Started = clock.Millis(d.varint())
 	}
 	r.Address = d.address(f&longFlag != 0)
 	if d.warmups && f&warmupFlag != 0 {
--- a/internal/dir/record/encode.go
+++ b/internal/dir/record/encode.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
 // Append appends the block of some servers to dst.
@@ -14,6 +15,10 @@
 	e := encoder{numbers: map[string]uint64{}}
 	for i := range servers {
 		e.add(&servers[i])
+		e.addAliases(i, servers[i].Aliases)
+	}
+	if len(e.aliases) > 0 {
+		e.names = append(e.names, string(append([]byte{aliasKind}, e.aliases...)))
 	}
 	if e.warmups {
 		dst = append(dst, warmVersion)
@@ -34,6 +39,21 @@
 	records []byte
 	// warmups is set once a server with a warm-up was added.
 	warmups bool
+	// aliases is the extension with them, without its kind.
+	aliases []byte
+}
+
+func (e *encoder) addAliases(record int, aliases []fleet.Alias) {
+	if len(aliases) == 0 {
+		return
+	}
+	b := binary.AppendUvarint(e.aliases, uint64(record))
+	b = binary.AppendUvarint(b, uint64(len(aliases)))
+	for _, a := range aliases {
+		b = binary.AppendVarint(b, int64(a.Started))
+		b = binary.AppendUvarint(b, uint64(max(a.Age, 0)))
+	}
+	e.aliases = b
 }
 
 func (e *encoder) add(s *msgs.ServerStatus) {
--- a/internal/dir/record/record.go
+++ b/internal/dir/record/record.go
@@ -6,6 +6,9 @@
 // starts with the version of the form and a table of the services, data centres and
 // prefixes of IDs, which the records refer to by number. Integers are in the variable
 // length form of package encoding/binary unless stated otherwise.
+//
+// The names after those that records refer to are extensions, whose first byte is their
+// kind. A build that does not know an extension ignores it.
 package record
 
 import (
@@ -46,5 +49,9 @@
 	warmupFlag = 128
 )
 
+// aliasKind is the kind of the extension with the aliases of servers: the number of the
+// record, the number of aliases and, for each, its start and age.
+const aliasKind = 1
+
 // maxDigits is the number of hexadecimal digits of the highest number.
 const maxDigits = 16
--- a/internal/dir/record/record_test.go
+++ b/internal/dir/record/record_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -59,6 +60,39 @@
 	qt.Check(t, fmt.Sprintf("%+v", got), qt.Equals, fmt.Sprintf("%+v", list))
 }
 
+// TestEarlierBuildReadsTheRecordsOfServersWithAliases guards against a block of aliases that the build before, which
+// takes them for a name, refuses or misreads.
+func TestEarlierBuildReadsTheRecordsOfServersWithAliases(t *testing.T) {
+	c := qt.New(t)
+	list := servers(20)
+	plain := record.Append(nil, list)
+	list[3].Aliases = []fleet.Alias{{Started: 1_700_000_000_123, Age: 40}, {Started: -1}}
+	list[19].Aliases = []fleet.Alias{{Age: 90_000}}
+	block := record.Append(nil, list)
+	got, err := record.Decode(block, 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(fmt.Sprintf("%+v", got), qt.Equals, fmt.Sprintf("%+v", list))
+	older, err := record.Decode(block, 25)
+	c.Assert(err, qt.IsNil)
+	c.Check(older[3].Aliases[0].Age, qt.Equals, clock.Millis(65))
+	// All but the number of names and the additional name is the same.
+	end := 2
+	for range plain[1] {
+		end += 1 + int(plain[end])
+	}
+	c.Check(block[:end], qt.DeepEquals, slices.Concat(plain[:1], []byte{plain[1] + 1}, plain[2:end]))
+	c.Check(block[end+1+int(block[end]):], qt.DeepEquals, plain[end:])
+	// An extension that this build does not know, and one of a record that doesn't exist.
+	extended := func(name string) []byte {
+		b := append(slices.Concat(plain[:1], []byte{plain[1] + 1}, plain[2:end]), byte(len(name)))
+		return slices.Concat(b, []byte(name), plain[end:])
+	}
+	_, err = record.Decode(extended("\xffany"), 0)
+	c.Check(err, qt.IsNil)
+	_, err = record.Decode(extended("\x01\x14\x01\x00\x00"), 0)
+	c.Check(err, qt.ErrorIs, record.ErrMalformed)
+}
+
 // TestRecordTakesFewBytes has the servers of one data centre, and of all, on a link that
 // carries 250 bytes in a millisecond.
 func TestRecordTakesFewBytes(t *testing.T) {
@@ -87,6 +121,9 @@
 	cold := servers(3)
 	cold[1].Record.Warmup = 700
 	f.Add(record.Append(nil, cold))
+	restarted := servers(3)
+	restarted[1].Aliases = []fleet.Alias{{Started: 5, Age: 700}}
+	f.Add(record.Append(nil, restarted))
 	f.Add([]byte{1, 255, 255, 255, 255, 15})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		list, err := record.Decode(b, 0)
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -184,7 +184,7 @@
 
 // StatusOf returns the state of a server as it is sent to other hosts.
 func StatusOf(now clock.Millis, s *fleet.Server) msgs.ServerStatus {
-	return msgs.ServerStatus{Record: s.Record, Age: now - s.LastAnnounced(), Silent: s.Silent(), Ended: s.Ended()}
+	return msgs.ServerStatus{Record: s.Record, Age: now - s.LastAnnounced(), Silent: s.Silent(), Ended: s.Ended(), Aliases: s.Aliases(now)}
 }
 
 // HandleSyncReply applies the announcements that another control host received. After an
@@ -202,6 +202,7 @@
 			continue
 		}
 		l.Apply(now, now-s.Age, s.Record, false)
+		l.fleet.AddAliases(now, &s.Record, s.Aliases)
 	}
 	return nil
 }
@@ -273,6 +274,7 @@
 	})
 	for i := range list {
 		l.fleet.Apply(now, now-l.reuseAfter, list[i].Record, false)
+		l.fleet.AddAliases(now, &list[i].Record, list[i].Aliases)
 		l.fleet.SetEnded(now, list[i].Record.ID, list[i].Ended)
 		l.fleet.SetSilent(now, list[i].Record.ID, list[i].Silent)
 	}
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -86,6 +86,8 @@
 	rivalSince clock.Millis
 	// candidate is another incarnation that announces itself under the ID, or nil.
 	candidate *candidate
+	// former are incarnations that others replaced, for Options.ForgetAfter.
+	former []former
 	// lastChange is the position of the server's latest change. lastTouch is the
 	// position of its latest change or direct announcement.
 	lastChange uint64
@@ -225,6 +227,9 @@
 		s.candidate = nil
 		f.decide(now, RuleSuperseded, &before, beforeAt, s)
 	}
+	if r.Started != before.Started {
+		s.addFormer(former{before.Started, before.Address, now})
+	}
 	f.claimAddress(now, s)
 	if ended != s.Ended() || contested != s.Contested() {
 		outcome = Changed
@@ -281,11 +286,12 @@
 }
 
 // Expire marks servers as silent whose announcements are overdue, removes the
-// ones that have been ended or silent for longer than Options.ForgetAfter, and
-// returns the IDs of the newly silent ones.
+// ones that have been ended or silent for longer than Options.ForgetAfter, forgets
+// aliases that are as old, and returns the IDs of the newly silent ones.
 func (f *Fleet) Expire(now clock.Millis) []string {
 	var silent []string
 	for id, s := range f.servers {
+		s.forgetFormer(now - f.options.ForgetAfter)
 		switch {
 		case s.endedAt > 0 && now-s.endedAt > f.options.ForgetAfter,
 			s.silentSince > 0 && now-s.silentSince > f.options.ForgetAfter:
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -255,6 +255,7 @@
 	for i := range u.Servers {
 		s := &u.Servers[i]
 		c.fleet.Apply(now, now-s.Age, s.Record, false)
+		c.fleet.AddAliases(now, &s.Record, s.Aliases)
 		// The end of another incarnation than the one held says nothing about that.
 		if held := c.fleet.Find(s.Record.ID); held != nil && held.Started == s.Record.Started {
 			c.fleet.SetEnded(now, s.Record.ID, s.Ended)
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -21,6 +21,7 @@
 		}
 		s.record = e.Record
 		c.list(s)
+		c.addAliases(now, e)
 		s.token = c.tokens.TokenFor(s.id, s.started)
 	}
 	if len(changed) == 0 || c.tokens.Shared() == 0 && !c.sharedTokens {
@@ -37,11 +38,7 @@
 func (c *Core) addServer(now clock.Millis, before *server, e *fleet.Server) *server {
 	s := c.findReplaced(e)
 	if s == nil {
-		s = &server{
-			id: e.ID, started: e.Started, entry: e, record: e.Record,
-			backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests,
-		}
-		c.tokens.Add(e.ID, e.Started, s)
+		s = c.newServer(e, e.Started)
 	}
 	if before == nil {
 		c.ordered = append(c.ordered, s)
@@ -57,6 +54,28 @@
 	return s
 }
 
+func (c *Core) newServer(e *fleet.Server, started clock.Millis) *server {
+	s := &server{
+		id: e.ID, started: started, entry: e, record: e.Record,
+		backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests,
+	}
+	c.tokens.Add(e.ID, started, s)
+	return s
+}
+
+// addAliases adds the incarnations that an entry of the fleet has replaced, so that packets
+// with their tokens go to the present one.
+func (c *Core) addAliases(now clock.Millis, e *fleet.Server) {
+	for _, a := range e.Aliases(now) {
+		if s, known := c.tokens.Find(tokens.Candidate(e.ID, a.Started, 0)); known && s.id == e.ID && s.started == a.Started {
+			continue
+		}
+		s := c.newServer(e, a.Started)
+		s.record.Started, s.replacedAt = a.Started, now-a.Age
+		c.replaced = append(c.replaced, s)
+	}
+}
+
 // findReplaced returns the incarnation that an entry of the fleet describes if it was
 // replaced before and is still known, or nil.
 func (c *Core) findReplaced(e *fleet.Server) *server {
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -279,7 +279,7 @@
 	}
 	for _, s := range a.Servers {
 		u.changes.Servers = append(u.changes.Servers, core.ServerUpdate{
-			Record: s.Record, Age: s.Age, Ended: s.Ended,
+			Record: s.Record, Age: s.Age, Ended: s.Ended, Aliases: s.Aliases,
 		})
 	}
 	if !d.updates.Offer(u) {
