serve/fleet: reproduce a start that relays don't know until it is believed

What callers would see: no answer on an open flow for some seconds. A server restarts under its ID with its clock set back. The control host that it announces itself to believes it after 2 s. The others hear of it in the exchange and believe it 2 s later. Meanwhile a relay of the first opens flows under a token that relays of the others drop as unknownToken.

Shown on a Fleet only: it names no alias while it waits to believe the earlier start.

--- a/internal/serve/fleet/alias_test.go
+++ b/internal/serve/fleet/alias_test.go
@@ -36,3 +36,21 @@
 	f.Apply(200, 200, ready("b", 0, 2), true)
 	c.Check(f.Find("b").Aliases(200), qt.HasLen, 0)
 }
+
+// TestStartThatIsNotBelievedYetIsAnAlias guards against an open flow without an answer on relays whose control host believes
+// another incarnation for longer than that of the relay that opened it.
+func TestStartThatIsNotBelievedYetIsAnAlias(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(options)
+	f.Apply(100, 100, ready("a", 100, 1), true)
+	position := f.LastChange()
+	f.Apply(200, 200, ready("a", 50, 1), false)
+	c.Check(f.Find("a").Aliases(250), qt.DeepEquals, []fleet.Alias{{50, 50}})
+	c.Check(f.ChangedSince(position), qt.HasLen, 1)
+	position = f.LastChange()
+	f.Apply(500, 500, ready("a", 50, 2), false)
+	c.Check(f.LastChange(), qt.Equals, position)
+	f.Apply(2200, 2200, ready("a", 50, 3), false)
+	c.Check(f.Find("a").Started, qt.Equals, clock.Millis(50))
+	c.Check(f.Find("a").Aliases(2250), qt.DeepEquals, []fleet.Alias{{100, 50}})
+}
