--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -86,8 +86,8 @@
 	rivalSince clock.Millis
 	// candidate is another incarnation that announces itself under the ID, or nil.
 	candidate *candidate
-	// former are incarnations that others replaced, for Options.ForgetAfter.
-	former []former
+	// others are incarnations that were replaced, or are not believed yet.
+	others []other
 	// lastChange is the position of the server's latest change. lastTouch is the
 	// position of its latest change or direct announcement.
 	lastChange uint64
@@ -228,7 +228,7 @@
 		f.decide(now, RuleSuperseded, &before, beforeAt, s)
 	}
 	if r.Started != before.Started {
-		s.addFormer(former{before.Started, before.Address, now})
+		s.addOther(other{before.Started, before.Address, now})
 	}
 	f.claimAddress(now, s)
 	if ended != s.Ended() || contested != s.Contested() {
@@ -291,7 +291,7 @@
 func (f *Fleet) Expire(now clock.Millis) []string {
 	var silent []string
 	for id, s := range f.servers {
-		s.forgetFormer(now - f.options.ForgetAfter)
+		s.forgetOthers(now - f.options.ForgetAfter)
 		switch {
 		case s.endedAt > 0 && now-s.endedAt > f.options.ForgetAfter,
 			s.silentSince > 0 && now-s.silentSince > f.options.ForgetAfter:
