serve/fleet: reproduce a stale start that relays don't know

What callers saw: no answer on an open flow (TestAnotherWritersRecordResetsNoFlow, "under its ID for the other service", once, beside a load average of 24).

Evidence: two control hosts believed a record with a later start. The third heard of it after a newer announcement of the incarnation before, took it for stale and never believed it. A relay of the first put the later token into a packet of the flow; the client sent it on to a relay of the third, which dropped all four transmissions as unknownToken.

--- a/internal/serve/fleet/alias_test.go
+++ b/internal/serve/fleet/alias_test.go
@@ -54,3 +54,13 @@
 	c.Check(f.Find("a").Started, qt.Equals, clock.Millis(50))
 	c.Check(f.Find("a").Aliases(2250), qt.DeepEquals, []fleet.Alias{{100, 50}})
 }
+
+// TestStaleStartIsAnAlias guards against the same where a control host holds a later announcement of the incarnation before,
+// so that it never believes the other.
+func TestStaleStartIsAnAlias(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(options)
+	f.Apply(300, 300, ready("a", 100, 2), true)
+	c.Check(f.Apply(350, 250, ready("a", 900, 1), false), qt.Equals, fleet.Stale)
+	c.Check(f.Find("a").Aliases(350), qt.DeepEquals, []fleet.Alias{{900, 100}})
+}
