serve/fleet: make any other start that is heard of an alias

Cause: a start was an alias only once it was believed, or was a candidate. A host that takes it for stale hears of it, too, and its relays get packets with that token from relays of other hosts.

Change: a record that isn't believed leaves its start as an alias, whatever the reason, if it has the server's address. That covers candidates.

Measured: TestStaleStartIsAnAlias and TestStartThatIsNotBelievedYetIsAnAlias pass, the other tests of serve/fleet, dir/share, dir/core, dir/daemon, token/core and token/daemon, too.

--- a/internal/serve/fleet/alias.go
+++ b/internal/serve/fleet/alias.go
@@ -11,7 +11,7 @@
 const maxAliases = 4
 
 // Alias is the start of another incarnation of a server, at the same address: one that was
-// replaced, or is not believed yet. Entry hosts that know that one open flows under its token,
+// replaced, or is not believed. Entry hosts that know that one open flows under its token,
 // which the server accepts.
 type Alias struct {
 	Started clock.Millis `msgpack:"started"`
@@ -19,7 +19,7 @@
 	Age clock.Millis `msgpack:"age"`
 }
 
-// other is an incarnation of an ID that the present one replaced, or that is not believed yet.
+// other is an incarnation of an ID that the present one replaced, or that is not believed.
 type other struct {
 	started clock.Millis
 	address netip.AddrPort
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -86,7 +86,7 @@
 	rivalSince clock.Millis
 	// candidate is another incarnation that announces itself under the ID, or nil.
 	candidate *candidate
-	// others are incarnations that were replaced, or are not believed yet.
+	// others are incarnations that were replaced or are not believed.
 	others []other
 	// lastChange is the position of the server's latest change. lastTouch is the
 	// position of its latest change or direct announcement.
@@ -201,6 +201,10 @@
 	}
 	if !f.supersedes(now, s, &r, announcedAt) {
 		s.announcedAt = f.latestAnnouncement(s, &r, announcedAt)
+		// Another host may believe it.
+		if r.Address == s.Address {
+			f.AddAliases(now, &r, []Alias{{r.Started, now - announcedAt}})
+		}
 		return Stale
 	}
 	outcome := Refreshed
--- a/internal/serve/fleet/incarnation.go
+++ b/internal/serve/fleet/incarnation.go
@@ -61,10 +61,6 @@
 	switch {
 	case c == nil || !c.record.sameProcess(r) && announcedAt-c.latestAt >= f.options.ReuseAfter:
 		s.candidate = &candidate{record: *r, firstAt: announcedAt, latestAt: announcedAt}
-		// Another control host may believe it before.
-		if r.Address == s.Address {
-			f.AddAliases(now, r, []Alias{{r.Started, now - announcedAt}})
-		}
 		f.decide(now, RuleSuperseded, r, announcedAt, s)
 		return false
 	case !c.record.sameProcess(r) || r.Seq <= c.record.Seq:
