--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -22,6 +22,7 @@
 		s.record = e.Record
 		s.updateClaim(now)
 		c.list(s)
+		c.addAliases(now, e)
 		s.token = c.tokens.TokenFor(s.id, s.started)
 	}
 	if len(changed) == 0 || c.tokens.Shared() == 0 && !c.sharedTokens {
@@ -38,11 +39,7 @@
 func (c *Core) addServer(now clock.Millis, before *server, e *fleet.Server) *server {
 	s := c.findRetired(e)
 	if s == nil {
-		s = &server{
-			id: e.ID, started: e.Started, entry: e, record: e.Record,
-			backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests,
-		}
-		c.tokens.Add(e.ID, e.Started, s)
+		s = c.newServer(e, e.Started)
 	}
 	if before == nil {
 		c.ordered = append(c.ordered, s)
@@ -58,6 +55,28 @@
 	return s
 }
 
+func (c *Core) newServer(e *fleet.Server, started clock.Millis) *server {
+	s := &server{
+		id: e.ID, started: started, entry: e, record: e.Record,
+		backend: choose.NewBackend(e.Slots, e.Centre), requests: &c.requests,
+	}
+	c.tokens.Add(e.ID, started, s)
+	return s
+}
+
+// addAliases adds the incarnations that an entry of the fleet has replaced, so that packets
+// with their tokens go to the present one.
+func (c *Core) addAliases(now clock.Millis, e *fleet.Server) {
+	for _, a := range e.Aliases(now) {
+		if s, known := c.tokens.Find(tokens.Candidate(e.ID, a.Started, 0)); known && s.id == e.ID && s.started == a.Started {
+			continue
+		}
+		s := c.newServer(e, a.Started)
+		s.record.Started = a.Started
+		c.retire(now-a.Age, s)
+	}
+}
+
 // retirement is the time at which an incarnation was retired. It is outdated if the
 // incarnation has returned.
 type retirement struct {
