--- a/internal/entry/core/bench_test.go
+++ b/internal/entry/core/bench_test.go
@@ -35,18 +35,18 @@
 // It has the given number of services, each with one address and the given
 // number of servers.
 func newSingleHost(tb testing.TB, services, servers int) *core.Core {
-	return newSingleHostOf(tb, bundleText(services), services, servers)
+	return newSingleHostOf(tb, bundleText(services), services, servers, 2_000_000)
 }
 
-// newSingleHostOf returns the same with the given bundle.
-func newSingleHostOf(tb testing.TB, text string, services, servers int) *core.Core {
+// newSingleHostOf returns the same with the given bundle and limit of flows.
+func newSingleHostOf(tb testing.TB, text string, services, servers, maxFlows int) *core.Core {
 	seed := sha256.Sum256([]byte("test operator"))
 	private := ed25519.NewKeyFromSeed(seed[:])
 	public, _ := private.Public().(ed25519.PublicKey)
 	c := core.New(core.Options{
 		Name: "e1", Centre: dataCentre, Boot: 1, Fabric: "127.0.0.1:6081", Peer: "127.0.0.1:6082",
 		Answers: netip.MustParseAddrPort("127.0.0.1:6083"), Keys: sign.Keyring{"matti": public},
-		MaxFlows: 2_000_000, MaxRequests: 1000, Timing: member.DefaultTiming,
+		MaxFlows: maxFlows, MaxRequests: 1000, Timing: member.DefaultTiming,
 	}, 1, rand.New(rand.NewPCG(1, 1)))
 	release := chain.Release{Centre: dataCentre, Seq: 1, Version: 1, Digest: spec.DigestOf(text), Operator: "matti"}
 	release.Signature = ed25519.Sign(private, sign.ApprovalMessage(release.Version, release.Digest))
--- /dev/null
+++ b/internal/entry/core/ends_test.go
@@ -0,0 +1,157 @@
+package core_test
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
+	"monsooncleat.example/monsooncleat/internal/wire/geneve"
+	"monsooncleat.example/monsooncleat/internal/wire/inner"
+)
+
+var otherAddr = netip.MustParseAddrPort("127.0.0.1:6085")
+
+func announcement(name, service string, addr netip.AddrPort, start clock.Millis) *roster.Announcement {
+	return &roster.Announcement{Name: name, Service: service, Address: addr.String(), Start: start, Weight: 1, Connections: 1_000_000}
+}
+
+// claims say of the server s0-0, which was started at 1, that it has ended or is another one.
+var claims = []struct {
+	name      string
+	announces bool
+	record    *roster.Announcement
+	// crosses is set if the record gives the address to a server of another service.
+	crosses bool
+}{
+	{"no announcement arrives", false, nil, false},
+	{"another address under the ID", true, announcement("s0-0", "service0", otherAddr, 1), false},
+	{"another address under the ID, later start", true, announcement("s0-0", "service0", otherAddr, 2), false},
+	{"another service under the ID", true, announcement("s0-0", "service1", otherAddr, 2), false},
+	{"departure", false, &roster.Announcement{Name: "s0-0", Service: "service0", Address: serverAddr.String(), Start: 1, Leaving: true}, false},
+	{"another service at the address", true, announcement("other", "service1", serverAddr, 2), true},
+	{"another service under the ID at the address", true, announcement("s0-0", "service1", serverAddr, 2), true},
+}
+
+const claimedAt = 5 * clock.Second
+
+// play opens a flow, passes the record of a claim to the host at claimedAt and calls send
+// each 20 ms. It returns the number of datagrams after claimedAt to the address of the server,
+// and to neither that nor the client.
+func play(host *core.Core, record *roster.Announcement, announces bool, until clock.Millis, send func(now clock.Millis)) (atServer, elsewhere int) {
+	host.HandleDatagram(3, fabricAddr, syn(0))
+	for now := 20 * clock.Millis(1); now <= until; now += 20 {
+		if announces && now%clock.Second == 0 {
+			host.HandleAnnouncement(now, announcement("s0-0", "service0", serverAddr, 1))
+		}
+		if record != nil && now == claimedAt {
+			host.HandleAnnouncement(now, record)
+		}
+		host.Tick(now)
+		send(now)
+		for _, d := range host.PendingOutput().Datagrams {
+			switch {
+			case d.To == serverAddr && now > claimedAt:
+				atServer++
+			case d.To != serverAddr && d.To != fabricAddr:
+				elsewhere++
+			}
+		}
+	}
+	return atServer, elsewhere
+}
+
+func segment(seq, ack uint32) []byte {
+	return geneve.Append(nil, inner.BuildTCP(clientAddr(0), serviceAddr(0),
+		inner.Segment{Flags: inner.ACK, Seq: seq, Ack: ack, Payload: []byte("feed")}), nil)
+}
+
+// TestNoClaimEndsAFlowThatItsServerAnswers guards against resets, and against packets at
+// another server, while the server of an open flow answers.
+func TestNoClaimEndsAFlowThatItsServerAnswers(t *testing.T) {
+	for _, test := range claims {
+		t.Run(test.name, func(t *testing.T) {
+			host := newSingleHost(t, 1, 1)
+			seq, sent, resets, last := uint32(2), 0, 0, 0
+			_, elsewhere := play(host, test.record, test.announces, 40*clock.Second, func(now clock.Millis) {
+				resets += len(host.PendingOutput().Losses.Resets())
+				host.ClearOutput()
+				if now%200 == 0 {
+					host.HandleDatagram(now, fabricAddr, segment(seq, seq))
+					seq, sent = seq+4, sent+1
+					last = len(host.PendingOutput().Datagrams)
+				}
+			})
+			qt.Check(t, resets, qt.Equals, 0)
+			qt.Check(t, elsewhere, qt.Equals, 0)
+			qt.Check(t, last, qt.Equals, 1, qt.Commentf("the last packet must be forwarded"))
+			if !test.crosses {
+				qt.Check(t, host.Counters().All()["packetsForwarded"], qt.Equals, uint64(sent+1))
+			}
+		})
+	}
+}
+
+// TestClientOfAnEndedServerLearns guards against a client that waits for its deadline, and
+// against packets at a server of another service: its server has ended.
+func TestClientOfAnEndedServerLearns(t *testing.T) {
+	for _, test := range claims {
+		t.Run(test.name, func(t *testing.T) {
+			host := newSingleHost(t, 1, 1)
+			resetAt, next, pause := clock.Millis(0), claimedAt-100, 200*clock.Millis(1)
+			atServer, _ := play(host, test.record, false, 20*clock.Second, func(now clock.Millis) {
+				if resetAt == 0 && len(host.PendingOutput().Losses.Resets()) > 0 {
+					resetAt = now
+				}
+				host.ClearOutput()
+				if now >= next && resetAt == 0 {
+					host.HandleDatagram(now, fabricAddr, segment(2, 1))
+					next, pause = now+pause, min(2*pause, 1600)
+				}
+			})
+			qt.Check(t, resetAt > 0, qt.IsTrue)
+			qt.Check(t, resetAt <= claimedAt+roster.ResetAfter+2*clock.Second, qt.IsTrue, qt.Commentf("reset at %d", resetAt))
+			qt.Check(t, test.crosses && atServer > 0, qt.IsFalse, qt.Commentf("%d packets crossed", atServer))
+		})
+	}
+}
+
+// TestRestartedHostResetsNoFlow guards against the reset of an open flow by a host that was
+// restarted and has not heard of the servers yet.
+func TestRestartedHostResetsNoFlow(t *testing.T) {
+	host := newSingleHost(t, 1, 0)
+	host.HandleDatagram(3, fabricAddr, segment(2, 1))
+	qt.Check(t, host.PendingOutput().Losses.Resets(), qt.HasLen, 0)
+	host.HandleAnnouncement(900, announcement("s0-0", "service0", serverAddr, 1))
+	host.ClearOutput()
+	host.HandleDatagram(1000, fabricAddr, segment(2, 1))
+	qt.Assert(t, host.PendingOutput().Datagrams, qt.HasLen, 1)
+	qt.Check(t, host.PendingOutput().Datagrams[0].To, qt.Equals, serverAddr)
+}
+
+// TestFullTableResetsNoOpenFlow guards against the reset of a flow that was open before the
+// host took it over, because the host has no room for its record.
+func TestFullTableResetsNoOpenFlow(t *testing.T) {
+	host := newSingleHostOf(t, bundleText(1), 1, 1, 1)
+	host.HandleDatagram(3, fabricAddr, syn(1))
+	host.ClearOutput()
+	host.HandleDatagram(4, fabricAddr, segment(2, 1))
+	qt.Assert(t, host.PendingOutput().Datagrams, qt.HasLen, 1)
+	qt.Check(t, host.PendingOutput().Datagrams[0].To, qt.Equals, serverAddr)
+}
+
+// TestHostWithAnOlderBundleResetsNoFlow guards against the reset of a flow whose service
+// another host knows from a newer bundle.
+func TestHostWithAnOlderBundleResetsNoFlow(t *testing.T) {
+	host := newSingleHost(t, 1, 1)
+	packet := inner.BuildTCP(clientAddr(0), serviceAddr(1), inner.Segment{Flags: inner.ACK, Seq: 2, Ack: 1, Payload: []byte("feed")})
+	for version, resets := range map[uint32]int{1: 1, 2: 0} {
+		relay := geneve.Relay{Hops: 1, Origin: fabricAddr, Version: version}
+		host.HandleDatagram(3, otherAddr, geneve.Append(nil, packet, &relay))
+		qt.Check(t, host.PendingOutput().Losses.Resets(), qt.HasLen, resets, qt.Commentf("version %d", version))
+		host.ClearOutput()
+	}
+}
--- a/internal/entry/core/takeover_test.go
+++ b/internal/entry/core/takeover_test.go
@@ -19,7 +19,7 @@
 func TestNewOwnerAsksADrainingServerForTheOutcome(t *testing.T) {
 	c := qt.New(t)
 	text := strings.NewReplacer(`"stream"`, `"request"`, `"tcp"`, `"udp"`, "connections", "slots").Replace(bundleText(1))
-	host := newSingleHostOf(t, text, 1, 1)
+	host := newSingleHostOf(t, text, 1, 1, 1000)
 	host.HandleAnnouncement(3, &roster.Announcement{
 		Name: "s0-0", Service: "service0", Address: serverAddr.String(), Start: 1, Weight: 1, Slots: 4, Draining: true,
 	})
