serve/roster: use a server that goes on although a record has a later start

What callers saw: a server that restarted while its machine's clock was set back, or whose ID another writer had announced with a later start, took no flow and no request any more; its record stayed wrong for up to 30 min.

Cause: Announce ignored each announcement with an earlier start than that of the record, whoever had written that and however long ago.

Evidence: TestServerThatGoesOnReplacesARecordWithALaterStart failed.

Change: an announcement is first-hand. It replaces a record with a later start once the server of that record is gone or has no live keeper. The new record has the next higher start, so that hosts with the old record, also of the build before, take it over. The keeper maps the announced start to it.

Until the keeper finds the other record without announcements, 3 s, the server still gets no new work.

--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -70,7 +70,8 @@
 	Name    string
 	Service string
 	Address string
-	// Start is the start time of the server process.
+	// Start orders the incarnations of the server. It is the start time of the server
+	// process, or later if the record replaced one with a later start.
 	Start clock.Millis
 	// Rev orders the records of one incarnation of the server.
 	Rev         uint64
@@ -98,6 +99,8 @@
 // for it.
 type Server struct {
 	info Info
+	// announcedStart is the start time in the latest announcement to this host.
+	announcedStart clock.Millis
 	// aliveAt is when this host last received an announcement, or last found
 	// the keeper alive. While this host lacks a majority, all servers that are
 	// not gone count as alive.
@@ -196,8 +199,9 @@
 func (r *Roster) Len() int { return len(r.servers) }
 
 // Announce applies an announcement that a server sent to this host, and makes
-// this host the server's keeper. It ignores announcements of an earlier
-// incarnation.
+// this host the server's keeper. It ignores announcements with an earlier start than
+// that of the record, unless the server of the record is gone: the start may be that of
+// another writer, or of a clock that was set back meanwhile.
 func (r *Roster) Announce(now clock.Millis, a *Announcement) {
 	next := Info{
 		Name: a.Name, Service: a.Service, Address: a.Address, Start: a.Start,
@@ -212,13 +216,20 @@
 	s := r.servers[a.Name]
 	if s == nil {
 		r.apply(now, &next)
-		r.servers[a.Name].aliveAt = now
+		r.servers[a.Name].aliveAt, r.servers[a.Name].announcedStart = now, a.Start
 		return
 	}
 	if next.Start < s.info.Start {
-		return
+		switch {
+		case s.info.Keeper == r.self && next.Start == s.announcedStart:
+			next.Start = s.info.Start
+		case s.info.State == Gone || s.orphanedAt != 0:
+			next.Start = s.info.Start + 1
+		default:
+			return
+		}
 	}
-	s.aliveAt = now
+	s.aliveAt, s.announcedStart = now, a.Start
 	next.Rev = s.info.Rev
 	if next == s.info {
 		return
