serve/roster: don't count a stall of the keeper as silence of its servers

What callers saw: nothing that is known. By reading: after a pause of an entry host of more than 3 s its servers are gone on all hosts until their next announcements; new work goes elsewhere and their slow start begins again.

Cause: the keeper compared the time of the last announcement with the time after its own stall, before it read the announcements that had waited. A server that had another keeper meanwhile could lose the tie between the two records.

Evidence: TestKeeperThatStalledTakesNoServerForGone failed (one Tick 8 s after another).

Change: the time between two Ticks, if it is that of a heartbeat or longer, is added to the time of the last announcement. A server that stays silent is gone 3 s after the stall (same test).

--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -161,15 +161,16 @@
 	changed map[string]bool
 	rumors  rumor.Set[string, Info]
 	version uint64
-	// hostStartedAt is when this host started.
+	// hostStartedAt is when this host started, and tickedAt when it last ran Tick.
 	hostStartedAt clock.Millis
+	tickedAt      clock.Millis
 	// sortedNames caches the sorted names of the servers.
 	sortedNames []string
 }
 
 // New returns the empty Roster of the host called self.
 func New(self string, now clock.Millis) *Roster {
-	return &Roster{self: self, servers: map[string]*Server{}, services: map[string]map[string]*Server{}, changed: map[string]bool{}, version: 1, hostStartedAt: now}
+	return &Roster{self: self, servers: map[string]*Server{}, services: map[string]map[string]*Server{}, changed: map[string]bool{}, version: 1, hostStartedAt: now, tickedAt: now}
 }
 
 // Version returns a number that increases when a server is added, when its record
@@ -294,8 +295,14 @@
 // Tick marks servers without announcements as gone, and servers without a live
 // keeper as orphaned. KeeperAlive reports whether a host is alive. Pass
 // hasMajority as false while this host lacks a majority: no server is then marked
-// as gone or orphaned, because it may announce itself to another host.
+// as gone or orphaned, because it may announce itself to another host. After a stall of
+// this host, the time of the stall does not count as silence of its servers.
 func (r *Roster) Tick(now clock.Millis, hasMajority bool, keeperAlive func(name string) bool) {
+	stall := now - r.tickedAt
+	if stall < HeartbeatInterval {
+		stall = 0
+	}
+	r.tickedAt = now
 	for _, name := range r.names() {
 		s := r.servers[name]
 		switch {
@@ -307,6 +314,7 @@
 				delete(r.services[s.info.Service], name)
 			}
 		case s.info.Keeper == r.self && hasMajority:
+			s.aliveAt = min(now, s.aliveAt+stall)
 			if now-s.aliveAt > HeartbeatTimeout {
 				r.markGone(now, s)
 			}
