entry/core: await the announcements of servers after a start without other hosts

What callers saw: an entry host without others was restarted; their open flows were reset (noServer) until the first server had announced itself, and went to whichever servers had announced themselves until the last one had.

Cause: handleUnknownFlow took an empty or partial list of servers, which is older than the start of the host, for a complete one.

Change: a host that has no list of another host drops packets of unknown flows, and openings without a server, for two intervals of announcements. Hosts that joined others have their list and are not affected.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -9,6 +9,7 @@
 	"monsooncleat.example/monsooncleat/internal/entry/count"
 	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
+	"monsooncleat.example/monsooncleat/internal/serve/roster"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
@@ -119,6 +120,10 @@
 		return
 	}
 	server := c.chooseServer(s, hash, opens)
+	if c.awaitsServers() && (!opens || server == 0) {
+		c.counters.Add(count.StoodAside, 1)
+		return
+	}
 	if server == 0 || c.flows.Len() >= c.opts.MaxFlows {
 		s.load.Refuse()
 		c.counters.Add(count.FlowsRefused, 1)
@@ -138,6 +143,12 @@
 	c.forward(r, p, in)
 }
 
+// awaitsServers reports whether running servers may not have announced themselves to this
+// host yet: it has just started and has no list of another host.
+func (c *Core) awaitsServers() bool {
+	return !c.group.Joined() && c.now-c.startedAt < 2*roster.HeartbeatInterval
+}
+
 // forwardAsPreviousOwner handles a mid-stream packet that the new owner relayed
 // for a lookup. If the flow's default server at the change of owner differs from
 // its current one, it forwards the packet to the default server of that time and
--- a/internal/entry/count/count.go
+++ b/internal/entry/count/count.go
@@ -80,7 +80,8 @@
 	Cancels
 	ReleasesAccepted
 	ReleasesRefused
-	// StoodAside counts packets dropped while the host declined new work.
+	// StoodAside counts packets dropped while the host declined new work or awaited the
+	// announcements of servers.
 	StoodAside
 	// Deposed counts how often the other hosts declared this host dead.
 	Deposed
