entry/core: forward packets of open flows that have no room in the table

What callers saw: nothing that is known. By reading: a host that takes over flows while its table is full resets them (noServer), to shed load.

Cause: handleUnknownFlow refused openings and packets of open flows alike.

Evidence: TestFullTableResetsNoOpenFlow failed.

Change: a packet of an unknown flow goes to the default server without a record. Openings are refused as before.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -124,7 +124,12 @@
 		c.counters.Add(count.StoodAside, 1)
 		return
 	}
-	if server == 0 || c.flows.Len() >= c.opts.MaxFlows {
+	full := c.flows.Len() >= c.opts.MaxFlows
+	if full && server != 0 && !opens {
+		c.forwardWithoutRecord(s, p, server)
+		return
+	}
+	if server == 0 || full {
 		s.load.Refuse()
 		c.counters.Add(count.FlowsRefused, 1)
 		c.refuse(p, in, 0, loss.NoServer)
@@ -143,6 +148,14 @@
 	c.forward(r, p, in)
 }
 
+// forwardWithoutRecord forwards a packet of an open flow for which the table has no room.
+func (c *Core) forwardWithoutRecord(s *service, p *inner.Packet, server table.NameID) {
+	if srv := c.servers.Find(c.interner.Name(server)); srv != nil && srv.Info().Service == s.spec.Name() {
+		c.counters.Add(count.PacketsForwarded, 1)
+		c.send(c.parseAddr(srv.Info().Address), p.Raw, nil)
+	}
+}
+
 // awaitsServers reports whether running servers may not have announced themselves to this
 // host yet: it has just started and has no list of another host.
 func (c *Core) awaitsServers() bool {
