entry/core: don't refuse packets of a service that a newer bundle may have

What callers saw: nothing that is known. By reading: an owner whose bundle is older than that of the host that relayed the packet resets openings and packets of open flows of a service that it doesn't know yet (noRoute).

Cause: a refusal on knowledge that is older than what it decides; the relayed packet names the newer version, and the host pulls it at the same time.

Evidence: TestHostWithAnOlderBundleResetsNoFlow failed.

Change: such a packet is dropped until the host has the version. Packets without a newer version are refused as before (same test).

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -88,6 +88,7 @@
 
 // handleUnknownFlow handles a packet of a flow without a record: it looks the
 // flow up at the previous owner, assigns a server, or refuses the packet.
+// A packet from a host with a newer bundle, which may have the service, is dropped.
 func (c *Core) handleUnknownFlow(s *service, p *inner.Packet, in *arrival, hash uint64) {
 	bucket := c.bucketOf(hash)
 	if in.has(geneve.FlagLookup) && c.forwardAsPreviousOwner(s, p, in, hash) {
@@ -110,6 +111,9 @@
 	}
 	if s == nil {
 		c.counters.Add(count.NoService, 1)
+		if spec.Version(in.relay.Version) > c.activeVersion() {
+			return
+		}
 		c.refuse(p, in, 0, loss.NoService)
 		return
 	}
