entry/core: keep a flow at its address until its server is known to have ended

Cause: forward() took address and end of a server from the latest record of its ID. The record can be late or from another writer; only the server knows which flows it holds.

Change: the record of a flow holds the address where it was opened, and its packets go there. The flow ends by the rule of serve/verify: its server is said to have ended, and leaves retransmissions unanswered. Evidence counts only from the time of the claim on, between two transmissions that both passed this host after its last stall. Missing announcements are a claim after 10 s, as before.

Where the address belongs to a server of another service, packets are dropped, and the flow ends once that has lasted for 10 s and its own server doesn't announce itself. Before, packets went to the new server as long as the old one was not gone. Flows by UDP have no retransmissions; for them a claim of 10 s suffices.

Replicas carry the address as an additional entry of Names after the name of the server. The build before ignores it; from its frames the address is that of the list, or the one known before. Messages have the same fields.

--- a/internal/entry/batch/batch.go
+++ b/internal/entry/batch/batch.go
@@ -6,7 +6,9 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
+	"strings"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
@@ -25,6 +27,9 @@
 	itemBytes = 32
 )
 
+// addressMark precedes an address in Frame.Names.
+const addressMark = "@"
+
 // Item is one flow in a frame. Service and Server are indexes into Frame.Names.
 type Item struct {
 	Key     []byte
@@ -35,13 +40,30 @@
 	State   table.State
 }
 
-// Frame replicates flows to another host.
+// Frame replicates flows to another host. In Names, the name of a server is followed by
+// addressMark and its address, if that is known.
 type Frame struct {
 	From  string
 	Names []string
 	Items []Item
 }
 
+// Address returns the address of the server with an index in Names, or "" if the sender did
+// not know it.
+func (f *Frame) Address(server int) string {
+	if server+1 >= len(f.Names) {
+		return ""
+	}
+	address, _ := strings.CutPrefix(f.Names[server+1], addressMark)
+	if _, err := netip.ParseAddrPort(address); err != nil || address == f.Names[server+1] {
+		return ""
+	}
+	return address
+}
+
+// named identifies a server at an address, or a service, in a frame under construction.
+type named struct{ name, address table.NameID }
+
 // Replicator holds the state of flow replication to other hosts. It is not safe for
 // concurrent use.
 type Replicator struct {
@@ -61,7 +83,7 @@
 	// frames holds the frames under construction, and nameIndex the positions
 	// of names in them, both by target host.
 	frames    map[string]*Frame
-	nameIndex map[string]map[table.NameID]int
+	nameIndex map[string]map[named]int
 }
 
 // New returns a Replicator of the host called self. Send passes a frame on to another
@@ -100,7 +122,7 @@
 func (r *Replicator) Begin(now clock.Millis) []inner.Key {
 	r.byteBudget = min(maxBurstBytes, r.byteBudget+bytesPerSecond*float64(now-r.refilledAt)/float64(clock.Second))
 	r.refilledAt = now
-	r.frames, r.nameIndex = map[string]*Frame{}, map[string]map[table.NameID]int{}
+	r.frames, r.nameIndex = map[string]*Frame{}, map[string]map[named]int{}
 	queue := r.queue
 	r.queue = nil
 	return queue
@@ -132,22 +154,25 @@
 		}
 		frame = &Frame{From: r.self}
 		r.frames[target] = frame
-		r.nameIndex[target] = map[table.NameID]int{}
+		r.nameIndex[target] = map[named]int{}
 	}
 	frame.Items = append(frame.Items, Item{
 		Key:     flow.Key.Append(nil),
-		Service: r.nameIndexOf(target, frame, flow.Service),
-		Server:  r.nameIndexOf(target, frame, flow.Server),
+		Service: r.nameIndexOf(target, frame, named{name: flow.Service}),
+		Server:  r.nameIndexOf(target, frame, named{flow.Server, flow.Address}),
 		Version: flow.Version, ISN: flow.ISN, State: flow.State,
 	})
 }
 
 // nameIndexOf returns the index of a name in a frame, and adds the name if necessary.
-func (r *Replicator) nameIndexOf(target string, frame *Frame, id table.NameID) int {
+func (r *Replicator) nameIndexOf(target string, frame *Frame, id named) int {
 	i, ok := r.nameIndex[target][id]
 	if !ok {
 		i = len(frame.Names)
-		frame.Names = append(frame.Names, r.interner.Name(id))
+		frame.Names = append(frame.Names, r.interner.Name(id.name))
+		if id.address != 0 {
+			frame.Names = append(frame.Names, addressMark+r.interner.Name(id.address))
+		}
 		r.nameIndex[target][id] = i
 	}
 	return i
--- a/internal/entry/batch/batch_test.go
+++ b/internal/entry/batch/batch_test.go
@@ -50,6 +50,30 @@
 	qt.Check(t, items, qt.Equals, 3000)
 }
 
+// TestFramesWithAndWithoutAddresses guards against frames that the build before, which
+// sends no addresses, can't read, and against its frames.
+func TestFramesWithAndWithoutAddresses(t *testing.T) {
+	interner := table.NewInterner()
+	var got *batch.Frame
+	r := batch.New("h1", interner, func(_ string, f *batch.Frame) { got = f })
+	for _, address := range []string{"", "10.0.0.1:9", "10.0.0.2:9"} {
+		r.Begin(1)
+		r.Add("h2", &table.Record{Key: key(1), Service: interner.ID("service"), Server: interner.ID("server"), Address: interner.ID(address)})
+		r.Add("h2", &table.Record{Key: key(2), Service: interner.ID("service"), Server: interner.ID("other")})
+		r.Flush()
+		for i, name := range []string{"server", "other"} {
+			qt.Check(t, got.Names[got.Items[i].Service], qt.Equals, "service")
+			qt.Check(t, got.Names[got.Items[i].Server], qt.Equals, name)
+		}
+		qt.Check(t, got.Address(got.Items[0].Server), qt.Equals, address)
+		qt.Check(t, got.Address(got.Items[1].Server), qt.Equals, "")
+	}
+	old := &batch.Frame{Names: []string{"service", "@server", "server", "@"}}
+	for i := range old.Names {
+		qt.Check(t, old.Address(i), qt.Equals, "")
+	}
+}
+
 func TestFullQueueRequiresASweep(t *testing.T) {
 	r := batch.New("h1", table.NewInterner(), func(string, *batch.Frame) {})
 	qt.Check(t, r.Idle(), qt.IsTrue)
--- a/internal/entry/core/ends_test.go
+++ b/internal/entry/core/ends_test.go
@@ -38,8 +38,8 @@
 
 const claimedAt = 5 * clock.Second
 
-// play opens a flow, passes the record of a claim to the host at claimedAt and calls send
-// each 20 ms. It returns the number of datagrams after claimedAt to the address of the server,
+// play opens a flow, passes the record of a claim to the host at claimedAt, again and again
+// if the server of the flow doesn't announce itself, and calls send each 20 ms. It returns the number of datagrams after claimedAt to the address of the server,
 // and to neither that nor the client.
 func play(host *core.Core, record *roster.Announcement, announces bool, until clock.Millis, send func(now clock.Millis)) (atServer, elsewhere int) {
 	host.HandleDatagram(3, fabricAddr, syn(0))
@@ -47,7 +47,7 @@
 		if announces && now%clock.Second == 0 {
 			host.HandleAnnouncement(now, announcement("s0-0", "service0", serverAddr, 1))
 		}
-		if record != nil && now == claimedAt {
+		if record != nil && (now == claimedAt || !announces && now > claimedAt && now%clock.Second == 0) {
 			host.HandleAnnouncement(now, record)
 		}
 		host.Tick(now)
@@ -119,6 +119,33 @@
 	}
 }
 
+// TestPacketsThatWaitedOnTheHostAreNoEvidence guards against the reset of a flow of a server
+// that is said to have ended, because its packets waited on the host and not for the server.
+func TestPacketsThatWaitedOnTheHostAreNoEvidence(t *testing.T) {
+	for _, test := range []struct {
+		stalls bool
+		resets int
+	}{{true, 0}, {false, 1}} {
+		host := newSingleHost(t, 1, 1)
+		play(host, nil, false, 20*clock.Second, func(clock.Millis) { host.ClearOutput() })
+		resets := 0
+		for now := 20 * clock.Second; now <= 22*clock.Second; now += 20 {
+			if !test.stalls {
+				host.Tick(now)
+			}
+			if now%300 == 0 {
+				host.HandleDatagram(now, fabricAddr, segment(2, 1))
+			}
+			resets += len(host.PendingOutput().Losses.Resets())
+			host.ClearOutput()
+			if resets > 0 {
+				break
+			}
+		}
+		qt.Check(t, resets, qt.Equals, test.resets, qt.Commentf("stalls %t", test.stalls))
+	}
+}
+
 // TestRestartedHostResetsNoFlow guards against the reset of an open flow by a host that was
 // restarted, or by another server: the host has not heard of all servers yet.
 func TestRestartedHostResetsNoFlow(t *testing.T) {
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -58,8 +58,7 @@
 	} else {
 		c.promoteReplica(r)
 	}
-	c.updateRecord(r, p, in)
-	c.forward(r, p, in)
+	c.forward(r, p, in, c.updateRecord(r, p, in))
 }
 
 // promoteReplica makes this host the owner of a flow of which it held a replica.
@@ -148,8 +147,7 @@
 		s.load.Serve()
 		c.counters.Add(count.FlowsOpened, 1)
 	}
-	c.updateRecord(r, p, in)
-	c.forward(r, p, in)
+	c.forward(r, p, in, c.updateRecord(r, p, in))
 }
 
 // forwardWithoutRecord forwards a packet of an open flow for which the table has no room.
@@ -183,8 +181,7 @@
 	r := c.addFlow(s, p, hash, server)
 	r.Flags |= table.Adopted
 	c.demoteToReplica(r)
-	c.updateRecord(r, p, in)
-	c.forward(r, p, in)
+	c.forward(r, p, in, c.updateRecord(r, p, in))
 	return true
 }
 
@@ -203,7 +200,7 @@
 // it is an exception.
 func (c *Core) addFlow(s *service, p *inner.Packet, hash uint64, server table.NameID) *table.Record {
 	r := c.flows.Insert(&p.Key, hash)
-	r.Service, r.Server = s.id, server
+	r.Service, r.Server, r.Address = s.id, server, c.addressOf(server, s.id)
 	r.Version = uint32(c.releases.Bundle().Version())
 	r.ISN, r.LastSeen = p.Seq, c.now
 	if c.isException(s, r) {
@@ -215,14 +212,18 @@
 }
 
 // isException reports whether a host without a record of the flow might choose
-// another server, or no server because the service was removed or its address
-// now belongs to another one. s is the service of the flow, or nil if the active
+// another server or another address, or no server because the service was removed
+// or its address now belongs to another one. s is the service of the flow, or nil if the active
 // bundle no longer contains it.
 func (c *Core) isException(s *service, r *table.Record) bool {
 	if s == nil || c.serviceOf(&r.Key) != s {
 		return true
 	}
-	return s.places.Current().Server(r.Hash()) != r.Server || c.nextOwnerDefault(s, r.Hash()) != r.Server
+	if s.places.Current().Server(r.Hash()) != r.Server || c.nextOwnerDefault(s, r.Hash()) != r.Server {
+		return true
+	}
+	srv := c.servers.Find(c.interner.Name(r.Server))
+	return srv != nil && r.Address != 0 && srv.Info().Address != c.interner.Name(r.Address)
 }
 
 // serviceOf returns the service at the destination address of a flow, or nil.
@@ -306,13 +307,14 @@
 }
 
 // updateRecord updates a flow record from a packet of the client.
-func (c *Core) updateRecord(r *table.Record, p *inner.Packet, in *arrival) {
+func (c *Core) updateRecord(r *table.Record, p *inner.Packet, in *arrival) progress {
+	seen := progress{previousAt: r.LastSeen}
 	r.LastSeen = c.now
 	r.Probes = 0
 	r.Origin = c.originID(in.origin)
 	if p.Key.Proto() != inner.TCP {
 		r.State = table.Open
-		return
+		return seen
 	}
 	nextSeq := p.Seq + uint32(len(p.Payload))
 	switch {
@@ -323,18 +325,27 @@
 		nextSeq++
 	case r.State == table.Opening:
 		r.State = table.Open
+		seen.answered = true
 	}
 	// Pure acknowledgements, and keepalive probes, which carry at most one byte,
 	// do not count as retransmissions.
-	if len(p.Payload) > 1 && nextSeq == r.Seq && p.Ack == r.Ack {
+	carriesData := len(p.Payload) > 1
+	same := nextSeq == r.Seq && p.Ack == r.Ack
+	seen.repeated = same && (carriesData || p.Flags&(inner.SYN|inner.FIN) != 0)
+	if known := r.Seq != 0 || r.Ack != 0; known && p.Flags&inner.SYN == 0 {
+		// Clients send new data once the server has acknowledged what they repeated.
+		seen.answered = seen.answered || seqAfter(p.Ack, r.Ack) || r.Retransmits > 0 && seqAfter(nextSeq, r.Seq)
+	}
+	if same && carriesData {
 		if r.Retransmits == 0 {
 			r.StalledSince = c.now
 		}
 		r.Retransmits = min(r.Retransmits, math.MaxUint8-1) + 1
-	} else if nextSeq != r.Seq || p.Ack != r.Ack {
+	} else if !same {
 		r.Retransmits = 0
 	}
 	r.Seq, r.Ack = nextSeq, p.Ack
+	return seen
 }
 
 // originID returns the ID of a fabric endpoint.
@@ -347,24 +358,22 @@
 	return id
 }
 
-// forward sends p to the server of its flow. It refuses p if the server is gone
-// or now belongs to another service, and resets the flow after maxRetransmits
-// retransmissions in a row over minStallTime.
-func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival) {
-	srv := c.servers.Find(c.interner.Name(r.Server))
-	if srv == nil || srv.Ended(c.now) {
+// forward sends p to the address where its flow was opened. It resets the flow if its
+// server has ended, or after maxRetransmits retransmissions in a row over minStallTime.
+func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival, seen progress) {
+	if r.Address == 0 {
+		r.Address = c.addressOf(r.Server, r.Service)
+	}
+	switch c.fateOf(r, seen) {
+	case ended:
 		c.counters.Add(count.FlowsServerGone, 1)
 		server := r.Server
 		c.removeFlow(r)
 		c.refuse(p, in, server, loss.ServerEnded)
 		return
-	}
-	info := srv.Info()
-	if info.Service != c.interner.Name(r.Service) && !c.opts.Disabled.ServiceCheck {
+	case withheld:
 		c.counters.Add(count.CrossedPrevented, 1)
-		server := r.Server
-		c.removeFlow(r)
-		c.refuse(p, in, server, loss.ServerEnded)
+		r.Retransmits = 0
 		return
 	}
 	if r.Retransmits >= maxRetransmits && c.now-r.StalledSince >= minStallTime && !c.opts.Disabled.IdleProbes {
@@ -372,7 +381,7 @@
 		return
 	}
 	c.counters.Add(count.PacketsForwarded, 1)
-	c.send(c.parseAddr(info.Address), p.Raw, nil)
+	c.send(c.parseAddr(c.interner.Name(r.Address)), p.Raw, nil)
 }
 
 // parseAddr returns the parsed form of address, which it caches, or an invalid
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -167,7 +167,8 @@
 			c.counters.Add(count.Malformed, 1)
 			continue
 		}
-		r := c.storeReplica(&key, item, c.interner.ID(m.Names[item.Service]), c.interner.ID(m.Names[item.Server]))
+		r := c.storeReplica(&key, item, c.interner.ID(m.Names[item.Service]), c.interner.ID(m.Names[item.Server]),
+			c.interner.ID(m.Address(item.Server)))
 		if r != nil {
 			r.ReplicatedTo = c.bootIDs[m.From]
 		}
@@ -177,7 +178,7 @@
 // storeReplica stores item, unless this host already owns a record of the flow
 // that was not adopted, or the flow table is full. It returns the record if it is
 // a replica, or else nil.
-func (c *Core) storeReplica(key *inner.Key, item *batch.Item, service, server table.NameID) *table.Record {
+func (c *Core) storeReplica(key *inner.Key, item *batch.Item, service, server, address table.NameID) *table.Record {
 	hash := key.Hash()
 	isOwner := c.owners.Home(c.bucketOf(hash)) == c.opts.Name
 	r := c.flows.Find(key, hash)
@@ -185,13 +186,19 @@
 		return nil
 	}
 	if r != nil {
+		if address == 0 && r.Server == server && r.ISN == item.ISN {
+			address = r.Address
+		}
 		c.removeFlow(r)
 	}
+	if address == 0 {
+		address = c.addressOf(server, service)
+	}
 	if c.flows.Len() >= c.opts.MaxFlows {
 		return nil
 	}
 	r = c.flows.Insert(key, hash)
-	r.Service, r.Server, r.Version, r.ISN = service, server, item.Version, item.ISN
+	r.Service, r.Server, r.Address, r.Version, r.ISN = service, server, address, item.Version, item.ISN
 	r.State, r.LastSeen = item.State, c.now
 	r.Flags = table.Exception | table.Replica
 	if isOwner {
@@ -227,9 +234,10 @@
 	c.noteReset(&r.Key, r.Server, reason)
 	client, serviceAddr := r.Key.Src(), r.Key.Dst()
 	c.sendToClient(r, inner.BuildTCP(serviceAddr, client, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Ack, Ack: r.Seq}))
-	if srv := c.servers.Find(c.interner.Name(r.Server)); srv != nil && srv.Info().Service == c.interner.Name(r.Service) {
+	srv, address := c.servers.Find(c.interner.Name(r.Server)), c.interner.Name(r.Address)
+	if !c.claimOf(srv, c.interner.Name(r.Service), address).crosses {
 		reset := inner.BuildTCP(client, serviceAddr, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Seq, Ack: r.Ack})
-		c.send(c.parseAddr(srv.Info().Address), reset, nil)
+		c.send(c.parseAddr(address), reset, nil)
 	}
 	c.removeFlow(r)
 }
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -144,6 +144,7 @@
 		c.sendFrame(host, codec.LeaseTransfer, transfers[host])
 	}
 	c.setLeaseLimits()
+	c.forgetSilences()
 	c.restartSweep()
 }
 
--- a/internal/entry/count/count.go
+++ b/internal/entry/count/count.go
@@ -20,8 +20,8 @@
 	TooManyHops
 	// Unroutable counts datagrams dropped for lack of a valid address.
 	Unroutable
-	// CrossedPrevented counts packets and requests that were not sent because
-	// the server belongs to another service or, for requests, is gone.
+	// CrossedPrevented counts packets and requests that were not sent because the server,
+	// or its address, belongs to another service or, for requests, is gone.
 	CrossedPrevented
 	FlowsOpened
 	// FlowsAdopted counts unknown flows assigned to a server in mid-stream.
@@ -33,7 +33,7 @@
 	// FlowsRefused counts flows refused for lack of a server, or because
 	// the limit of flows was reached.
 	FlowsRefused
-	// FlowsServerGone counts flows refused because their server is gone.
+	// FlowsServerGone counts flows reset because their server has ended.
 	FlowsServerGone
 	// FlowsCopied counts flows replicated to another host.
 	FlowsCopied
--- a/internal/entry/loss/loss.go
+++ b/internal/entry/loss/loss.go
@@ -15,8 +15,8 @@
 	NoServer
 	// UnknownFlow means that a packet in the middle of a flow belongs to no known flow.
 	UnknownFlow
-	// ServerEnded means that the server of the flow has ended, or now belongs to
-	// another service.
+	// ServerEnded means that the server of the flow is said to have ended and doesn't
+	// answer, or that its address belongs to another service.
 	ServerEnded
 	// NoProgress means that the client kept retransmitting a segment that reached its
 	// server.
--- a/internal/flow/table/table.go
+++ b/internal/flow/table/table.go
@@ -48,6 +48,9 @@
 	LastSeen clock.Millis
 	Service  NameID
 	Server   NameID
+	// Address is the address of the server when the flow was opened, or zero if it is not
+	// known yet.
+	Address NameID
 	// ReplicatedTo is the host to which the record was last replicated.
 	ReplicatedTo NameID
 	// ReplicatedAt is when the record was last replicated.
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -28,7 +28,7 @@
 	// gets no new work.
 	KeeperTimeout = 6 * clock.Second
 	// ResetAfter is how long a server has to be gone or orphaned before its flows
-	// are reset.
+	// may be reset.
 	ResetAfter = 10 * clock.Second
 	// goneRetention is how long a server that is gone stays in the list.
 	goneRetention = 30 * clock.Minute
@@ -110,6 +110,8 @@
 	firstSeenAt clock.Millis
 	// changedAt is when the state or the keeper last changed.
 	changedAt clock.Millis
+	// movedAt is when the service or the address last changed.
+	movedAt clock.Millis
 	// slowStart is set when the server started, or returned after it was gone, while
 	// this host was running.
 	slowStart bool
@@ -125,15 +127,18 @@
 // get new work.
 func (s *Server) Usable() bool { return s.info.State == Up && s.orphanedAt == 0 }
 
-// Ended reports whether the server has been gone, or without a live keeper, for
-// so long that its flows have to be reset.
-func (s *Server) Ended(now clock.Millis) bool {
-	if s.orphanedAt != 0 {
-		return now-s.orphanedAt >= ResetAfter
+// MissingSince returns since when the server has been gone, or without a live keeper, or
+// zero. It may serve its flows all the same.
+func (s *Server) MissingSince() clock.Millis {
+	if s.info.State == Gone {
+		return s.changedAt
 	}
-	return s.info.State == Gone && now-s.changedAt >= ResetAfter
+	return s.orphanedAt
 }
 
+// MovedAt returns when the server got its present service and address, as far as known here.
+func (s *Server) MovedAt() clock.Millis { return s.movedAt }
+
 // SlowStartFactor returns the fraction of its usual load that the server may get.
 // It rises from 0.1 to 1 during SlowStartWindow.
 func (s *Server) SlowStartFactor(now clock.Millis) float64 {
@@ -156,6 +161,10 @@
 	servers map[string]*Server
 	// services holds the servers of each service by name.
 	services map[string]map[string]*Server
+	// atAddress holds the servers at each address, and shared the addresses of servers of
+	// several services.
+	atAddress map[string][]*Server
+	shared    map[string]bool
 	// changed holds the services whose servers changed since the last
 	// TakeChanged.
 	changed map[string]bool
@@ -170,7 +179,7 @@
 
 // New returns the empty Roster of the host called self.
 func New(self string, now clock.Millis) *Roster {
-	return &Roster{self: self, servers: map[string]*Server{}, services: map[string]map[string]*Server{}, changed: map[string]bool{}, version: 1, hostStartedAt: now, tickedAt: now}
+	return &Roster{self: self, servers: map[string]*Server{}, services: map[string]map[string]*Server{}, changed: map[string]bool{}, atAddress: map[string][]*Server{}, shared: map[string]bool{}, version: 1, hostStartedAt: now, tickedAt: now}
 }
 
 // Version returns a number that increases when a server is added, when its record
@@ -279,11 +288,56 @@
 		}
 		r.services[info.Service][info.Name] = s
 	}
+	if s.info.Service != info.Service || s.info.Address != info.Address {
+		r.removeAddress(s)
+		s.info, s.movedAt = *info, now
+		r.addAddress(s)
+	}
 	s.info = *info
 	r.setOrphaned(s, 0)
 	r.rumors.Put(info.Name, *info)
 }
 
+func (r *Roster) addAddress(s *Server) {
+	address := s.info.Address
+	r.atAddress[address] = append(r.atAddress[address], s)
+	r.updateShared(address)
+}
+
+func (r *Roster) removeAddress(s *Server) {
+	address := s.info.Address
+	r.atAddress[address] = slices.DeleteFunc(r.atAddress[address], func(other *Server) bool { return other == s })
+	if len(r.atAddress[address]) == 0 {
+		delete(r.atAddress, address)
+	}
+	r.updateShared(address)
+}
+
+func (r *Roster) updateShared(address string) {
+	for _, s := range r.atAddress[address] {
+		if s.info.Service != r.atAddress[address][0].info.Service {
+			r.shared[address] = true
+			return
+		}
+	}
+	delete(r.shared, address)
+}
+
+// Shared reports whether the list has servers of several services at an address.
+func (r *Roster) Shared(address string) bool { return r.shared[address] }
+
+// Occupant returns the server at an address that belongs to another service than the given
+// one and is not gone, or nil. Of several it returns the one that came last.
+func (r *Roster) Occupant(address, service string) *Server {
+	var latest *Server
+	for _, s := range r.atAddress[address] {
+		if s.info.Service != service && s.info.State != Gone && (latest == nil || s.movedAt > latest.movedAt) {
+			latest = s
+		}
+	}
+	return latest
+}
+
 // differ reports whether the records differ in anything but revision and
 // keeper.
 func differ(a, b *Info) bool {
@@ -312,6 +366,7 @@
 				delete(r.servers, name)
 				r.sortedNames = nil
 				delete(r.services[s.info.Service], name)
+				r.removeAddress(s)
 			}
 		case s.info.Keeper == r.self && hasMajority:
 			s.aliveAt = min(now, s.aliveAt+stall)
