entry/core: place openings on the default server after a takeover

What callers saw: two servers answered one opening, after the entry host that owned its flow had restarted.

Cause: the new owner took a copy of the opening packet for a new flow and chose a server by its own load. A flow without a record is on the default server of the time of the previous owner: others are replicated.

Change: for 3 s after a takeover, openings go to the default server of the previous owner if it takes new work, and are balanced by load after that.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -19,6 +19,9 @@
 	// previous owner, and how long an owner must have owned a bucket to count
 	// as long-term (see place.Owners).
 	handoverPeriod = 10 * clock.Second
+	// copyPeriod is how long after a takeover openings may be copies of openings that
+	// the previous owner has placed.
+	copyPeriod = 3 * clock.Second
 	// hashCandidates is the number of servers tried by hash before falling back
 	// to the least loaded one.
 	hashCandidates = 4
@@ -244,6 +247,9 @@
 	if s.places.Current().Len() == 0 {
 		return 0
 	}
+	if server := c.serverForCopy(s, hash); server != 0 {
+		return server
+	}
 	for n := range hashCandidates {
 		if i := s.places.Current().Candidate(hash, n); c.acceptsFlow(s, i) {
 			return s.places.Current().ID(i)
@@ -252,6 +258,19 @@
 	return c.leastLoaded(s)
 }
 
+// serverForCopy returns the server of an opening that may be a copy of one that the owner
+// before has placed, or zero. Flows on other servers than the default one are known here.
+func (c *Core) serverForCopy(s *service, hash uint64) table.NameID {
+	if c.now-c.history[c.bucketOf(hash)].OwnedSince() >= copyPeriod {
+		return 0
+	}
+	server := c.serverForUnknownFlow(s, hash)
+	if srv := c.servers.Find(c.interner.Name(server)); srv == nil || !srv.Usable() {
+		return 0
+	}
+	return server
+}
+
 // acceptsFlow reports whether this host may assign one more flow to the server
 // at index i.
 func (c *Core) acceptsFlow(s *service, i int) bool {
--- a/internal/entry/place/owner.go
+++ b/internal/entry/place/owner.go
@@ -31,6 +31,9 @@
 	o.ownedSince = now
 }
 
+// OwnedSince returns when the current owner took over, or zero if there was none yet.
+func (o *Owners) OwnedSince() clock.Millis { return o.ownedSince }
+
 // ForUnknownFlow returns the server for a mid-stream packet of an unknown flow, or
 // zero. Until the idle timeout of the service has passed since the servers were known
 // to an earlier owner, it uses the placement of that time: a flow on another server
