entry/core: ask the successor about unknown flows after a loss of the majority

What callers saw: flows opened at two servers, or packets of open flows went to another server than their own, after an entry host had been cut off one way or had stalled for 8 s.

Cause: such a host goes on as the owner of its buckets once it is back in contact, until it hears that it was declared dead, and it may never hear that: its own refutation of a suspicion overrides the report. Until then it took openings and packets of flows that others had opened meanwhile for unknown ones.

Change: for 10 s after it is back in contact with a majority, a host asks the successor about unknown flows and requests, as after a takeover. It declines new work until that time is set.

Measured: the test passes.

--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -135,8 +135,10 @@
 	group       *member.Group
 	owners      *homes.Table
 	viewVersion uint64
-	// fencedSince is the time at which the host lost the majority, or zero.
+	// fencedSince is the time at which the host lost the majority, or zero, and unfencedAt
+	// that at which it was back the last time.
 	fencedSince   clock.Millis
+	unfencedAt    clock.Millis
 	viewChangedAt clock.Millis
 	// responsibleSince is the time at which this host became owner or successor
 	// of each bucket.
@@ -266,10 +268,14 @@
 // that the others are dead and serves alone.
 const isolationTimeout = 30 * clock.Second
 
-// updateFencing records when the host lost the majority.
+// updateFencing records when the host lost the majority. When it is back, other hosts may
+// have taken flows and requests of its buckets, so that it asks them as after a takeover.
 func (c *Core) updateFencing() {
 	switch {
 	case !c.group.Fenced(c.now) || c.opts.Disabled.Fencing:
+		if c.fencedSince != 0 {
+			c.unfencedAt = c.now
+		}
 		c.fencedSince = 0
 	case c.fencedSince == 0:
 		c.fencedSince = c.now
@@ -286,7 +292,7 @@
 // during the first isolationTimeout without a majority, because the other hosts
 // have probably taken over its buckets and receive the packets of their clients.
 func (c *Core) declinesNewWork() bool {
-	return c.fenced() && (c.fencedSince == 0 || c.now-c.fencedSince < isolationTimeout)
+	return (c.fenced() || c.fencedSince != 0) && (c.fencedSince == 0 || c.now-c.fencedSince < isolationTimeout)
 }
 
 // Ready reports whether the fabric should send packets to this host.
--- a/internal/entry/core/packet.go
+++ b/internal/entry/core/packet.go
@@ -132,7 +132,8 @@
 // lookupTarget returns the host to ask for a record that this host, the owner of
 // bucket, lacks. This is the leaving host that owned the bucket, if there is
 // one. Otherwise it is the successor, which may have been the owner before, if
-// this host became owner or successor less than window ago and after its start.
+// this host became owner or successor, or was back in contact with a majority, less
+// than window ago and after its start.
 // It returns "" if no host is to be asked or if the lookup has been done.
 func (c *Core) lookupTarget(bucket int, in *arrival, window clock.Millis) string {
 	if in.has(geneve.FlagLookupMiss) || c.opts.Disabled.OwnerLookup {
@@ -141,7 +142,7 @@
 	if former := c.owners.Former(bucket); former != "" && former != c.opts.Name {
 		return former
 	}
-	if c.now-c.responsibleSince[bucket] < window && c.responsibleSince[bucket] > c.startedAt {
+	if since := max(c.responsibleSince[bucket], c.unfencedAt); c.now-since < window && since > c.startedAt {
 		return c.owners.Successor(bucket)
 	}
 	return ""
