--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -129,12 +129,16 @@
 	rand      *rand.Rand
 	now       clock.Millis
 	startedAt clock.Millis
+	// resumedAt is when the latest stall of this host ended.
+	resumedAt clock.Millis
 
 	group       *member.Group
 	owners      *homes.Table
 	viewVersion uint64
-	// fencedSince is the time at which the host lost the majority, or zero.
+	// fencedSince is the time at which the host lost the majority, or zero, and unfencedAt
+	// that at which it was back the last time.
 	fencedSince   clock.Millis
+	unfencedAt    clock.Millis
 	viewChangedAt clock.Millis
 	// responsibleSince is the time at which this host became owner or successor
 	// of each bucket.
@@ -169,6 +173,7 @@
 	interner   *table.Interner
 	flows      *table.Table
 	originIDs  map[netip.AddrPort]table.NameID
+	silences   map[placeID]*silence
 	replicator *batch.Replicator
 
 	ledger       *ledger.Ledger
@@ -203,7 +208,8 @@
 		servers: roster.New(opts.Name, now), services: map[string]*service{},
 		leaseHolder: lease.NewHolder(opts.Name, opts.Boot, r), leaseKeeper: lease.NewKeeper(),
 		interner: table.NewInterner(), flows: table.New(), originIDs: map[netip.AddrPort]table.NameID{},
-		ledger: ledger.New(opts.MaxRequests), refusedTries: ledger.NewRefusedTries(clock.Minute, opts.MaxRequests),
+		silences: map[placeID]*silence{},
+		ledger:   ledger.New(opts.MaxRequests), refusedTries: ledger.NewRefusedTries(clock.Minute, opts.MaxRequests),
 		pendingAttempts: map[uint64]*ledger.Entry{}, releases: chain.New(opts.Centre, opts.Keys),
 		serviceChangedAt: map[spec.Address]clock.Millis{},
 	}
@@ -217,7 +223,7 @@
 
 // Tick runs the periodic work. Call it about every 20 ms.
 func (c *Core) Tick(now clock.Millis) {
-	c.now = now
+	c.advance(now)
 	c.group.Tick(now)
 	if c.group.TakeDeposed() {
 		c.resetAndRejoin()
@@ -262,10 +268,14 @@
 // that the others are dead and serves alone.
 const isolationTimeout = 30 * clock.Second
 
-// updateFencing records when the host lost the majority.
+// updateFencing records when the host lost the majority. When it is back, other hosts may
+// have taken flows and requests of its buckets, so that it asks them as after a takeover.
 func (c *Core) updateFencing() {
 	switch {
 	case !c.group.Fenced(c.now) || c.opts.Disabled.Fencing:
+		if c.fencedSince != 0 {
+			c.unfencedAt = c.now
+		}
 		c.fencedSince = 0
 	case c.fencedSince == 0:
 		c.fencedSince = c.now
@@ -282,7 +292,7 @@
 // during the first isolationTimeout without a majority, because the other hosts
 // have probably taken over its buckets and receive the packets of their clients.
 func (c *Core) declinesNewWork() bool {
-	return c.fenced() && (c.fencedSince == 0 || c.now-c.fencedSince < isolationTimeout)
+	return (c.fenced() || c.fencedSince != 0) && (c.fencedSince == 0 || c.now-c.fencedSince < isolationTimeout)
 }
 
 // Ready reports whether the fabric should send packets to this host.
@@ -320,7 +330,7 @@
 // Leave starts a graceful shutdown: the host gives up its buckets and hands
 // over its flows.
 func (c *Core) Leave(now clock.Millis) {
-	c.now = now
+	c.advance(now)
 	c.leaving = true
 	c.serving = false
 	c.group.Enter(member.Leaving)
@@ -373,7 +383,7 @@
 
 // HandleAnnouncement handles the announcement of a backend server.
 func (c *Core) HandleAnnouncement(now clock.Millis, a *roster.Announcement) {
-	c.now = now
+	c.advance(now)
 	c.servers.Announce(now, a)
 	c.refreshView()
 }
