token/core: reproduce the reset of an unseen flow on old silence

Callers see: an open flow is reset by the first host that routers turn to, while its server is sound.

Cause: Silence.Conclusive resets the packets of flows that have no retransmission of their own, for 3 s after the last one of other flows. The host sent the server nothing meanwhile, so it can't know that its link is whole again; the host that the flow came from forwards the same packet. It needs a claim, which a planned removal makes.

--- /dev/null
+++ b/internal/token/core/aged_test.go
@@ -0,0 +1,31 @@
+package core_test
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/token/core"
+)
+
+// TestFlowOfAnotherHostIsNotResetOnOldSilence guards against a reset of the first packet that a host sees of a flow, for a cut of its link that is over.
+func TestFlowOfAnotherHostIsNotResetOnOldSilence(t *testing.T) {
+	for _, age := range []clock.Millis{1000, 2000, 3000} {
+		c := qt.New(t)
+		h, first := newHostWithAClaim(c)
+		send := func(now clock.Millis, from netip.AddrPort) core.Verdict {
+			p := data(first.Token, 9000, 50)
+			p.From = from
+			return h.HandlePacket(now, p, true).Verdict
+		}
+		for _, now := range []clock.Millis{1000, 1200, 1600} {
+			send(now, client)
+		}
+		for _, now := range []clock.Millis{1800, 2000} {
+			send(now, otherClient)
+		}
+		c.Check(send(2000+age, thirdClient), qt.Equals, core.Forward, qt.Commentf("%d after the last retransmission", age))
+	}
+}
