token/core: reproduce copies of untracked flows that open others

Callers see: while the table of flows is full (100,000), one opening is answered by two servers.

Cause: a flow without room in the table is forgotten, so each copy is taken for a new flow and goes to any server. The places that it takes there aren't counted either.

--- a/internal/token/core/aged_test.go
+++ b/internal/token/core/aged_test.go
@@ -29,3 +29,17 @@
 		c.Check(send(2000+age, thirdClient), qt.Equals, core.Forward, qt.Commentf("%d after the last retransmission", age))
 	}
 }
+
+// TestCopyOfAFlowBeyondTheLimitGoesToItsServer guards against a second server for an opening while the table of flows is full.
+func TestCopyOfAFlowBeyondTheLimitGoesToItsServer(t *testing.T) {
+	c := qt.New(t)
+	h := newStartedCore(1)
+	for i := range 1100 {
+		p := syn(0)
+		p.From = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 7)
+		first := h.HandlePacket(1000, p, true)
+		p.Ack = 1
+		a := h.HandlePacket(1010, p, true)
+		c.Assert(a.Verdict == core.Forward && a.Number != first.Number, qt.IsFalse, qt.Commentf("opening %d: %s", i, a.Reason))
+	}
+}
