token/core: reproduce packets of an earlier flow that answer an opening

Callers see: an opening from a port that was used before is answered by two servers, or by none.

Cause: handleSubsequent takes any packet from the port of an opening for the answer to it, whatever its sequence number: a late acknowledgement or FIN of the flow before sets established, moves the flow to that server, and closes it. All copies are then dropped as closedFlow; before they opened a flow. How often ports come back within seconds wasn't measured.

--- a/internal/token/core/aged_test.go
+++ b/internal/token/core/aged_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 	"monsooncleat.example/monsooncleat/internal/token/core"
 )
 
@@ -43,3 +44,19 @@
 		c.Assert(a.Verdict == core.Forward && a.Number != first.Number, qt.IsFalse, qt.Commentf("opening %d: %s", i, a.Reason))
 	}
 }
+
+// TestPacketOfAnEarlierFlowOpensNoLaterOne guards against a late packet from the port of an opening, of the flow before, that counts as the answer to the opening.
+func TestPacketOfAnEarlierFlowOpensNoLaterOne(t *testing.T) {
+	for _, closing := range []bool{false, true} {
+		for seed := range uint64(5) {
+			c := qt.New(t)
+			h := newStartedCore(seed)
+			opening := h.HandlePacket(1000, syn(0), true)
+			earlier := data(tokens.Candidate("i-1", 1000, 0), 1<<30, 0)
+			earlier.Seq, earlier.Close = 1<<31, closing
+			h.HandlePacket(1010, earlier, true)
+			a := h.HandlePacket(1100, syn(1), true)
+			c.Check(a.Number, qt.Equals, opening.Number, qt.Commentf("close %t, seed %d: %s", closing, seed, a.Reason))
+		}
+	}
+}
