serve/verify: let conclusive evidence end other flows for half a second only

What callers saw: an open flow was reset by the host that routers had turned to, on its first packet there, up to 3 s after the host's link had been cut for a second. The flow's server was about to leave and still answered.

Cause: conclusive evidence ends any flow of the server, also one that this host has never seen, until it expires, whatever happened after.

Change: conclusive evidence holds for 500 ms. While clients of an ended server go on repeating requests it is renewed; a flow that comes later gives its own evidence, which takes 0.6 s.

--- a/internal/serve/verify/verify.go
+++ b/internal/serve/verify/verify.go
@@ -27,6 +27,9 @@
 	// evidenceTTL is how long a retransmission counts, alone or with later ones. It exceeds
 	// the longest interval of clients, 1.6 s.
 	evidenceTTL = 3 * clock.Second
+	// conclusiveTTL is how long conclusive evidence ends other flows. Flows that come later
+	// give their own: a cut may have healed, and answers may go through other hosts.
+	conclusiveTTL = 500 * clock.Millis(1)
 )
 
 // Silence is the evidence that a server doesn't answer, as one host sees it. The zero Silence
@@ -74,7 +77,7 @@
 // Conclusive reports whether the server has left so much unanswered that the packets of its
 // other flows need no evidence of their own.
 func (s *Silence) Conclusive(now clock.Millis) bool {
-	return s.count >= conclusive && s.countedAt-s.sentAt >= conclusiveSpan && !s.expired(now)
+	return s.count >= conclusive && s.countedAt-s.sentAt >= conclusiveSpan && now-s.countedAt <= conclusiveTTL
 }
 
 func (s *Silence) expired(now clock.Millis) bool { return now-s.countedAt > evidenceTTL }
