token/core: take no packet of an earlier flow for the answer to an opening

What callers saw: nothing that is known. Found by the review: a late packet of the flow before, from a port that is used again, counted as the client's answer to the opening. Copies of the opening then went to that flow's server or, after a late FIN, were dropped as closed.

Change: while a flow is being opened, packets whose sequence number isn't of its stream are forwarded by their token and change nothing.

--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -76,6 +76,12 @@
 	return f.seq == p.Seq
 }
 
+// isOpenedAfter reports whether a later packet is not one of a flow that is being opened, but
+// of an earlier one from its client's port. F may be nil.
+func (f *flow) isOpenedAfter(p *Packet) bool {
+	return f != nil && !f.established && !sameStream(p.Seq, f.seq)
+}
+
 // hasOpened reports whether a later packet is one of a flow that this host has opened. F may
 // be nil.
 func (f *flow) hasOpened(p *Packet) bool {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -182,6 +182,9 @@
 // handleSubsequent decides on a packet that follows the opening packet.
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
 	f := c.flows[key]
+	if f.isOpenedAfter(p) {
+		return c.forwardByToken(p)
+	}
 	// A flow that was opened through another host, also one from the port of f, may be one
 	// from after the route was added again.
 	if removedAt, removed := c.removed[p.To]; removed && f.hasOpened(p) && f.openedAt < removedAt {
@@ -220,6 +223,16 @@
 	return a
 }
 
+// forwardByToken forwards a packet without regard to the flows that this host knows.
+func (c *Core) forwardByToken(p *Packet) Action {
+	s, known := c.tokens.Find(p.Token)
+	if !known {
+		c.stats.DroppedUnknown++
+		return Action{Verdict: Drop, Reason: UnknownToken}
+	}
+	return c.forward(c.successor(s), NoReason)
+}
+
 // serverOf returns the server that a packet goes to, or nil if that is not known: the one
 // that its token names, unless the flow is known to be with another one. F may be nil.
 func (c *Core) serverOf(f *flow, p *Packet) (*server, Reason) {
