token/core: open untracked flows on one server for all their copies

What callers saw: nothing that is known. Found by the review: while the table of flows is full (100,000), each copy of an opening went to another server.

Evidence: TestCopyOfAFlowBeyondTheLimitGoesToItsServer failed.

Change: the server of a flow without a record is picked by the flow's hash, so that its copies agree while the servers are the same.

--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -66,6 +66,11 @@
 	if !admitted {
 		return c.refuseOverloaded(p, s, load)
 	}
+	if c.isFull(key) {
+		if other := c.pickWithoutRecord(now, key, route, kind); other != nil {
+			s = other
+		}
+	}
 	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, offeredAt: now, lastAt: now}
 	c.track(key, f)
 	f.beginRequest(now)
@@ -275,11 +280,16 @@
 // track adds a flow to the table if there is room. Its packets are routed either
 // way.
 func (c *Core) track(key flowKey, f *flow) {
-	if len(c.flows) < c.options.MaxFlows || c.flows[key] != nil {
-		c.flows[key] = f
+	if c.isFull(key) {
+		f.untracked = true
 		return
 	}
-	f.untracked = true
+	c.flows[key] = f
+}
+
+// isFull reports whether the table has no room for a flow.
+func (c *Core) isFull(key flowKey) bool {
+	return len(c.flows) >= c.options.MaxFlows && c.flows[key] == nil
 }
 
 func (c *Core) untrack(key flowKey) {
--- a/internal/token/core/place.go
+++ b/internal/token/core/place.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/base/hash"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/admit"
@@ -13,10 +14,10 @@
 func backendOf(s *server) *choose.Backend { return s.backend }
 
 // candidates returns the servers that a new flow of the route may go to: those of a
-// service picked by weight or, if that has none, of the first target with a weight
-// above zero that has one. Exclude, if not nil, is left out.
-func (c *Core) candidates(route *routes.Route, exclude *server) []*server {
-	list := c.services[route.Pick(c.rand.Uint64())]
+// service picked by weight with draw or, if that has none, of the first target with a
+// weight above zero that has one. Exclude, if not nil, is left out.
+func (c *Core) candidates(route *routes.Route, draw uint64, exclude *server) []*server {
+	list := c.services[route.Pick(draw)]
 	if len(list) == 0 {
 		for _, t := range route.Targets {
 			if t.Weight > 0 && len(c.services[t.Service]) > 0 {
@@ -40,13 +41,25 @@
 // pickServer selects the server of a flow, or returns nil if there is none.
 // Exclude, if not nil, is not selected.
 func (c *Core) pickServer(now clock.Millis, route *routes.Route, kind choose.Kind, exclude *server) *server {
-	list := c.openable(now, kind, c.candidates(route, exclude))
+	list := c.openable(now, kind, c.candidates(route, c.rand.Uint64(), exclude))
 	if index := c.policy.Pick(now, kind, list, backendOf); index >= 0 {
 		return list[index]
 	}
 	return nil
 }
 
+// pickWithoutRecord selects the server of a flow that the table has no room for, or returns
+// nil if there is none. All copies of the opening get the same one while the servers are the
+// same.
+func (c *Core) pickWithoutRecord(now clock.Millis, key flowKey, route *routes.Route, kind choose.Kind) *server {
+	draw := hash.Mix(hash.String(key.client.String()), hash.String(key.route.String()))
+	list := c.openable(now, kind, c.candidates(route, draw, nil))
+	if len(list) == 0 {
+		return nil
+	}
+	return list[draw%uint64(len(list))]
+}
+
 // refusalAttempts is the number of servers that must be too loaded for a flow to be
 // refused, besides the first one.
 const refusalAttempts = 3
@@ -66,7 +79,7 @@
 // packet is admitted as long as its request can be answered in time, since it can't be
 // refused at once: an earlier transmission may have opened the flow.
 func (c *Core) pickAdmitted(now clock.Millis, route *routes.Route, kind choose.Kind, p *Packet) (s *server, load float64, admitted bool) {
-	list := c.openable(now, kind, c.candidates(route, nil))
+	list := c.openable(now, kind, c.candidates(route, c.rand.Uint64(), nil))
 	if len(list) == 0 {
 		return nil, 0, false
 	}
