token/intake: forget a pause during which nothing arrived

What callers saw: an opening dropped as outdated, and answered 200 ms later, on a quiet host that had been paused seconds before.

Cause: a pause while the socket was empty counted against the next datagram, whenever that came.

Change: if nothing is read between two calls of Alive after a pause, nothing had arrived.

--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -24,6 +24,8 @@
 	// aliveThreshold is the time without a call of Alive from which datagrams may have
 	// arrived unnoticed.
 	aliveThreshold = 150 * clock.Millis(1)
+	// quietTime is the time after a pause in which what arrived during it is read.
+	quietTime = 50 * clock.Millis(1)
 )
 
 // Class tells packets apart by how urgent they are.
@@ -102,6 +104,8 @@
 	// ended at stalledUntil, until what arrived meanwhile has been read.
 	aliveAt, stalledUntil clock.Millis
 	stalled               bool
+	// paused is set after a pause while the source was empty, until something is read.
+	paused bool
 	// deciding is the opening that is decided, or nil.
 	deciding *opening
 	// openings is a ring: the oldest is at first.
@@ -121,12 +125,20 @@
 
 // Alive must be called every 100 ms or so. It notices that the process did not run: what is
 // read next may have arrived at any time since then, although the source was empty before.
+// If nothing is read until the next call, nothing has arrived.
 func (q *Queue) Alive(now clock.Millis) {
+	if gap := now - q.aliveAt; q.paused && gap >= quietTime && gap <= aliveThreshold {
+		q.drained, q.stalled, q.paused = true, false, false
+	}
+	q.noticePause(now)
+}
+
+func (q *Queue) noticePause(now clock.Millis) {
 	if now-q.aliveAt > stallThreshold {
 		q.stalled, q.stalledUntil = true, now
 	}
 	if q.drained && now-q.aliveAt > aliveThreshold {
-		q.arrived, q.drained = bounds{q.aliveAt, q.aliveAt}, false
+		q.arrived, q.drained, q.paused = bounds{q.aliveAt, q.aliveAt}, false, true
 	}
 	q.aliveAt = now
 }
@@ -145,7 +157,8 @@
 // the next call of Receive or Resume.
 func (q *Queue) Receive(datagram []byte, source Source, limit clock.Millis) {
 	start, alive := q.now(), q.aliveAt
-	q.Alive(start)
+	q.noticePause(start)
+	q.paused = false
 	if q.drained {
 		q.arrived, q.drained = bounds{start, alive}, false
 	}
