entry/core: end no flow whose address is not known

A replica from the build before has no address. While a wrong record stands under its server's ID, the host knows none, forwarded nothing, and took its own silence for that of the server.

Change: no evidence is taken until the address is known.

--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -26,10 +26,9 @@
 type fate uint8
 
 const (
-	// forwarded packets go to the address where the flow was opened.
+	// forwarded packets go to the address where the flow was opened, if that is known.
 	forwarded fate = iota
-	// withheld packets would reach a server of another service, or are of a flow whose
-	// server is not known yet.
+	// withheld packets would reach a server of another service.
 	withheld
 	// ended flows are reset, because their server has ended.
 	ended
@@ -102,6 +101,9 @@
 // be asked, nor can one that clients reach by UDP; the claim then has to last for
 // roster.ResetAfter.
 func (c *Core) fateOf(r *table.Record, seen progress) fate {
+	if r.Address == 0 {
+		return forwarded
+	}
 	srv := c.servers.Find(c.interner.Name(r.Server))
 	service, address := c.interner.Name(r.Service), c.interner.Name(r.Address)
 	cl := c.claimOf(srv, service, address)
--- a/internal/entry/core/ends_test.go
+++ b/internal/entry/core/ends_test.go
@@ -7,8 +7,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/entry/batch"
 	"monsooncleat.example/monsooncleat/internal/entry/core"
+	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/serve/roster"
+	"monsooncleat.example/monsooncleat/internal/wire/codec"
 	"monsooncleat.example/monsooncleat/internal/wire/geneve"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
@@ -146,6 +149,31 @@
 	}
 }
 
+// TestReplicaWithoutAddressIsNotReset guards against the reset of a flow that a host of the
+// build before has replicated, without the address, while a record of its server's ID names
+// another service: no packet has asked the server.
+func TestReplicaWithoutAddressIsNotReset(t *testing.T) {
+	host := newSingleHost(t, 1, 1)
+	host.HandleAnnouncement(100, announcement("s0-0", "service1", otherAddr, 2))
+	key := inner.NewKey(inner.TCP, clientAddr(0), serviceAddr(0))
+	host.HandleFrame(200, codec.Encode(codec.Exceptions, batch.Frame{
+		From: "e2", Names: []string{"service0", "s0-0"}, Items: []batch.Item{{Key: key.Append(nil), Server: 1, State: table.Open}},
+	}))
+	for now := 220 * clock.Millis(1); now <= 6*clock.Second; now += 20 {
+		host.Tick(now)
+		if now%300 == 0 {
+			host.HandleDatagram(now, fabricAddr, segment(2, 1))
+		}
+		if now > 2*clock.Second && now%clock.Second == 0 {
+			host.HandleAnnouncement(now, announcement("s0-0", "service0", serverAddr, 1))
+		}
+		qt.Assert(t, host.PendingOutput().Losses.Resets(), qt.HasLen, 0, qt.Commentf("at %d", now))
+	}
+	sent := host.PendingOutput().Datagrams
+	qt.Assert(t, len(sent) > 0, qt.IsTrue)
+	qt.Check(t, sent[len(sent)-1].To, qt.Equals, serverAddr)
+}
+
 // TestRestartedHostResetsNoFlow guards against the reset of an open flow by a host that was
 // restarted, or by another server: the host has not heard of all servers yet.
 func TestRestartedHostResetsNoFlow(t *testing.T) {
