--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -173,7 +173,7 @@
 	interner   *table.Interner
 	flows      *table.Table
 	originIDs  map[netip.AddrPort]table.NameID
-	silences   map[placeID]*silence
+	silences   map[serverAt]*silence
 	replicator *batch.Replicator
 
 	ledger       *ledger.Ledger
@@ -208,7 +208,7 @@
 		servers: roster.New(opts.Name, now), services: map[string]*service{},
 		leaseHolder: lease.NewHolder(opts.Name, opts.Boot, r), leaseKeeper: lease.NewKeeper(),
 		interner: table.NewInterner(), flows: table.New(), originIDs: map[netip.AddrPort]table.NameID{},
-		silences: map[placeID]*silence{},
+		silences: map[serverAt]*silence{},
 		ledger:   ledger.New(opts.MaxRequests), refusedTries: ledger.NewRefusedTries(clock.Minute, opts.MaxRequests),
 		pendingAttempts: map[uint64]*ledger.Entry{}, releases: chain.New(opts.Centre, opts.Keys),
 		serviceChangedAt: map[spec.Address]clock.Millis{},
--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -43,8 +43,8 @@
 	previousAt clock.Millis
 }
 
-// placeID identifies a server at an address.
-type placeID struct{ server, address table.NameID }
+// serverAt identifies a server at an address.
+type serverAt struct{ server, address table.NameID }
 
 // silence is the evidence that a server doesn't answer, since it is said to have ended.
 type silence struct {
@@ -110,7 +110,7 @@
 	if c.opts.Disabled.ServiceCheck {
 		cl.crosses = false
 	}
-	place := placeID{r.Server, r.Address}
+	asked := serverAt{r.Server, r.Address}
 	switch {
 	case cl.crosses && cl.since > 0 && c.now >= cl.settlesAt:
 		return ended
@@ -118,7 +118,7 @@
 		return withheld
 	case cl.since == 0:
 		if len(c.silences) > 0 {
-			delete(c.silences, place)
+			delete(c.silences, asked)
 		}
 		return forwarded
 	case r.Key.Proto() == inner.UDP:
@@ -127,10 +127,10 @@
 		}
 		return forwarded
 	}
-	s := c.silences[place]
+	s := c.silences[asked]
 	if s == nil || s.since != cl.since {
 		s = &silence{since: cl.since}
-		c.silences[place] = s
+		c.silences[asked] = s
 	}
 	if seen.answered {
 		s.Answered(c.now)
@@ -147,7 +147,7 @@
 
 // forgetSilences removes the evidence about servers that are no longer in the list.
 func (c *Core) forgetSilences() {
-	maps.DeleteFunc(c.silences, func(p placeID, _ *silence) bool { return c.servers.Find(c.interner.Name(p.server)) == nil })
+	maps.DeleteFunc(c.silences, func(p serverAt, _ *silence) bool { return c.servers.Find(c.interner.Name(p.server)) == nil })
 }
 
 // addressOf returns the ID of the address of a server of service, or zero if that is not known.
