--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -26,10 +26,9 @@
 type fate uint8
 
 const (
-	// forwarded packets go to the address where the flow was opened.
+	// forwarded packets go to the address where the flow was opened, if that is known.
 	forwarded fate = iota
-	// withheld packets would reach a server of another service, or are of a flow whose
-	// server is not known yet.
+	// withheld packets would reach a server of another service.
 	withheld
 	// ended flows are reset, because their server has ended.
 	ended
@@ -44,8 +43,8 @@
 	previousAt clock.Millis
 }
 
-// placeID identifies a server at an address.
-type placeID struct{ server, address table.NameID }
+// serverAt identifies a server at an address.
+type serverAt struct{ server, address table.NameID }
 
 // silence is the evidence that a server doesn't answer, since it is said to have ended.
 type silence struct {
@@ -102,13 +101,16 @@
 // be asked, nor can one that clients reach by UDP; the claim then has to last for
 // roster.ResetAfter.
 func (c *Core) fateOf(r *table.Record, seen progress) fate {
+	if r.Address == 0 {
+		return forwarded
+	}
 	srv := c.servers.Find(c.interner.Name(r.Server))
 	service, address := c.interner.Name(r.Service), c.interner.Name(r.Address)
 	cl := c.claimOf(srv, service, address)
 	if c.opts.Disabled.ServiceCheck {
 		cl.crosses = false
 	}
-	place := placeID{r.Server, r.Address}
+	asked := serverAt{r.Server, r.Address}
 	switch {
 	case cl.crosses && cl.since > 0 && c.now >= cl.settlesAt:
 		return ended
@@ -116,7 +118,7 @@
 		return withheld
 	case cl.since == 0:
 		if len(c.silences) > 0 {
-			delete(c.silences, place)
+			delete(c.silences, asked)
 		}
 		return forwarded
 	case r.Key.Proto() == inner.UDP:
@@ -125,10 +127,10 @@
 		}
 		return forwarded
 	}
-	s := c.silences[place]
+	s := c.silences[asked]
 	if s == nil || s.since != cl.since {
 		s = &silence{since: cl.since}
-		c.silences[place] = s
+		c.silences[asked] = s
 	}
 	if seen.answered {
 		s.Restart(c.now)
@@ -145,7 +147,7 @@
 
 // forgetSilences removes the evidence about servers that are no longer in the list.
 func (c *Core) forgetSilences() {
-	maps.DeleteFunc(c.silences, func(p placeID, _ *silence) bool { return c.servers.Find(c.interner.Name(p.server)) == nil })
+	maps.DeleteFunc(c.silences, func(p serverAt, _ *silence) bool { return c.servers.Find(c.interner.Name(p.server)) == nil })
 }
 
 // addressOf returns the ID of the address of a server of service, or zero if that is not known.
