--- a/internal/proof/matrix/load_test.go
+++ b/internal/proof/matrix/load_test.go
@@ -16,10 +16,15 @@
 // has, and the given counts of servers for the stream service and the request
 // service. The deployment has 14 servers per service.
 func newDeploymentCluster(seed uint64, streamServers, requestServers, slots int) *cluster {
+	return newClusterOf(seed, 8, streamServers, requestServers, slots)
+}
+
+// newClusterOf returns a cluster like newDeploymentCluster with a number of entry hosts.
+func newClusterOf(seed uint64, hosts, streamServers, requestServers, slots int) *cluster {
 	cl := newCluster(seed, core.Mechanisms{})
 	cl.control.rollOut(1, bundleText(1))
-	for i := range 8 {
-		cl.startHost(i, 8)
+	for i := range hosts {
+		cl.startHost(i, hosts)
 	}
 	for i := range streamServers {
 		cl.startServer(i, "punnitus", slots)
@@ -75,6 +80,28 @@
 	c.Check(cl.violations, qt.HasLen, 0)
 }
 
+// TestFewFlowsOfAServerAreSpreadEvenly guards against hosts that all round their bounds for the
+// same servers up.
+func TestFewFlowsOfAServerAreSpreadEvenly(t *testing.T) {
+	for seed := range uint64(12) {
+		cl := newClusterOf(seed, 9, 7, 7, 16)
+		cl.clients.lastPort = uint16(1000 * seed)
+		cl.openIdleFlows(200, 5*clock.Second)
+		imbalance := cl.imbalance()
+		t.Logf("measure: seed %d: imbalance of 200 flows on 9 hosts and 7 servers: %.3f, target 1.10; %d replicated", seed, imbalance, cl.replicated())
+		qt.Check(t, imbalance <= 1.10, qt.IsTrue)
+	}
+}
+
+// replicated counts the replicas that hosts hold of the flows of others.
+func (cl *cluster) replicated() int {
+	n := 0
+	for _, h := range cl.hosts {
+		n += h.core.Flows()
+	}
+	return n - len(cl.clients.allFlows)
+}
+
 // TestOverloadTenfold checks that goodput stays at 90% of the capacity at least, and
 // that refusals come within 1.1 s, when clients send ten times the capacity.
 func TestOverloadTenfold(t *testing.T) {
