--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -132,7 +132,6 @@
 
 	group       *member.Group
 	owners      *homes.Table
-	rounding    place.Rounding
 	viewVersion uint64
 	// fencedSince is the time at which the host lost the majority, or zero.
 	fencedSince   clock.Millis
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -21,6 +21,11 @@
 	// hashCandidates is the number of servers tried by hash before falling back
 	// to the least loaded one.
 	hashCandidates = 4
+	// maxLoadFactor limits the flows that an owner assigns to one server, as a
+	// multiple of the server's weighted share of this owner's flows. A lower
+	// factor spreads the flows more evenly, but moves more of them off their
+	// default server, so that they have to be replicated.
+	maxLoadFactor = 1.06
 	// connectionQuotaSlack scales an owner's quota of a server's connection
 	// limit, because the flows are not spread evenly over the owners.
 	connectionQuotaSlack = 1.1
@@ -228,7 +233,8 @@
 	if c.opts.Disabled.LoadBound {
 		return true
 	}
-	return count < s.places.Current().Bound(c.rounding, i, s.flowCount, c.slowStartFactor(s, i))
+	bound := maxLoadFactor * float64(s.flowCount+1) * s.places.Current().Share(i)
+	return float64(count) < math.Ceil(bound)*c.slowStartFactor(s, i)
 }
 
 // slowStartFactor returns the fraction of its share that the server at index i
@@ -260,11 +266,11 @@
 func (c *Core) leastLoaded(s *service) table.NameID {
 	best, lowest := table.NameID(0), math.Inf(1)
 	for i, id := range s.places.Current().IDs() {
-		count := s.flowsByServer[id]
-		if float64(count) >= c.connectionQuota(s, i) {
+		count := float64(s.flowsByServer[id])
+		if count >= c.connectionQuota(s, i) {
 			continue
 		}
-		if load := s.places.Current().Load(c.rounding, i, count, c.slowStartFactor(s, i)); load < lowest {
+		if load := (count + 1) / (s.places.Current().Share(i) * c.slowStartFactor(s, i)); load < lowest {
 			best, lowest = id, load
 		}
 	}
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -68,16 +68,13 @@
 // membership, and records the buckets whose owner changed.
 func (c *Core) rebuildOwnership() {
 	var hosts []homes.Host
-	rank, servingHosts := 0, 0
+	servingHosts := 0
 	for _, m := range c.group.Members() {
 		if m.State > member.Suspect {
 			continue
 		}
 		hosts = append(hosts, homes.Host{Name: m.Name, Serves: m.Phase == member.Serving, Leaving: m.Phase == member.Leaving})
 		if m.Phase == member.Serving {
-			if m.Name < c.opts.Name {
-				rank++
-			}
 			servingHosts++
 		}
 		c.bootIDs[m.Name] = c.interner.ID(fmt.Sprintf("%s#%d", m.Name, m.Boot))
@@ -86,7 +83,6 @@
 		}
 	}
 	c.leaseHolder.SetHosts(servingHosts)
-	c.rounding = place.NewRounding(rank, servingHosts)
 	previous := c.owners
 	c.owners = homes.New(hosts)
 	self := c.opts.Name
