proof/matrix: check flows of an owner that freezes for 8 s

What callers saw: an open flow broke after an entry host had stood still for 8 s. The host sent one of its packets to a server without the flow.

TestEachFaultUnderLoad plays 2 seeds, TestRandomFaults the same 40 sequences each time, so neither met it. The cause is not traced.

--- a/internal/proof/matrix/stall_test.go
+++ b/internal/proof/matrix/stall_test.go
@@ -87,3 +87,18 @@
 		})
 	}
 }
+
+// TestFrozenOwnerSendsNoFlowToAnotherServer guards against a host that was frozen for 8 s and then
+// sends a packet of an open flow to a server without that flow.
+func TestFrozenOwnerSendsNoFlowToAnotherServer(t *testing.T) {
+	for seed := range uint64(20) {
+		cl := newReadyCluster(1000+seed, 5, 3, 16, core.Mechanisms{})
+		cl.fabricDuplicateRate = 0.01
+		cl.startLoad(30, 30, 20*clock.Second)
+		cl.freeze("e2")
+		cl.run(8 * clock.Second)
+		cl.unfreeze("e2")
+		cl.clients.runAndVerify(25 * clock.Second)
+		qt.Check(t, cl.violations, qt.HasLen, 0, qt.Commentf("seed %d", 1000+seed))
+	}
+}
