token/daemon: read in TestForwardsWhileItTicks when a datagram was sent after whether

Cause: a fault of the test. The receiver read the sending time of the oldest datagram, 0 until it is sent, and then whether it was sent. A datagram sent in between counted as in transit since the start of the test.

Change: the flag, which is stored last, is read first. The bound stays 1 s.

--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -233,8 +233,9 @@
 		r.oldest++
 	}
 	if r.oldest < flowPackets {
-		transit := byClock - time.Duration(r.sentByClock[r.oldest].Load())
-		if r.sentAt[r.oldest].Load() != 0 && transit > maxTransit {
+		// sentAt is set last, so sentByClock is known if sentAt is.
+		sent := r.sentAt[r.oldest].Load() != 0
+		if transit := byClock - time.Duration(r.sentByClock[r.oldest].Load()); sent && transit > maxTransit {
 			return fmt.Errorf("datagram %d was not forwarded within %s", r.oldest, transit)
 		}
 	}
