dir/poll: reproduce a part of the servers that counts as all

Callers see: a first transmission is reset (noServer) by a host that has just started, though other data centres have servers and other hosts forward it.

Cause: a host without a table asks for the servers of its own data centre first. The reply comes with the table and from a quorum, so the host is ready, and up to date for Core.HandlePacket, before the rest has come.

--- /dev/null
+++ b/internal/dir/poll/aged_test.go
@@ -0,0 +1,29 @@
+package poll_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/bundle/routes"
+	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+)
+
+// TestPartOfTheServersConfirmsNothing guards against resets for want of a server by a host that has just started and has the first part of the list.
+func TestPartOfTheServersConfirmsNothing(t *testing.T) {
+	h := &fakeControlHost{runID: 1, current: true, delta: &routes.Delta{Version: 1}}
+	p := newPoller(false, hostA)
+	for now := clock.Millis(1); now < 1000; now += 30 {
+		for _, request := range p.Tick(now, 0, nil) {
+			r := h.reply(&request)
+			r.Part = request.Fetch.Part
+			handle(p, now, r, 0)
+			if r.Part == msgs.LocalPart {
+				qt.Check(t, p.HasQuorum(now), qt.IsFalse)
+				return
+			}
+		}
+	}
+	t.Fatal("no request for a part")
+}
