dir/poll: reproduce an old reply that counts as recent news

Callers see: a first transmission is reset (noRoute, noServer) by a host that was paused, for a route or server that has come meanwhile.

Cause: a reply confirms the state as of the time at which it is read, not as of its request. After a pause, one that has waited in the connection counts as recent for up to 1.5 s, or until the next reply. AfterStall covers only what arrived during the pause. Grants count from the request already (Poller.sentAt).

--- a/internal/dir/poll/aged_test.go
+++ b/internal/dir/poll/aged_test.go
@@ -27,3 +27,15 @@
 	}
 	t.Fatal("no request for a part")
 }
+
+// TestReplyThatWaitedIsNoRecentNews guards against resets for want of a route or server that came while the host was paused.
+func TestReplyThatWaitedIsNoRecentNews(t *testing.T) {
+	h := &fakeControlHost{runID: 1, current: true}
+	p := newPoller(false, hostA)
+	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: h})
+	requests := p.Tick(2300, 1, nil)
+	qt.Assert(t, len(requests) > 0, qt.IsTrue)
+	const paused clock.Millis = 10_000
+	handle(p, paused, h.reply(&requests[0]), 1)
+	qt.Check(t, p.HasQuorum(paused), qt.IsFalse)
+}
