dir/poll: reproduce lost news that are passed over

A host whose queue of news is full drops an update and asks for everything again. A reply to an earlier request that arrives then sets the position of the control host past the lost changes, so that they are not sent again, and counts as a confirmation.

--- a/internal/dir/poll/aged_test.go
+++ b/internal/dir/poll/aged_test.go
@@ -39,3 +39,21 @@
 	handle(p, paused, h.reply(&requests[0]), 1)
 	qt.Check(t, p.HasQuorum(paused), qt.IsFalse)
 }
+
+// TestLostNewsAreNotPassedOver guards against a reply that was under way when news were lost: it confirms them, and its position follows on them.
+func TestLostNewsAreNotPassedOver(t *testing.T) {
+	h := &fakeControlHost{runID: 1, current: true}
+	p := newPoller(false, hostA)
+	simulate(p, 1, 2000, map[string]*fakeControlHost{hostA: h})
+	requests := p.Tick(2300, 1, nil)
+	qt.Assert(t, requests, qt.HasLen, 1)
+	qt.Assert(t, requests[0].Fetch.Since, qt.Equals, uint64(1))
+	p.RefetchAll()
+	handle(p, 2310, h.reply(&requests[0]), 1)
+	qt.Check(t, p.HasQuorum(2310), qt.IsFalse)
+	requests = p.Tick(2700, 1, nil)
+	qt.Assert(t, requests, qt.HasLen, 1)
+	qt.Check(t, requests[0].Fetch.Since, qt.Equals, uint64(0))
+	handle(p, 2710, h.reply(&requests[0]), 1)
+	qt.Check(t, p.HasQuorum(2710), qt.IsTrue)
+}
