dir/poll: confirm the news of a complete list only

What callers saw: resets (noServer) of openings at a host that has just started, for services whose servers are all in other data centres.

Cause: any reply of a control host in contact with a quorum counted as a confirmation of all news: the one with the servers of the own data centre, and brief ones, which hold none. The host then took servers that it had not been told of not to exist.

Evidence: TestPartOfTheServersConfirmsNothing failed.

Change: only a reply to a full request confirms the news, and only if it leaves no part of the servers to ask for. Until then such openings are dropped, and their clients send copies. Which servers are silent is still decided by any reply.

Measured: the test passes. TestReplyThatWaitedIsNoRecentNews and TestLostNewsAreNotPassedOver still fail.

--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -45,7 +45,7 @@
 	// control host.
 	moveInterval = clock.Second
 	// quorumReplyTTL is how long a reply from a control host in contact with a
-	// quorum counts as recent.
+	// quorum counts as recent, and how long the news are up to date.
 	quorumReplyTTL = 1500 * clock.Millis(1)
 	// isolationTimeout is the time without a reply from a control host in contact
 	// with a quorum after which the entry host counts as isolated. Silent ignores
@@ -179,7 +179,10 @@
 	// the primary and from a control host in contact with a quorum.
 	primaryRepliedAt clock.Millis
 	quorumRepliedAt  clock.Millis
-	sharing          sharing
+	// confirmedAt is the time of the latest reply from such a control host that
+	// completed its news, or 0.
+	confirmedAt clock.Millis
+	sharing     sharing
 }
 
 // New returns a Poller.
@@ -197,7 +200,7 @@
 // RefetchAll makes the next requests ask again for all servers, the evacuations and the
 // list of entry hosts, after the caller lost accepted changes.
 func (p *Poller) RefetchAll() {
-	p.evacuationsVersion = 0
+	p.evacuationsVersion, p.confirmedAt = 0, 0
 	for _, h := range p.hosts {
 		h.runID, h.position, h.part = 0, 0, msgs.AllParts
 	}
@@ -208,9 +211,14 @@
 // interval, or "".
 func (p *Poller) Primary() string { return p.primary }
 
-// HasQuorum reports whether a control host in contact with a quorum replied
-// recently.
+// HasQuorum reports whether all news of a control host in contact with a quorum were
+// received recently, so that what is not among them does not exist.
 func (p *Poller) HasQuorum(now clock.Millis) bool {
+	return p.confirmedAt > 0 && now-p.confirmedAt < quorumReplyTTL
+}
+
+// quorumReplied reports whether a control host in contact with a quorum replied recently.
+func (p *Poller) quorumReplied(now clock.Millis) bool {
 	return p.quorumRepliedAt > 0 && now-p.quorumRepliedAt < quorumReplyTTL
 }
 
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -52,6 +52,9 @@
 	if r.Current {
 		p.quorumRepliedAt = now
 	}
+	if r.Current && p.sentAt[r.RequestID] > 0 && r.Part != msgs.LocalPart && h.part != msgs.RestPart {
+		p.confirmedAt = now
+	}
 	// An entry host without a routing table takes the first one, which was in force
 	// once, and a newer one as soon as a quorum has confirmed it.
 	if delta != nil && (r.Current || version == 0 && (!p.options.AwaitQuorum || p.Isolated(now))) {
--- a/internal/dir/poll/silence.go
+++ b/internal/dir/poll/silence.go
@@ -9,7 +9,7 @@
 // false if the replies are not sufficient to decide. The function may be used on another
 // goroutine.
 func (p *Poller) Silence(now clock.Millis) func(id string) (silent, known bool) {
-	hasQuorum := p.HasQuorum(now)
+	hasQuorum := p.quorumReplied(now)
 	var reports []map[string]bool
 	for _, h := range p.hosts {
 		if h.repliedAt > 0 && now-h.repliedAt <= isolationTimeout && (h.current || !hasQuorum) {
