dir/poll: ignore replies to requests before lost news

What callers saw: nothing reported. After "News were lost", a host may lack servers for good, and resets (noServer) of openings whose servers were among what was lost.

Cause: RefetchAll forgets the position of each control host, but a reply to an earlier request, also one that is sent in the same call of the daemon's handleReply, set it again.

Evidence: TestLostNewsAreNotPassedOver failed: the next request was for the changes after the position of that reply, which also counted as a confirmation.

Change: RefetchAll drops the requests that are under way. The next ones ask for everything.

Measured: the test passes.

--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -198,12 +198,15 @@
 func (p *Poller) SetSeeds(seeds []string) { p.options.Seeds = slices.Clone(seeds) }
 
 // RefetchAll makes the next requests ask again for all servers, the evacuations and the
-// list of entry hosts, after the caller lost accepted changes.
+// list of entry hosts, after the caller lost accepted changes. Replies to earlier requests
+// are ignored, as they continue what was lost.
 func (p *Poller) RefetchAll() {
 	p.evacuationsVersion, p.confirmedAt = 0, 0
 	for _, h := range p.hosts {
 		h.runID, h.position, h.part = 0, 0, msgs.AllParts
+		h.waitingSince, h.fullPending = 0, false
 	}
+	clear(p.pending)
 	p.sharing.version = 0
 }
 
