--- a/internal/token/daemon/daemon_test.go
+++ b/internal/token/daemon/daemon_test.go
@@ -102,12 +102,17 @@
 			Name: "r", Address: route, Timeout: 1000, Targets: []routes.Target{{Service: "x", Weight: 1}},
 		}}})),
 	}
+	serveReplies(ctx, c, address, func() msgs.FetchReply { return reply })
+}
+
+// serveReplies runs a control host that answers fetches with what next returns.
+func serveReplies(ctx context.Context, c *qt.C, address netip.AddrPort, next func() msgs.FetchReply) {
 	s := link.NewServer(address.String(), directory.Key, func(from link.Replier, body []byte) {
 		m, err := msgs.Decode(body)
 		if err != nil || m.Fetch == nil {
 			return
 		}
-		r := reply
+		r := next()
 		r.RequestID = m.Fetch.RequestID
 		from.Reply(msgs.Encode(&msgs.Envelope{FetchReply: &r}))
 	}, logs.Discard())
@@ -125,10 +130,10 @@
 
 // startReady runs an entry host and waits until it is ready. The channel gets the result
 // of its Run.
-func startReady(ctx context.Context, c *qt.C, settings *site.Settings) (*daemon.Daemon, <-chan error) {
+func startReady(ctx context.Context, c *qt.C, settings *site.Settings, codec daemon.Codec) (*daemon.Daemon, <-chan error) {
 	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
 	c.Assert(err, qt.IsNil)
-	d, err := daemon.New(settings, clock.New(), factory, plainCodec{})
+	d, err := daemon.New(settings, clock.New(), factory, codec)
 	c.Assert(err, qt.IsNil)
 	stopped := make(chan error, 1)
 	go func() { stopped <- d.Run(ctx) }()
@@ -269,7 +274,7 @@
 	serverAddr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(server.LocalAddr().(*net.UDPAddr).Port))
 	settings := newSettings(c)
 	serveControl(ctx, c, settings.Seeds[0], serverAddr)
-	d, stopped := startReady(ctx, c, settings)
+	d, stopped := startReady(ctx, c, settings, plainCodec{})
 
 	conn, err := net.Dial("udp4", settings.Packets.String())
 	c.Assert(err, qt.IsNil)
@@ -311,7 +316,7 @@
 	settings := newSettings(c)
 	settings.Peer = netip.MustParseAddrPort(taken.LocalAddr().String())
 	serveControl(ctx, c, settings.Seeds[0], freeAddresses(c, 1)[0])
-	_, stopped := startReady(ctx, c, settings)
+	_, stopped := startReady(ctx, c, settings, plainCodec{})
 	// A host that is ready must have the evacuations, too.
 	dump, err := admin.FetchDump(ctx, settings.Admin.String())
 	c.Assert(err, qt.IsNil)
--- a/internal/token/daemon/shaping_test.go
+++ b/internal/token/daemon/shaping_test.go
@@ -33,7 +33,7 @@
 		controls, stopControls := context.WithCancel(context.Background())
 		defer stopControls()
 		serveControl(controls, c, settings.Seeds[0], netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(server.LocalAddr().(*net.UDPAddr).Port)))
-		d, stopped := startReady(ctx, c, settings)
+		d, stopped := startReady(ctx, c, settings, plainCodec{})
 
 		conn, err := net.Dial("udp4", settings.Packets.String())
 		c.Assert(err, qt.IsNil)
