dir/poll: date the news by the request that they answer

What callers saw: resets (noRoute, noServer) by what was true before a pause of the host, or for up to 3 s after the last news from a control host in contact with a quorum.

Cause: a reply confirmed the news as of when it was read, and the daemon counted any reply as a confirmation while that was less than 1.5 s ago: one without a quorum, one that asks to retry later, and one to an unknown request, too.

Change: the poller gives the time at which the latest request was sent whose reply confirmed all news, and the forwarder takes news as up to date for 1.5 s from then.

--- a/internal/dir/poll/aged_test.go
+++ b/internal/dir/poll/aged_test.go
@@ -8,6 +8,7 @@
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/dir/msgs"
+	"monsooncleat.example/monsooncleat/internal/dir/poll"
 )
 
 // TestPartOfTheServersConfirmsNothing guards against resets for want of a server by a host that has just started and has the first part of the list.
@@ -57,3 +58,41 @@
 	handle(p, 2710, h.reply(&requests[0]), 1)
 	qt.Check(t, p.HasQuorum(2710), qt.IsTrue)
 }
+
+// TestUndisturbedHostStaysUpToDate guards against openings that are dropped instead of reset because replies come late on a slow link.
+func TestUndisturbedHostStaysUpToDate(t *testing.T) {
+	for _, roundTrip := range []clock.Millis{5, 250, 600} {
+		p := newPoller(false, hostA)
+		h := &fakeControlHost{runID: 1, current: true, delta: &routes.Delta{Version: 1}}
+		replies := map[clock.Millis][]*msgs.FetchReply{}
+		version, oldest := uint64(0), clock.Millis(0)
+		for now := clock.Millis(1); now < 20_000; now++ {
+			var requests []poll.Request
+			if now%100 == 0 {
+				requests = p.Tick(now, version, nil)
+			}
+			for _, r := range replies[now] {
+				a := handle(p, now, r, version)
+				if a.Delta != nil {
+					version = a.Delta.Version
+				}
+				if a.Next {
+					requests = append(requests, p.Tick(now, version, nil)...)
+				}
+			}
+			for _, request := range requests {
+				r := h.reply(&request)
+				r.Part = request.Fetch.Part
+				at := now + roundTrip
+				if now < 1000 {
+					at = now + 5
+				}
+				replies[at] = append(replies[at], r)
+			}
+			if now > 1000 {
+				oldest = max(oldest, now-p.ConfirmedAt())
+			}
+		}
+		qt.Check(t, oldest < 1500, qt.IsTrue, qt.Commentf("round trip %d: news of %d ago", roundTrip, oldest))
+	}
+}
--- a/internal/dir/poll/poll.go
+++ b/internal/dir/poll/poll.go
@@ -179,7 +179,7 @@
 	// the primary and from a control host in contact with a quorum.
 	primaryRepliedAt clock.Millis
 	quorumRepliedAt  clock.Millis
-	// confirmedAt is the time of the latest reply from such a control host that
+	// confirmedAt is when the latest request was sent whose reply from such a control host
 	// completed its news, or 0.
 	confirmedAt clock.Millis
 	sharing     sharing
@@ -214,8 +214,11 @@
 // interval, or "".
 func (p *Poller) Primary() string { return p.primary }
 
-// HasQuorum reports whether all news of a control host in contact with a quorum were
-// received recently, so that what is not among them does not exist.
+// ConfirmedAt returns the latest time of which all news of a control host in contact with a
+// quorum are known, or 0. What is not among them did not exist then.
+func (p *Poller) ConfirmedAt() clock.Millis { return p.confirmedAt }
+
+// HasQuorum reports whether ConfirmedAt is recent.
 func (p *Poller) HasQuorum(now clock.Millis) bool {
 	return p.confirmedAt > 0 && now-p.confirmedAt < quorumReplyTTL
 }
--- a/internal/dir/poll/reply.go
+++ b/internal/dir/poll/reply.go
@@ -52,8 +52,9 @@
 	if r.Current {
 		p.quorumRepliedAt = now
 	}
-	if r.Current && p.sentAt[r.RequestID] > 0 && r.Part != msgs.LocalPart && h.part != msgs.RestPart {
-		p.confirmedAt = now
+	if r.Current && r.Part != msgs.LocalPart && h.part != msgs.RestPart {
+		// A host that was paused may read a reply late. Brief requests have no time.
+		p.confirmedAt = max(p.confirmedAt, p.sentAt[r.RequestID])
 	}
 	// An entry host without a routing table takes the first one, which was in force
 	// once, and a newer one as soon as a quorum has confirmed it.
--- a/internal/token/daemon/daemon.go
+++ b/internal/token/daemon/daemon.go
@@ -74,8 +74,7 @@
 type update struct {
 	changes core.Update
 	delta   *routes.Delta
-	// confirmedAt is when the reply was received, if this or another control host
-	// that is in contact with a quorum has replied recently, and 0 otherwise.
+	// confirmedAt is Poller.ConfirmedAt once the changes are applied.
 	confirmedAt clock.Millis
 	// dump receives the state if it is not nil.
 	dump chan<- any
@@ -273,12 +272,9 @@
 		d.sendFetches()
 	}
 	d.noteSharing(a.Sharing)
-	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing, SharingElsewhere: a.SharingElsewhere}}
+	u := update{delta: a.Delta, changes: core.Update{Loads: a.Loads, LoadCentres: a.LoadCentres, Silence: d.poller.Silence(now), Sharing: a.Sharing, SharingElsewhere: a.SharingElsewhere}, confirmedAt: d.poller.ConfirmedAt()}
 	addEvacuations(&u.changes, &a)
 	addGrants(&u.changes, &a)
-	if d.poller.HasQuorum(now) {
-		u.confirmedAt = now
-	}
 	for _, s := range a.Servers {
 		u.changes.Servers = append(u.changes.Servers, core.ServerUpdate{
 			Record: s.Record, Age: s.Age, Ended: s.Ended, Aliases: s.Aliases,
