--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -66,6 +66,11 @@
 	if !admitted {
 		return c.refuseOverloaded(p, s, load)
 	}
+	if c.isFull(key) {
+		if other := c.pickWithoutRecord(now, key, route, kind); other != nil {
+			s = other
+		}
+	}
 	f = &flow{server: s, route: route, seq: p.Seq, openedAt: now, offeredAt: now, lastAt: now}
 	c.track(key, f)
 	f.beginRequest(now)
@@ -182,6 +187,9 @@
 // handleSubsequent decides on a packet that follows the opening packet.
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
 	f := c.flows[key]
+	if f.isOpenedAfter(p) {
+		return c.forwardByToken(p)
+	}
 	// A flow that was opened through another host, also one from the port of f, may be one
 	// from after the route was added again.
 	if removedAt, removed := c.removed[p.To]; removed && f.hasOpened(p) && f.openedAt < removedAt {
@@ -220,6 +228,16 @@
 	return a
 }
 
+// forwardByToken forwards a packet without regard to the flows that this host knows.
+func (c *Core) forwardByToken(p *Packet) Action {
+	s, known := c.tokens.Find(p.Token)
+	if !known {
+		c.stats.DroppedUnknown++
+		return Action{Verdict: Drop, Reason: UnknownToken}
+	}
+	return c.forward(c.successor(s), NoReason)
+}
+
 // serverOf returns the server that a packet goes to, or nil if that is not known: the one
 // that its token names, unless the flow is known to be with another one. F may be nil.
 func (c *Core) serverOf(f *flow, p *Packet) (*server, Reason) {
@@ -262,11 +280,16 @@
 // track adds a flow to the table if there is room. Its packets are routed either
 // way.
 func (c *Core) track(key flowKey, f *flow) {
-	if len(c.flows) < c.options.MaxFlows || c.flows[key] != nil {
-		c.flows[key] = f
+	if c.isFull(key) {
+		f.untracked = true
 		return
 	}
-	f.untracked = true
+	c.flows[key] = f
+}
+
+// isFull reports whether the table has no room for a flow.
+func (c *Core) isFull(key flowKey) bool {
+	return len(c.flows) >= c.options.MaxFlows && c.flows[key] == nil
 }
 
 func (c *Core) untrack(key flowKey) {
