--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -148,8 +148,8 @@
 
 func compareID(s *server, id string) int { return strings.Compare(s.id, id) }
 
-// expireServers forgets the servers that ended long ago, but not yet their tokens, and returns the entries of the
-// fleet that changed.
+// expireServers forgets the servers that ended long ago, but not yet their tokens, and
+// returns the entries of the fleet that changed.
 func (c *Core) expireServers(now clock.Millis) []*fleet.Server {
 	position := c.fleet.Position()
 	c.fleet.Expire(now)
