proof/dirsim: reproduce a returning control host that reports live servers as silent

The servers of the service served, in other data centres.

Cause: a control host that regains contact with a quorum says so at once, and its list of servers is that of its side of the cut until the next exchange of announcements. A relay takes this list as confirmed.

--- a/internal/proof/dirsim/silence_test.go
+++ b/internal/proof/dirsim/silence_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 )
 
 // silence makes the connections from one host to another drop all messages until the
@@ -91,3 +94,34 @@
 		})
 	}
 }
+
+// TestHostThatReturnsReportsNoServersAsSilent guards against resets for want of a server on the list of a control host that is in contact with a quorum again, and has not caught up on announcements.
+func TestHostThatReturnsReportsNoServersAsSilent(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := newSimulation(t, seed, 3)
+		sim.publishWithRetry(1, ackTimeout)
+		sim.awaitConvergence(recoveryTimeout)
+		announceFor := func(span clock.Millis) {
+			for from := sim.now; sim.now-from < span; {
+				r := announcement("s-1", uint64(sim.now), fleet.Ready)
+				sim.announce(hostAddress(2), r, nil)
+				sim.run(500)
+			}
+		}
+		announceFor(2000)
+		returning := sim.hosts[hostAddress(1)]
+		sim.isolate(returning.address, true)
+		announceFor(6000)
+		sim.c.Assert(returning.core.Fleet().Find("s-1").Silent(), qt.IsTrue)
+		sim.isolate(returning.address, false)
+		sim.announce(hostAddress(2), announcement("s-1", uint64(sim.now), fleet.Ready), nil)
+		wrong := 0
+		for range 2000 {
+			sim.run(1)
+			if returning.core.Current() && returning.core.Fleet().Find("s-1").Silent() {
+				wrong++
+			}
+		}
+		sim.c.Check(wrong, qt.Equals, 0, qt.Commentf("seed %d: for %d ms", seed, wrong))
+	}
+}
