--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -22,14 +22,14 @@
 	c.now = now
 }
 
-// fate is what happens to a packet of a known flow.
-type fate uint8
+// disposition is what happens to a packet of a known flow.
+type disposition uint8
 
 const (
 	// forwarded packets go to the address where the flow was opened, if that is known.
-	forwarded fate = iota
-	// withheld packets would reach a server of another service.
-	withheld
+	forwarded disposition = iota
+	// dropped packets would reach a server of another service.
+	dropped
 	// ended flows are reset, because their server has ended.
 	ended
 )
@@ -96,11 +96,11 @@
 	return cl
 }
 
-// fateOf decides on a packet of a flow. The flow ends only if its server is said to have
+// dispositionOf decides on a packet of a flow. The flow ends only if its server is said to have
 // ended and leaves retransmissions unanswered. A server whose address has another owner can't
 // be asked, nor can one that clients reach by UDP; the claim then has to last for
 // roster.ResetAfter.
-func (c *Core) fateOf(r *table.Record, seen progress) fate {
+func (c *Core) dispositionOf(r *table.Record, seen progress) disposition {
 	if r.Address == 0 {
 		return forwarded
 	}
@@ -115,7 +115,7 @@
 	case cl.crosses && cl.since > 0 && c.now >= cl.settlesAt:
 		return ended
 	case cl.crosses:
-		return withheld
+		return dropped
 	case cl.since == 0:
 		if len(c.silences) > 0 {
 			delete(c.silences, asked)
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -383,14 +383,14 @@
 	if r.Address == 0 {
 		r.Address = c.addressOf(r.Server, r.Service)
 	}
-	switch c.fateOf(r, seen) {
+	switch c.dispositionOf(r, seen) {
 	case ended:
 		c.counters.Add(count.FlowsServerGone, 1)
 		server := r.Server
 		c.removeFlow(r)
 		c.refuse(p, in, server, loss.ServerEnded)
 		return
-	case withheld:
+	case dropped:
 		c.counters.Add(count.CrossedPrevented, 1)
 		r.Retransmits = 0
 		return
--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -133,6 +133,7 @@
 	q.noticePause(now)
 }
 
+// noticePause notices that the process did not run since it was last known to.
 func (q *Queue) noticePause(now clock.Millis) {
 	if now-q.aliveAt > stallThreshold {
 		q.stalled, q.stalledUntil = true, now
