proof/procs: choose ports as the other tests of processes do

The logs of its processes were not kept, so this isn't traced.

Suspected: the ports were chosen one at a time, among those that Linux gives to outgoing connections, so that two hosts may get the same one, or one that another connection takes before the host starts.

Change: six ports below those of outgoing connections are held until all are chosen, as in token/daemon. Nothing else of the test changes.

--- a/internal/proof/procs/control_test.go
+++ b/internal/proof/procs/control_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -66,11 +67,29 @@
 	return bin
 }
 
-func freeAddr(c *qt.C) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer ln.Close()
-	return ln.Addr().String()
+// Ports of the tests lie below 32768, where Linux starts the ports of outgoing connections.
+const (
+	firstPort = 25_000
+	endPort   = 29_000
+)
+
+// freeAddrs returns n addresses whose ports are free. All of them are held until the last one
+// is chosen, so that no two are the same.
+func freeAddrs(c *qt.C, n int) []string {
+	var out []string
+	for range 1000 {
+		if len(out) == n {
+			return out
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(endPort-firstPort)))
+		if err != nil {
+			continue
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	c.Fatalf("no %d free ports", n)
+	return nil
 }
 
 func (cl *cluster) path(name string) string { return filepath.Join(cl.folder, name) }
@@ -81,14 +100,15 @@
 	publicKey := strings.TrimSpace(cl.runCommand(0, "keys", "operator", cl.path("matti.key")))
 	cl.runCommand(0, "keys", "shared", cl.path("shared.key"))
 	hostTables := ""
+	free := freeAddrs(cl.c, 6)
 	for i := range 3 {
-		cl.addrs = append(cl.addrs, freeAddr(cl.c))
+		cl.addrs = append(cl.addrs, free[i])
 		hostTables += fmt.Sprintf("[[control]]\nname = \"c%d\"\naddress = %q\ninitial = true\n", i+1, cl.addrs[i])
 	}
 	operatorTable := fmt.Sprintf("[[operator]]\nname = \"matti\"\nkey = %q\n", publicKey)
 	for i := range 3 {
 		hostSettings := fmt.Sprintf("name = \"c%d\"\ndataCentre = \"oulu1\"\nadmin = %q\ndataFolder = %q\nkeyFile = \"shared.key\"\nsnapshotEvery = 20\n",
-			i+1, freeAddr(cl.c), cl.path(fmt.Sprintf("data%d", i)))
+			i+1, free[3+i], cl.path(fmt.Sprintf("data%d", i)))
 		cl.writeFile(fmt.Sprintf("c%d.toml", i+1), hostSettings+hostTables+operatorTable)
 	}
 	cl.writeFile("operator.toml", fmt.Sprintf("operator = \"matti\"\noperatorKey = \"matti.key\"\nkeyFile = \"shared.key\"\ncontrols = [%q, %q, %q]\n", cl.addrs[0], cl.addrs[1], cl.addrs[2]))
