token/core: reproduce the reset of a slow server's flows on a claim

Callers of a server that takes 500 ms or more for a request, and that is said to have ended, get a reset by the relay while the server works on their request. The test plays four patterns of retransmissions under five claims, on the host of the opening and on another one.

--- a/internal/token/core/verify_test.go
+++ b/internal/token/core/verify_test.go
@@ -36,6 +36,55 @@
 	c.Check(h.HandlePacket(now, p, true).Verdict, qt.Equals, core.Forward, qt.Commentf("offset %d at %d", offset, now))
 }
 
+// TestSlowServerThatIsSaidToHaveEndedKeepsItsFlows guards against resets by a host that sees retransmissions and not the acknowledgements of the server.
+func TestSlowServerThatIsSaidToHaveEndedKeepsItsFlows(t *testing.T) {
+	type packet struct {
+		from netip.AddrPort
+		at   clock.Millis
+	}
+	for _, test := range []struct {
+		name    string
+		packets []packet
+	}{
+		{"one retransmission on each of two flows", []packet{{client, 1000}, {otherClient, 1150}, {client, 1200}, {otherClient, 1350}}},
+		{"two retransmissions of a flow", []packet{{client, 1000}, {client, 1200}, {client, 1600}}},
+		{"the claim begins before a retransmission", []packet{{client, 50}, {client, 250}, {client, 650}, {client, 1450}}},
+		{"three flows over seconds", []packet{
+			{client, 1000},
+			{client, 1200},
+			{client, 1600},
+			{otherClient, 1800},
+			{otherClient, 2000},
+			{client, 2400},
+			{netip.MustParseAddrPort("100.64.0.9:1"), 2450},
+		}},
+	} {
+		for _, claim := range claims {
+			for _, opener := range []bool{true, false} {
+				c := qt.New(t)
+				h := newStartedCore(1)
+				first, server := openFlow(c, h)
+				if !opener {
+					h = newStartedCore(2)
+				}
+				h.HandlePacket(20, data(first.Token, 9000, 0), true)
+				claimed := false
+				for _, p := range test.packets {
+					if p.at > 100 && !claimed {
+						h.Learn(100, &core.Update{Servers: []core.ServerUpdate{claim.record(server)}})
+						claimed = true
+					}
+					request := data(first.Token, 9000, 50)
+					request.From = p.from
+					a := h.HandlePacket(p.at, request, true)
+					c.Check(a.Verdict, qt.Equals, core.Forward, qt.Commentf("%s, %s, opener %t: %s at %d", test.name, claim.name, opener, a.Reason, p.at))
+					c.Check(a.Server, qt.Equals, first.Server)
+				}
+			}
+		}
+	}
+}
+
 // TestSlowAnswerOfARestartedServerKeepsItsFlow guards against a reset of a flow under the token of the incarnation before.
 func TestSlowAnswerOfARestartedServerKeepsItsFlow(t *testing.T) {
 	for _, opener := range []bool{true, false} {
