token/core: end no open flow in the place of its server

Callers of a server that takes longer for a request than their first retransmission got a reset by a relay while the server worked on it, whenever anything said that the server had ended: a removal that it requested and whose answer was lost, a late record, another writer.

Cause: a relay sees only what the client sends. serve/verify took two retransmissions without an answer for proof that the server had ended, but a client repeats its request after 200 ms whatever the server does, and the server's acknowledgement goes past the relay. It is the third condition that was added to this inference, after identity and time of the claim; no condition makes it knowledge.

Change: only the server, its successor at the address, or the removal of the route ends an open flow. A claim keeps new flows from a server and is logged. The evidence, the reason serverEnded and the field unanswered are gone from relays; "No answer seen." has the claim.

Clients of servers that are gone wait for their deadline.

--- a/internal/cli/trace/trace.go
+++ b/internal/cli/trace/trace.go
@@ -144,6 +144,7 @@
 var reasonTexts = map[string]string{
 	"noRoute":      "the routing table in force had no route for the address",
 	"routeRemoved": "a newer version of the routing table removed its route",
+	// Entry hosts of earlier versions reset flows for this reason.
 	"serverEnded":  "the server process it was bound to was said to have ended: it left, restarted, or another server took its address (see claim and unanswered)",
 	"noServer":     "no server of the service accepted new flows",
 	"noConfig":     "the entry host had no routing table yet",
--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -1,12 +1,11 @@
 package core
 
-import (
-	"monsooncleat.example/monsooncleat/internal/base/clock"
-	"monsooncleat.example/monsooncleat/internal/serve/fleet"
-)
+import "monsooncleat.example/monsooncleat/internal/serve/fleet"
 
 // Claim is why a server is said to have ended. Announcements, removals and records of other
-// servers can be late, out of order or from another writer, so a claim may be wrong.
+// servers can be late, out of order or from another writer, so a claim may be wrong. It keeps
+// new flows from a server and ends none: only the server, or its successor at the address,
+// knows which flows it holds, and resets the others.
 type Claim uint8
 
 // Claims.
@@ -45,17 +44,6 @@
 	}
 }
 
-// updateClaim returns the server's claim, and restarts the evidence of its silence when one
-// begins.
-func (s *server) updateClaim(now clock.Millis) Claim {
-	claim := s.claim()
-	if claim != NoClaim && !s.claimed {
-		s.silence.Restart(now)
-	}
-	s.claimed = claim != NoClaim
-	return claim
-}
-
 // successor returns the incarnation that has replaced s at the same address, or s. Only the
 // server at that address knows whether it holds a flow of s: it may have opened the flow
 // itself before this host knew of its restart.
@@ -73,41 +61,3 @@
 func (f *flow) isAdvancedBy(p *Packet) bool {
 	return f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
 }
-
-// isRetransmission reports whether a packet repeats the latest data of the client, whose
-// answer it has not received.
-func (f *flow) isRetransmission(p *Packet) bool {
-	return f.established && p.Length > 0 && p.Ack == f.ack && !seqAfter(p.Seq+uint32(p.Length), f.dataEnd)
-}
-
-// confirmsEnd records what a packet of a flow tells about its server, and reports whether
-// that confirms that the server has ended, as it is said to. Without a claim, a server that
-// doesn't answer is slow or out of reach. F may be nil.
-func (s *server) confirmsEnd(now clock.Millis, f *flow, claim Claim, p *Packet) bool {
-	if claim == NoClaim {
-		return false
-	}
-	if f != nil && f.server == s && f.isRetransmission(p) && s.hasIgnored(now, f, p) {
-		return true
-	}
-	// Answers of the server may wait behind a late packet.
-	return !p.late() && s.silence.Conclusive(now)
-}
-
-// hasIgnored records the retransmission of a request, and reports whether it confirms that
-// the server doesn't answer.
-func (s *server) hasIgnored(now clock.Millis, f *flow, p *Packet) bool {
-	sent := max(f.requestedAt, f.repeatedAt)
-	if sent < s.silence.Since() {
-		// The transmissions before may have gone unanswered before the evidence began.
-		f.repeatedAt = now
-		return false
-	}
-	return !p.late() && s.silence.Unanswered(now, sent)
-}
-
-// recordAnswer records that a server has answered a packet.
-func (s *server) recordAnswer(now clock.Millis) {
-	s.backend.RecordAnswer(now)
-	s.silence.Restart(now)
-}
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -14,7 +14,6 @@
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
 	"monsooncleat.example/monsooncleat/internal/serve/spans"
 	"monsooncleat.example/monsooncleat/internal/serve/tokens"
-	"monsooncleat.example/monsooncleat/internal/serve/verify"
 	"monsooncleat.example/monsooncleat/internal/serve/warm"
 )
 
@@ -88,10 +87,6 @@
 	// record is the latest record of this incarnation. Its flows go to the address there.
 	record  fleet.Record
 	backend *choose.Backend
-	// silence is the evidence that the incarnation doesn't answer. Claimed is set while it is
-	// said to have ended.
-	silence verify.Silence
-	claimed bool
 	token   tokens.Token
 	// requests is Core.requests.
 	requests *requests
@@ -173,7 +168,7 @@
 // their verdict and reason. OpenedCold counts the flows opened on or moved to cold
 // servers, DroppedCopies the opening packets that had no room and may have copies.
 type Stats struct {
-	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetEnded, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
+	Opened, Forwarded, ResetNoRoute, ResetNoServer, ResetRemoved, ResetOverloaded, ResetLinkFull, DroppedUnknown, DroppedNoServer,
 	Moved, Corrected, Avoided, Answered, EvacuatedNoServer, OpenedCold, ResetCold, DroppedCopies uint64
 }
 
@@ -356,7 +351,7 @@
 	}
 	for key, f := range c.flows {
 		if c.sweep(now, idleTimeout, key, f) {
-			timeouts = append(timeouts, Timeout{key.client, key.route, f.server.id, f.established, now - f.requestedAt})
+			timeouts = append(timeouts, Timeout{key.client, key.route, f.server.id, f.established, now - f.requestedAt, f.server.claim()})
 		}
 	}
 	for address, m := range c.requestMix {
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -34,9 +34,6 @@
 	inFlight       bool
 	previous, next *flow
 	requestedAt    clock.Millis
-	// repeatedAt is when a request of the flow was first repeated after the evidence of its
-	// server's silence had begun, or 0.
-	repeatedAt clock.Millis
 	// loadAtRequest is the number of requests in flight per slot of the server when
 	// the request began, with this one.
 	loadAtRequest float64
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -202,28 +202,18 @@
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	claim := s.updateClaim(now)
+	claim := s.claim()
 	if f.isAdvancedBy(p) && s == f.server {
-		s.recordAnswer(now)
+		s.backend.RecordAnswer(now)
 		if claim != NoClaim && reason == NoReason {
 			reason = Contradicted
 		}
 	}
-	if s.confirmsEnd(now, f, claim, p) {
-		c.stats.ResetEnded++
-		c.untrack(key)
-		return Action{
-			Verdict: Reset, Reason: ServerEnded, ServerID: s.id, Service: s.record.Service,
-			Claim: claim, Unanswered: s.silence.Count(),
-		}
-	}
 	if f == nil || f.established && !sameStream(p.Ack, f.ack) {
 		f = c.adopt(now, key, s, p)
 	}
 	a := c.forward(s, reason)
-	if claim != NoClaim {
-		a.Claim, a.Unanswered = claim, s.silence.Count()
-	}
+	a.Claim = claim
 	c.updateFlow(now, f, s, p, &a)
 	return a
 }
@@ -314,7 +304,7 @@
 		f.established, f.confirmed = true, true
 		f.moveTo(s)
 		f.ack, f.dataEnd = p.Ack, p.Seq
-		s.recordAnswer(now)
+		s.backend.RecordAnswer(now)
 		c.stats.Answered++
 	}
 	if p.Abort || p.Close {
@@ -333,14 +323,10 @@
 			}
 		}
 		f.endRequest()
-		s.recordAnswer(now)
+		s.backend.RecordAnswer(now)
 	}
 	if end := p.Seq + uint32(p.Length); p.Length > 0 && seqAfter(end, f.dataEnd) {
 		f.dataEnd = end
-		if f.retransmitted {
-			// Clients send no new data before the server has acknowledged what was lost.
-			s.silence.Restart(now)
-		}
 		if f.requests > 0 {
 			c.spansOf(s.record.Service).RecordInterval(now - f.requestedAt)
 		}
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -20,7 +20,6 @@
 			s = c.addServer(now, s, e)
 		}
 		s.record = e.Record
-		s.updateClaim(now)
 		c.list(s)
 		c.addAliases(now, e)
 		s.token = c.tokens.TokenFor(s.id, s.started)
@@ -45,7 +44,6 @@
 		c.ordered = append(c.ordered, s)
 	} else {
 		c.unlist(before)
-		before.updateClaim(now)
 		c.ordered[slices.Index(c.ordered, before)] = s
 		if before.started != s.started {
 			c.retire(now, before)
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -111,8 +111,6 @@
 	NoServer
 	// UnknownToken means that the token identifies no known server.
 	UnknownToken
-	// ServerEnded means that the server of the flow has ended.
-	ServerEnded
 	// NewFlow means that the packet opened a flow.
 	NewFlow
 	// MovedFlow means that a retransmitted opening packet goes to another server
@@ -145,7 +143,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"serverEnded", "newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
+		"newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
 		"closedFlow", "outdated",
 	}[r]
 }
@@ -168,10 +166,8 @@
 	// the penalty for another data centre, or the load for which the flow was
 	// refused. It is 0 unless Reason is NewFlow or Overloaded.
 	Load float64
-	// Claim is why the server is said to have ended, and Unanswered the number of packets
-	// that it has left unanswered since its last answer. They are set if there is a claim.
-	Claim      Claim
-	Unanswered int
+	// Claim is why the server is said to have ended, if it is.
+	Claim Claim
 	// Handshake is the time from the opening packet to the client's next packet,
 	// which acknowledges the server's handshake. Response is the time from a
 	// request to the client's first acknowledgement of its response. Each is 0
@@ -190,6 +186,8 @@
 	Established bool
 	// Waited is the time since the opening packet or the request.
 	Waited clock.Millis
+	// Claim is why the server is said to have ended, if it is.
+	Claim Claim
 }
 
 // Update carries changes received from the control hosts.
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -301,7 +301,7 @@
 		f.d.reasons.Add("noAnswer", 1)
 		if omitted, ok := f.timeoutLimiter.Allow(now); ok {
 			f.d.log.Info("No answer seen.", "flow", t.Client.String()+">"+t.Route.String(), "server", t.ServerID,
-				"opened", t.Established, "waited", int64(t.Waited), "omitted", omitted)
+				"opened", t.Established, "waited", int64(t.Waited), "claim", t.Claim.String(), "omitted", omitted)
 		}
 	}
 }
@@ -323,6 +323,6 @@
 	}
 	f.d.log.Info("Flow decided.", "flow", f.packet.From.String()+">"+f.packet.To.String(), "outcome", a.Verdict.String(),
 		"why", a.Reason.String(), "server", a.ServerID, "load", a.Load, "seq", f.packet.Seq, "ack", f.packet.Ack, "token", uint32(f.packet.Token),
-		"claim", a.Claim.String(), "unanswered", a.Unanswered, "waited", int64(f.packet.LongestWait),
+		"claim", a.Claim.String(), "waited", int64(f.packet.LongestWait),
 		"version", f.d.core.Version(), "newsAge", int64(now-f.confirmedAt), "omitted", omitted)
 }
