token/core: ask the server that has replaced that of a flow

A packet with data of a flow whose server is said to have ended goes to its address as before, and a second time under the number of the server that is said to be there. Only if that one has the address, so that the first has ended, it gets the packet and resets the flow. A wrong claim costs a datagram, and nothing else: the flow's own server gets all packets. Servers of another service are not asked.

--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -57,6 +57,32 @@
 	return s
 }
 
+// occupant returns the server of the same service and another ID that is said to have replaced
+// s at its address, or nil. A server of another service must not get packets of s.
+func (c *Core) occupant(s *server) *server {
+	o := c.occupants[s.record.Address]
+	if o == nil || o.id == s.id || o.claim() != NoClaim || o.record.Service != s.record.Service {
+		return nil
+	}
+	return o
+}
+
+// occupy records that s announces itself at its address.
+func (c *Core) occupy(s *server) {
+	if s.claim() == NoClaim {
+		c.occupants[s.record.Address] = s
+	} else {
+		c.vacate(s)
+	}
+}
+
+// vacate records that s doesn't announce itself at its address any more.
+func (c *Core) vacate(s *server) {
+	if c.occupants[s.record.Address] == s {
+		delete(c.occupants, s.record.Address)
+	}
+}
+
 // isAdvancedBy reports whether a packet acknowledges new data of the server. F may be nil.
 func (f *flow) isAdvancedBy(p *Packet) bool {
 	return f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
--- a/internal/token/core/ended_test.go
+++ b/internal/token/core/ended_test.go
@@ -149,6 +149,59 @@
 	}
 }
 
+// TestSuccessorAtTheAddressIsAsked guards against a client that waits for its deadline although the server that runs in the place of its own
+// could tell it, and against packets at a server of another service.
+func TestSuccessorAtTheAddressIsAsked(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		ended   bool
+		service string
+		left    bool
+		length  int
+		want    uint64
+		movedTo string
+	}{
+		{"a server of the service", true, "x", false, 50, 9, ""},
+		{"an acknowledgement", true, "x", false, 0, 0, ""},
+		{"a server of another service", true, "y", false, 50, 0, ""},
+		{"no claim", false, "x", false, 50, 0, ""},
+		{"one that has left again", true, "x", true, 50, 0, ""},
+		{"one that has moved", true, "x", false, 50, 0, "10.0.0.99:80"},
+	} {
+		for _, later := range []bool{true, false} {
+			t.Run(test.name, func(t *testing.T) {
+				c := qt.New(t)
+				h := newStartedCore(1)
+				first, server := openFlow(c, h)
+				h.HandlePacket(20, data(first.Token, 9000, 0), true)
+				next := record(9, test.service, 2000)
+				next.Address = server.Address
+				if later {
+					learn(h, 100, next, false)
+					learn(h, 110, server, test.ended)
+				} else {
+					learn(h, 100, server, test.ended)
+					learn(h, 110, next, false)
+				}
+				next.Seq++
+				if test.left {
+					next.State = fleet.Left
+					learn(h, 120, next, true)
+				}
+				if test.movedTo != "" {
+					next.Address = netip.MustParseAddrPort(test.movedTo)
+					learn(h, 120, next, false)
+				}
+				a := h.HandlePacket(200, data(first.Token, 9000, test.length), true)
+				c.Check(a.Verdict, qt.Equals, core.Forward)
+				c.Check(a.Server, qt.Equals, first.Server)
+				c.Check(a.Number, qt.Equals, first.Number)
+				c.Check(a.AskedNumber, qt.Equals, test.want)
+			})
+		}
+	}
+}
+
 // TestCopyOfAnOpeningIsNeverReset guards against resets of flows that an earlier transmission
 // has opened through another host.
 func TestCopyOfAnOpeningIsNeverReset(t *testing.T) {
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -214,10 +214,26 @@
 	}
 	a := c.forward(s, reason)
 	a.Claim = claim
+	if claim != NoClaim && p.Length > 0 {
+		c.askSuccessor(&a, s)
+	}
 	c.updateFlow(now, f, s, p, &a)
 	return a
 }
 
+// askSuccessor has the server asked that is said to have replaced s at its address. It knows
+// that s has ended, and resets the flow. If it isn't there, nothing gets the packet.
+func (c *Core) askSuccessor(a *Action, s *server) {
+	next := c.occupant(s)
+	if next == nil {
+		return
+	}
+	a.AskedNumber = next.record.Number
+	if a.Reason == NoReason {
+		a.Reason = AskedSuccessor
+	}
+}
+
 // forwardByToken forwards a packet without regard to the flows that this host knows.
 func (c *Core) forwardByToken(p *Packet) Action {
 	s, known := c.tokens.Find(p.Token)
--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -20,6 +20,7 @@
 			s = c.addServer(now, s, e)
 		}
 		s.record = e.Record
+		c.occupy(s)
 		c.list(s)
 		c.addAliases(now, e)
 		s.token = c.tokens.TokenFor(s.id, s.started)
@@ -44,6 +45,7 @@
 		c.ordered = append(c.ordered, s)
 	} else {
 		c.unlist(before)
+		c.vacate(before)
 		c.ordered[slices.Index(c.ordered, before)] = s
 		if before.started != s.started {
 			c.retire(now, before)
@@ -159,6 +161,7 @@
 			return false
 		}
 		c.unlist(s)
+		c.vacate(s)
 		delete(c.servers, s.id)
 		c.retire(now, s)
 		return true
--- a/internal/token/core/types.go
+++ b/internal/token/core/types.go
@@ -118,6 +118,9 @@
 	MovedFlow
 	// Contradicted means that the server answers although it is said to have ended.
 	Contradicted
+	// AskedSuccessor means that the server that is said to have replaced the one of the flow
+	// gets the packet, too.
+	AskedSuccessor
 	// CorrectedToken means that the token did not identify the server that holds
 	// the flow, and was replaced.
 	CorrectedToken
@@ -143,7 +146,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noConfig", "noRoute", "routeRemoved", "noServer", "unknownToken",
-		"newFlow", "movedFlow", "contradicted", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
+		"newFlow", "movedFlow", "contradicted", "askedSuccessor", "correctedToken", "overloaded", "linkFull", "coldServers", "stalled",
 		"closedFlow", "outdated",
 	}[r]
 }
@@ -156,6 +159,11 @@
 	// that server.
 	Server netip.AddrPort
 	Number uint64
+	// AskedNumber is the numeric ID of another server, or 0. It is said to have replaced the
+	// flow's server at Server. The packet is sent there under this number, too: only if that
+	// server has the address, and the other one has ended, it gets the packet, and resets the
+	// flow.
+	AskedNumber uint64
 	// Token is written into the forwarded packet.
 	Token tokens.Token
 	// ServerID is the ID of the server, for logs.
--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -233,6 +233,12 @@
 	case core.Forward:
 		f.buffer = f.d.codec.Forward(f.buffer[:0], datagram, &a)
 		f.forward(now, a.Server)
+		if a.AskedNumber != 0 {
+			asked := a
+			asked.Number = a.AskedNumber
+			f.buffer = f.d.codec.Forward(f.buffer[:0], datagram, &asked)
+			f.sendOwn(now, a.Server)
+		}
 	case core.Reset:
 		f.buffer = f.d.codec.Reset(f.buffer[:0], &f.packet)
 		// Clients receive resets at the port number of Settings.Packets.
