token/core: leave the token before a restart in the packets of open flows

A relay had believed another writer's record with a later start under the server's ID and put its token into the flow's packets 20 ms later; the next relay of the flow heard of that start only after 1.6 s, and dropped the packets (unknownToken).

A relay wrote the token of the latest incarnation it knew into each packet, although the token that the packet came with led to the same server, on this relay and on those that knew less. It now stays for half of the time for which replaced tokens are kept, 150 s: by then each relay has heard of the restart.

TestRecordJustHeardLeavesTheTokenOfAnOpenFlow plays the trace on three hosts and failed before. TestLaterRelayKnowsTheTokenOfAnEarlierIncarnation asked for the new token at once; it now asks for the old one then, and for the new one after 160 s.

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -57,6 +57,9 @@
 	// tokenTTL is how long the token of a server is kept after its record was forgotten or
 	// replaced. A server that is out of reach of the control hosts may serve on for as long.
 	tokenTTL = 5 * clock.Minute
+	// tokenSettling is how long the token of an incarnation that was replaced stays in the
+	// packets of open flows. By then, all hosts have heard of the next incarnation.
+	tokenSettling = tokenTTL / 2
 )
 
 // Options are the settings of a Core.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -5,6 +5,7 @@
 	"monsooncleat.example/monsooncleat/internal/bundle/routes"
 	"monsooncleat.example/monsooncleat/internal/conf/tune"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
+	"monsooncleat.example/monsooncleat/internal/serve/tokens"
 )
 
 // HandlePacket decides on one packet from a client. UpToDate is true if the host was
@@ -188,7 +189,7 @@
 func (c *Core) handleSubsequent(now clock.Millis, key flowKey, p *Packet) Action {
 	f := c.flows[key]
 	if f.isOpenedAfter(p) {
-		return c.forwardByToken(p)
+		return c.forwardByToken(now, p)
 	}
 	// A flow that was opened through another host, also one from the port of f, may be one
 	// from after the route was added again.
@@ -213,6 +214,7 @@
 		f = c.adopt(now, key, s, p)
 	}
 	a := c.forward(s, reason)
+	a.Token = c.settledToken(now, s, p)
 	a.Claim = claim
 	if claim != NoClaim && p.Length > 0 {
 		c.askSuccessor(&a, s)
@@ -235,13 +237,27 @@
 }
 
 // forwardByToken forwards a packet without regard to the flows that this host knows.
-func (c *Core) forwardByToken(p *Packet) Action {
+func (c *Core) forwardByToken(now clock.Millis, p *Packet) Action {
 	s, known := c.tokens.Find(p.Token)
 	if !known {
 		c.stats.DroppedUnknown++
 		return Action{Verdict: Drop, Reason: UnknownToken}
 	}
-	return c.forward(c.successor(s), NoReason)
+	s = c.successor(s)
+	a := c.forward(s, NoReason)
+	a.Token = c.settledToken(now, s, p)
+	return a
+}
+
+// settledToken returns the token for a packet of an open flow that goes to s. It is that of
+// the packet if it leads to s, as the token before a restart does: other hosts may not have
+// heard of the restart, or of a record that looks like one.
+func (c *Core) settledToken(now clock.Millis, s *server, p *Packet) tokens.Token {
+	named, known := c.tokens.Find(p.Token)
+	if known && named != s && c.successor(named) == s && now-named.retiredAt < tokenSettling {
+		return p.Token
+	}
+	return s.token
 }
 
 // serverOf returns the server that a packet goes to, or nil if that is not known: the one
