--- a/internal/token/core/servers.go
+++ b/internal/token/core/servers.go
@@ -68,7 +68,7 @@
 // with their tokens go to the present one.
 func (c *Core) addAliases(now clock.Millis, e *fleet.Server) {
 	for _, a := range e.Aliases(now) {
-		if s, known := c.tokens.Find(tokens.Candidate(e.ID, a.Started, 0)); known && s.id == e.ID && s.started == a.Started {
+		if c.findIncarnation(e.ID, a.Started) != nil {
 			continue
 		}
 		s := c.newServer(e, a.Started)
@@ -94,14 +94,23 @@
 // findRetired returns the incarnation that an entry of the fleet describes if its token was
 // kept when it was replaced or forgotten, or nil.
 func (c *Core) findRetired(e *fleet.Server) *server {
-	s, known := c.tokens.Find(tokens.Candidate(e.ID, e.Started, 0))
-	if !known || s.retiredAt == 0 || s.id != e.ID || s.started != e.Started || s.record.Address != e.Address {
+	s := c.findIncarnation(e.ID, e.Started)
+	if s == nil || s.retiredAt == 0 || s.record.Address != e.Address {
 		return nil
 	}
 	s.entry, s.retiredAt = e, 0
 	return s
 }
 
+// findIncarnation returns the incarnation of a server whose token is kept, or nil.
+func (c *Core) findIncarnation(id string, started clock.Millis) *server {
+	s, known := c.tokens.Find(tokens.Candidate(id, started, 0))
+	if !known || s.id != id || s.started != started {
+		return nil
+	}
+	return s
+}
+
 // forgetRetired forgets the tokens of incarnations that were retired long ago and have not
 // returned.
 func (c *Core) forgetRetired(now clock.Millis) {
