--- a/internal/serve/choose/backend.go
+++ b/internal/serve/choose/backend.go
@@ -12,6 +12,10 @@
 )
 
 const (
+	// MinAnswerTime is the time after a packet was sent to a server from which a copy shows
+	// that the server doesn't answer. Copies that are read sooner have waited on the way or
+	// were reordered: clients send the first one after 200 ms.
+	MinAnswerTime = 150 * clock.Millis(1)
 	// initialBackoff is how long a server is avoided after its first failure. It
 	// covers the second retransmission of an opening packet. A server that lost a
 	// single datagram answers other flows sooner, which ends the backoff.
@@ -106,10 +110,10 @@
 	b.backoff = 0
 }
 
-// RecordUnanswered records that a packet sent at sent has not been answered by now.
-// It reports whether this starts a new backoff.
+// RecordUnanswered records that a packet sent at sent has not been answered by now, if there
+// was time for it. It reports whether this starts a new backoff.
 func (b *Backend) RecordUnanswered(now, sent clock.Millis) bool {
-	if b.answeredAt >= sent {
+	if b.answeredAt >= sent || now-sent < MinAnswerTime {
 		return false
 	}
 	b.failures++
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -21,10 +21,6 @@
 	// handshakeTimeout is how long a client waits for the answer to an opening
 	// packet. The clients' protocol, which package platform implements, defines it.
 	handshakeTimeout = 1400 * clock.Millis(1)
-	// minAnswerTime is the time after a packet was sent to a server from which a copy shows
-	// that the server doesn't answer. Copies that are read sooner have waited on the way or
-	// were reordered: clients send the first one after 200 ms.
-	minAnswerTime = 150 * clock.Millis(1)
 	// decisionTime is how long a decision may take to leave a host that is short of processor
 	// time. RefusalTime is the same for a reset, which can't be taken back.
 	decisionTime = 50 * clock.Millis(1)
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -139,7 +139,7 @@
 	if !f.route.Allows(s.record.Service) {
 		return c.moveToAllowedService(now, f, p)
 	}
-	if now-f.offeredAt < minAnswerTime {
+	if now-f.offeredAt < choose.MinAnswerTime {
 		return c.forward(s, NoReason)
 	}
 	if !p.late() && s.backend.RecordUnanswered(now, f.openedAt) {
@@ -368,7 +368,7 @@
 	} else if p.Length > 0 && f.inFlight {
 		// The client retransmits a request that the server has not answered.
 		f.retransmitted = true
-		if !p.late() && now-f.requestedAt >= minAnswerTime && s.backend.RecordUnanswered(now, f.requestedAt) {
+		if !p.late() && s.backend.RecordUnanswered(now, f.requestedAt) {
 			c.stats.Avoided++
 		}
 	}
