soak: reproduce packets of an open flow at a server that answered its opening late

The relay moves the copy of the opening, the flow opens at the other server, and the late answer leaves the client with the slow server's token.

--- a/internal/proof/soak/endpoints_test.go
+++ b/internal/proof/soak/endpoints_test.go
@@ -115,6 +115,8 @@
 	// packet received.
 	uploads map[string]uint32
 	slots   slots
+	// handshakeTime is how long the server takes to answer an opening packet.
+	handshakeTime time.Duration
 }
 
 func (s *server) isLeaving() bool {
@@ -161,7 +163,12 @@
 			s.flows[pkt.key()] = isn
 			s.env.verifyNewFlow(s, pkt, relay)
 		}
-		s.send(pkt.reply(flagSyn|flagAck, isn, pkt.seq+1, nil))
+		answer := pkt.reply(flagSyn|flagAck, isn, pkt.seq+1, nil)
+		if s.handshakeTime > 0 {
+			time.AfterFunc(s.handshakeTime, func() { s.send(answer) })
+			return
+		}
+		s.send(answer)
 	case !open:
 		s.send(pkt.reply(flagReset, pkt.ack, 0, nil))
 	case pkt.flags&flagFin != 0:
