token/core: reproduce an ask of the successor of another server

The client holds the token of a server that answered its opening late and has ended since. A host that doesn't know the flow asks the server in that one's place, which resets the flow, though the flow's server is sound.

--- a/internal/token/core/askers_test.go
+++ b/internal/token/core/askers_test.go
@@ -79,3 +79,20 @@
 	})
 	c.Check(h.HandlePacket(200, data(first.Token, 9000, 50), true).AskedNumber, qt.Equals, uint64(9))
 }
+
+// TestSuccessorOfAnotherServerIsNotAsked guards against a reset, by the successor of a server whose answer to the opening came late, of a flow that another server holds.
+func TestSuccessorOfAnotherServerIsNotAsked(t *testing.T) {
+	c := qt.New(t)
+	h, next := newStartedCore(1), newStartedCore(2)
+	slow := h.HandlePacket(10, syn(0), true)
+	quick := h.HandlePacket(210, syn(1), true)
+	c.Assert(quick.Number, qt.Not(qt.Equals), slow.Number)
+	h.HandlePacket(215, data(quick.Token, 9000, 50), true)
+	// The slow server ends, and another one takes its address. The client still holds its token.
+	successor := record(9, "x", 2000)
+	successor.Address = slow.Server
+	learn(next, 5000, startedRecord(int(slow.Number)), true)
+	learn(next, 5000, successor, false)
+	a := next.HandlePacket(5100, data(slow.Token, 9100, 50), true)
+	c.Check(a.AskedNumber, qt.Equals, uint64(0), qt.Commentf("%s", a.Reason))
+}
