token/core: ask a successor about repeated requests of known flows only

On a link of 800 kbit/s that was full, the packets of a flow whose server was wrongly said to have ended reached it at a sixth of the rate: each was sent to the successor first. A wrong claim that lasted doubled the packets of all its flows. And a host that knew a flow only by the token of a late answer to its opening asked the successor of the wrong server, which resets a flow that its own server holds.

A successor is asked about a request that its client repeats, once for the packets that are repeated at one moment, and only if the client has acknowledged data under the server's token through this host.

--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -1,6 +1,10 @@
 package core
 
-import "monsooncleat.example/monsooncleat/internal/serve/fleet"
+import (
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/serve/choose"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+)
 
 // Claim is why a server is said to have ended. Announcements, removals and records of other
 // servers can be late, out of order or from another writer, so a claim may be wrong. It keeps
@@ -83,6 +87,20 @@
 	}
 }
 
+// mayAsk reports whether a packet of a flow may go to the successor of its server s, too: a
+// request that s hasn't answered, one packet of those that are repeated at one moment. S must be
+// known to hold the flow, since the token of one that came from another host may be that of a
+// server that answered another copy of its opening. F may have been created for the packet.
+func (f *flow) mayAsk(now clock.Millis, s *server, p *Packet) bool {
+	return f.confirmed && f.server == s && f.repeats(p) && now-f.askedAt >= choose.MinAnswerTime
+}
+
+// repeats reports whether a packet repeats the latest data of the client, whose answer the
+// client hasn't received.
+func (f *flow) repeats(p *Packet) bool {
+	return f.established && p.Length > 0 && p.Ack == f.ack && !seqAfter(p.Seq+uint32(p.Length), f.dataEnd)
+}
+
 // isAdvancedBy reports whether a packet acknowledges new data of the server. F may be nil.
 func (f *flow) isAdvancedBy(p *Packet) bool {
 	return f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -53,6 +53,8 @@
 	// of the flow's server. A flow that came from another host may have come with the token of
 	// a server that answered another copy of its opening.
 	confirmed bool
+	// askedAt is when the successor of the server was last asked about the flow, or 0.
+	askedAt clock.Millis
 	// ack is the highest acknowledgement number seen, dataEnd the highest sequence
 	// number at the end of a packet's data.
 	ack     uint32
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -216,20 +216,22 @@
 	a := c.forward(s, reason)
 	a.Token = c.settledToken(now, s, p)
 	a.Claim = claim
-	if claim != NoClaim && p.Length > 0 {
-		c.askSuccessor(&a, s)
+	if claim != NoClaim && f.mayAsk(now, s, p) {
+		c.askSuccessor(now, &a, f, s)
 	}
 	c.updateFlow(now, f, s, p, &a)
 	return a
 }
 
-// askSuccessor has the server asked that is said to have replaced s at its address. It knows
-// that s has ended, and resets the flow. If it isn't there, nothing gets the packet.
-func (c *Core) askSuccessor(a *Action, s *server) {
+// askSuccessor has the server asked that is said to have replaced s, the server of f, at its
+// address. It knows that s has ended, and resets the flow. If it isn't there, nothing gets the
+// packet.
+func (c *Core) askSuccessor(now clock.Millis, a *Action, f *flow, s *server) {
 	next := c.occupant(s)
 	if next == nil {
 		return
 	}
+	f.askedAt = now
 	a.AskedNumber = next.record.Number
 	if a.Reason == NoReason {
 		a.Reason = AskedSuccessor
