token/core: ask the successor at an address also beside rivals

Clients of a server that had ended waited for their deadline if a second writer had announced itself at the address beside its successor, and had left or fallen silent: a relay kept only the last server of each address. It keeps all whose latest record names the address, and asks the last of them that neither is said to have ended nor is silent.

--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/serve/choose"
 	"monsooncleat.example/monsooncleat/internal/serve/fleet"
@@ -62,28 +64,31 @@
 }
 
 // occupant returns the server of the same service and another ID that is said to have replaced
-// s at its address, or nil. A server of another service must not get packets of s.
+// s at its address, or nil: the one that was added last, if several announce themselves there. A
+// server of another service must not get packets of s.
 func (c *Core) occupant(s *server) *server {
-	o := c.occupants[s.record.Address]
-	if o == nil || o.id == s.id || o.claim() != NoClaim || o.record.Service != s.record.Service {
-		return nil
+	for _, o := range slices.Backward(c.occupants[s.record.Address]) {
+		if o.id != s.id && o.claim() == NoClaim && !o.entry.Silent() && o.record.Service == s.record.Service {
+			return o
+		}
 	}
-	return o
+	return nil
 }
 
 // occupy records that s announces itself at its address.
 func (c *Core) occupy(s *server) {
-	if s.claim() == NoClaim {
-		c.occupants[s.record.Address] = s
-	} else {
-		c.vacate(s)
+	if at := c.occupants[s.record.Address]; !slices.Contains(at, s) {
+		c.occupants[s.record.Address] = append(at, s)
 	}
 }
 
 // vacate records that s doesn't announce itself at its address any more.
 func (c *Core) vacate(s *server) {
-	if c.occupants[s.record.Address] == s {
+	at := slices.DeleteFunc(c.occupants[s.record.Address], func(o *server) bool { return o == s })
+	if len(at) == 0 {
 		delete(c.occupants, s.record.Address)
+	} else {
+		c.occupants[s.record.Address] = at
 	}
 }
 
--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -116,8 +116,8 @@
 	// ordered holds the servers in the order in which they became known.
 	ordered []*server
 	tokens  *tokens.Index[*server]
-	// occupants maps addresses to the servers that announced themselves there last.
-	occupants map[netip.AddrPort]*server
+	// occupants maps addresses to the servers whose latest records name them.
+	occupants map[netip.AddrPort][]*server
 	// sharedTokens is set if tokens were shared by servers at the latest change.
 	sharedTokens bool
 	// retired holds the previous incarnations of restarted servers, and those whose records
@@ -179,7 +179,7 @@
 		options: options, rand: r, self: hash.String(options.Name), shares: map[string]*share{},
 		policy:  choose.NewLeastLoaded[*server](options.Centre, options.Choice.Without(options.Off), r),
 		removed: map[netip.AddrPort]clock.Millis{}, fleet: fleet.New(options.Fleet),
-		servers: map[string]*server{}, occupants: map[netip.AddrPort]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
+		servers: map[string]*server{}, occupants: map[netip.AddrPort][]*server{}, tokens: tokens.NewIndex[*server](), services: map[string][]*server{},
 		flows: map[flowKey]*flow{}, requestMix: map[netip.AddrPort]*requestMix{},
 		loadsAt: map[string]clock.Millis{}, admission: map[string]*admit.Service{}, refusals: admit.NewRefusals[refusal](),
 		cold: coldState{centres: warm.NewCentres(), changes: map[string]uint64{}}, spans: map[string]*spans.Service{},
