token/core: tell the flows of a port apart by both sequence numbers

Packets of a new flow went to the server of an earlier flow from the same port, and were "corrected" to it from then on, if the earlier one had ended, and the new one opened, through other hosts, and the servers' sequence numbers happened to be within 2^26 of each other: one case in 32. The client's number is compared now, too.

--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -108,5 +108,5 @@
 
 // isAdvancedBy reports whether a packet acknowledges new data of the server. F may be nil.
 func (f *flow) isAdvancedBy(p *Packet) bool {
-	return f != nil && f.established && seqAfter(p.Ack, f.ack) && sameStream(p.Ack, f.ack)
+	return f != nil && f.established && seqAfter(p.Ack, f.ack) && f.continuedBy(p)
 }
--- a/internal/token/core/flows.go
+++ b/internal/token/core/flows.go
@@ -84,22 +84,28 @@
 // hasOpened reports whether a later packet is one of a flow that this host has opened. F may
 // be nil.
 func (f *flow) hasOpened(p *Packet) bool {
-	return f != nil && !f.openedElsewhere && (!f.established || sameStream(p.Ack, f.ack))
+	return f != nil && !f.openedElsewhere && (!f.established || f.continuedBy(p))
 }
 
-// maxAckDistance bounds the distance between the acknowledgement numbers of two
-// packets of one flow. Initial sequence numbers of servers are random, so a larger
-// distance means that the flow is with another server.
-const maxAckDistance = 1 << 26
+// continuedBy reports whether a later packet is one of an established flow, and not of a later
+// flow from its client's port: both directions must fit.
+func (f *flow) continuedBy(p *Packet) bool {
+	return sameStream(p.Ack, f.ack) && sameStream(p.Seq, f.dataEnd)
+}
+
+// maxStreamDistance bounds the distance between the numbers of two packets in one direction
+// of a flow. Initial sequence numbers are random, so a larger distance means that the flow is
+// with another server, or is a later one.
+const maxStreamDistance = 1 << 26
 
 // seqAfter reports whether sequence number a follows b, modulo 2^32.
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
 
-// sameStream reports whether two acknowledgement numbers are close enough to
-// belong to one byte stream.
+// sameStream reports whether two sequence or acknowledgement numbers are close enough
+// to belong to one byte stream.
 func sameStream(a, b uint32) bool {
 	d := int32(a - b)
-	return d < maxAckDistance && d > -maxAckDistance
+	return d < maxStreamDistance && d > -maxStreamDistance
 }
 
 // beginRequest counts a request, or an opening packet, as in flight on the
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -210,7 +210,7 @@
 			reason = Contradicted
 		}
 	}
-	if f == nil || f.established && !sameStream(p.Ack, f.ack) {
+	if f == nil || f.established && !f.continuedBy(p) {
 		f = c.adopt(now, key, s, p)
 	}
 	a := c.forward(s, reason)
@@ -277,7 +277,7 @@
 		f.moveTo(s)
 		f.confirmed = true
 	}
-	if f.established && sameStream(p.Ack, f.ack) && s != f.server && !c.options.Off.Has(tune.CorrectTokens) {
+	if f.established && f.continuedBy(p) && s != f.server && !c.options.Off.Has(tune.CorrectTokens) {
 		// The token is unknown, or is that of another server, for example of one that
 		// answered another transmission of the opening packet.
 		c.stats.Corrected++
