token/core: let a token stay only while control hosts tell of its alias

A relay that was started while another writer went on under a server's ID dropped the packets of an open flow (unknownToken): the token that stayed in them was that of a start six records ago, and control hosts tell of the last four. A token stays now while its start is among the aliases that the relay knows, and for 30 s at most, well below the 90 s for which aliases are kept.

--- a/internal/token/core/core.go
+++ b/internal/token/core/core.go
@@ -54,8 +54,9 @@
 	// replaced. A server that is out of reach of the control hosts may serve on for as long.
 	tokenTTL = 5 * clock.Minute
 	// tokenSettling is how long the token of an incarnation that was replaced stays in the
-	// packets of open flows. By then, all hosts have heard of the next incarnation.
-	tokenSettling = tokenTTL / 2
+	// packets of open flows. By then, all hosts have heard of the next incarnation, and control
+	// hosts still tell new hosts of the alias.
+	tokenSettling = 30 * clock.Second
 )
 
 // Options are the settings of a Core.
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -252,12 +252,17 @@
 }
 
 // settledToken returns the token for a packet of an open flow that goes to s. It is that of
-// the packet if it leads to s, as the token before a restart does: other hosts may not have
-// heard of the restart, or of a record that looks like one.
+// the packet if it names a recent alias of s, such as the start before a restart: other hosts
+// may not have heard of the restart, or of a record that looks like one.
 func (c *Core) settledToken(now clock.Millis, s *server, p *Packet) tokens.Token {
 	named, known := c.tokens.Find(p.Token)
-	if known && named != s && c.successor(named) == s && now-named.retiredAt < tokenSettling {
-		return p.Token
+	if !known || named == s || c.successor(named) != s {
+		return s.token
+	}
+	for _, alias := range s.entry.Aliases(now) {
+		if alias.Started == named.started && alias.Age < tokenSettling {
+			return p.Token
+		}
 	}
 	return s.token
 }
