token/core: leave a token that is not shared in the packets of an open flow

Two servers may share the first candidates of their tokens; hosts that know both use later ones. A host that hadn't heard of the second server yet put the shared token back into the packets of an open flow, and the next host sent them to the other server. Of two tokens that name the server, the later candidate stays.

--- a/internal/serve/tokens/tokens.go
+++ b/internal/serve/tokens/tokens.go
@@ -7,6 +7,7 @@
 package tokens
 
 import (
+	"slices"
 	"strconv"
 
 	"monsooncleat.example/monsooncleat/internal/base/clock"
@@ -41,6 +42,18 @@
 	return out
 }
 
+// Later returns the later candidate of two tokens of an incarnation. Hosts use a later one once
+// they know that another incarnation has the earlier one, too.
+func Later(id string, started clock.Millis, a, b Token) Token {
+	candidates := Candidates(id, started)
+	for _, t := range slices.Backward(candidates[:]) {
+		if t == a || t == b {
+			return t
+		}
+	}
+	return a
+}
+
 type incarnation struct {
 	id      string
 	started clock.Millis
--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -253,11 +253,18 @@
 
 // settledToken returns the token for a packet of an open flow that goes to s. It is that of
 // the packet if it names a recent alias of s, such as the start before a restart: other hosts
-// may not have heard of the restart, or of a record that looks like one.
+// may not have heard of the restart, or of a record that looks like one. Nor does a host that
+// doesn't know that a token is shared put it in the place of a later one.
 func (c *Core) settledToken(now clock.Millis, s *server, p *Packet) tokens.Token {
+	if p.Token == s.token {
+		return s.token
+	}
 	named, known := c.tokens.Find(p.Token)
-	if !known || named == s || c.successor(named) != s {
+	switch {
+	case !known || c.successor(named) != s:
 		return s.token
+	case named == s:
+		return tokens.Later(s.id, s.started, p.Token, s.token)
 	}
 	for _, alias := range s.entry.Aliases(now) {
 		if alias.Started == named.started && alias.Age < tokenSettling {
