token/intake: take no tick for a sign that the event loop runs

Callers whose opening had waited on a relay for 290 ms, because its event loop had no processor time while its ticker had, were decided with a bound of 100 ms: the relay might reset an opening whose copy had opened the flow through another one, or open it a second time.

Cause: Alive, which the ticker calls on a goroutine of its own, took its own call for a sign that whatever had arrived before had been read. A host can't know that.

Change: each tick polls the socket, which takes one system call and wakes nobody, and sees whether the event loop waits for its lock with a datagram. If something waits, the bound counts on from the tick before. A tick that is 20 ms late shows a process without processor time, which may hold a datagram that no poll sees: the bound counts on, and a probe has the event loop read.

The queue forgot a pause only if ticks came within 150 ms, so an opening that had waited 10 ms on a host whose ticks are all 160 ms apart had a bound of 1,300 ms, and was dropped.

The event loop's socket is used by a duplicate that is known from the start, since the ticker needs it before the first datagram. OnTraffic marks that it has a datagram before it takes the lock.

Tests: Alive has a second argument. The other tests get the argument from what their host has; nothing else of them changed.

Not covered: an event loop that loses the processor between its read and its first instruction in OnTraffic until after the next tick, though that tick is in time.

--- a/internal/token/daemon/forward.go
+++ b/internal/token/daemon/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -53,8 +54,10 @@
 	buffer    []byte
 	addresses map[netip.AddrPort]*unix.SockaddrInet4
 	queue     *intake.Queue
-	// fd is the socket, which gnet owns. It is known from the first datagram on.
+	// fd is a duplicate of the socket, which gnet owns.
 	fd int
+	// handing is set while the event loop has a datagram and waits for mu.
+	handing atomic.Bool
 	// reasons and opened count decisions until the next tick, when they are published.
 	reasons [core.Reasons]int64
 	opened  map[string]int64
@@ -85,13 +88,26 @@
 
 func (f *forwarder) run(ctx context.Context) error {
 	f.booted = make(chan struct{})
-	return link.RunEngine(ctx, f, "udp://"+f.d.settings.Packets.String(), f.booted,
+	f.fd = -1
+	err := link.RunEngine(ctx, f, "udp://"+f.d.settings.Packets.String(), f.booted,
 		func() gnet.Engine { return f.engine }, gnet.WithTicker(true))
+	if f.fd >= 0 {
+		if closeErr := unix.Close(f.fd); closeErr != nil {
+			f.d.log.Warn("Failed to close the duplicate of the socket.", "err", closeErr)
+		}
+	}
+	return err
 }
 
 // OnBoot implements gnet.EventHandler.
 func (f *forwarder) OnBoot(engine gnet.Engine) gnet.Action {
 	f.engine = engine
+	fd, err := engine.Dup()
+	if err != nil {
+		f.d.log.Error("Failed to duplicate the socket.", "err", err)
+		return gnet.Shutdown
+	}
+	f.fd = fd
 	close(f.booted)
 	return gnet.None
 }
@@ -100,12 +116,24 @@
 func (f *forwarder) OnTick() (time.Duration, gnet.Action) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.queue.Alive(f.d.clock.Now())
+	now := f.d.clock.Now()
+	f.queue.Alive(now, f.isWaiting())
 	f.queue.Resume(maxReceiveTime)
 	f.runPeriodic(f.d.clock.Now())
 	return tickInterval, gnet.None
 }
 
+// isWaiting reports whether a datagram waits for the event loop, in the socket or for mu, which
+// the caller holds.
+func (f *forwarder) isWaiting() bool {
+	polled := []unix.PollFd{{Fd: int32(f.fd), Events: unix.POLLIN}}
+	if _, err := unix.Poll(polled, 0); err != nil {
+		f.d.log.Warn("Failed to poll the socket. Waits of openings may be understated.", "err", err)
+	}
+	// The event loop may have read the datagram before the socket was polled.
+	return polled[0].Revents&unix.POLLIN != 0 || f.handing.Load()
+}
+
 // runPeriodic applies the queued updates and, at most once per tickInterval, calls
 // Core.Tick and publishes the core's counters and loads.
 func (f *forwarder) runPeriodic(now clock.Millis) {
@@ -185,13 +213,14 @@
 // OnTraffic implements gnet.EventHandler. It reads what has arrived besides the first
 // datagram without going back to the event loop, which costs two system calls for each.
 func (f *forwarder) OnTraffic(c gnet.Conn) gnet.Action {
+	f.handing.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handing.Store(false)
 	datagram, err := c.Next(-1)
 	if err != nil {
 		return gnet.None
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.fd = c.Fd()
 	f.queue.Receive(datagram, f.read, maxReceiveTime)
 	return gnet.None
 }
--- a/internal/token/intake/intake.go
+++ b/internal/token/intake/intake.go
@@ -24,6 +24,8 @@
 	// aliveThreshold is the time without a call of Alive from which datagrams may have
 	// arrived unnoticed.
 	aliveThreshold = 150 * clock.Millis(1)
+	// lateThreshold is the time between two calls of Alive from which the later one is late.
+	lateThreshold = 120 * clock.Millis(1)
 	// quietTime is the time after a pause in which what arrived during it is read.
 	quietTime = 50 * clock.Millis(1)
 )
@@ -97,15 +99,16 @@
 	buffer  []byte
 	probes  probes
 	arrived bounds
-	// drained is set if the source was empty when the latest call of Receive returned. The next
-	// call comes when something has arrived.
+	// drained is set if the source was empty when the latest call of Receive returned, and at each
+	// call of Alive since. The next call of Receive comes when something has arrived.
 	drained bool
 	// aliveAt is when the process was last known to run. Stalled is set after a stall, which
 	// ended at stalledUntil, until what arrived meanwhile has been read.
 	aliveAt, stalledUntil clock.Millis
 	stalled               bool
-	// paused is set after a pause while the source was empty, until something is read.
-	paused bool
+	// unread is set after a pause while the source was empty, and if something was waiting when
+	// Alive was called, or that was late, until something is read.
+	unread bool
 	// deciding is the opening that is decided, or nil.
 	deciding *opening
 	// openings is a ring: the oldest is at first.
@@ -123,14 +126,26 @@
 	}
 }
 
-// Alive must be called every 100 ms or so. It notices that the process did not run: what is
-// read next may have arrived at any time since then, although the source was empty before.
-// If nothing is read until the next call, nothing has arrived.
-func (q *Queue) Alive(now clock.Millis) {
-	if gap := now - q.aliveAt; q.paused && gap >= quietTime && gap <= aliveThreshold {
-		q.drained, q.stalled, q.paused = true, false, false
+// Alive must be called every 100 ms or so. Waiting says whether, after now, something is in the
+// source or has been read from it and not been passed to Receive yet, as far as the caller can see.
+// If not, what is read next has arrived after now. Otherwise, and if the call comes late, it may have
+// arrived at any time since the source was last empty: a process that is short of processor time may
+// have read something that the caller can't see. Then a probe asks for a call of Receive, and what was
+// waiting is forgotten if the next call comes in time and nothing is waiting.
+func (q *Queue) Alive(now clock.Millis, waiting bool) {
+	gap := now - q.aliveAt
+	late := gap > lateThreshold
+	if !waiting && !late && q.unread && gap >= quietTime {
+		q.drained, q.stalled, q.unread = true, false, false
 	}
+	emptyAt := max(q.aliveAt, q.arrived.certain)
 	q.noticePause(now)
+	if q.drained && (waiting || late) {
+		q.arrived, q.drained, q.unread = bounds{emptyAt, emptyAt}, false, true
+	}
+	if q.unread && !waiting && q.probes.sendIfDue(now, q.arrived.certain) {
+		q.stats.ProbesSent++
+	}
 }
 
 // noticePause notices that the process did not run since it was last known to.
@@ -139,7 +154,7 @@
 		q.stalled, q.stalledUntil = true, now
 	}
 	if q.drained && now-q.aliveAt > aliveThreshold {
-		q.arrived, q.drained, q.paused = bounds{q.aliveAt, q.aliveAt}, false, true
+		q.arrived, q.drained, q.unread = bounds{q.aliveAt, q.aliveAt}, false, true
 	}
 	q.aliveAt = now
 }
@@ -159,7 +174,7 @@
 func (q *Queue) Receive(datagram []byte, source Source, limit clock.Millis) {
 	start, alive := q.now(), q.aliveAt
 	q.noticePause(start)
-	q.paused = false
+	q.unread = false
 	if q.drained {
 		q.arrived, q.drained = bounds{start, alive}, false
 	}
--- a/internal/token/intake/intake_test.go
+++ b/internal/token/intake/intake_test.go
@@ -54,6 +54,11 @@
 	h.probes, h.probedAt = append(h.probes, datagram), append(h.probedAt, h.now)
 }
 
+// alive calls Alive as a ticker does that sees whether something has arrived.
+func (h *host) alive(q *intake.Queue) {
+	q.Alive(h.now, len(h.arriving) > 0 && 10*clock.Millis(h.arriving[0][1]) <= h.now)
+}
+
 func newHost(perDecision clock.Millis) (*host, *intake.Queue) {
 	h := &host{perDecision: perDecision, decided: map[intake.Class][]clock.Millis{}}
 	return h, intake.New(h, func() clock.Millis { return h.now }, 16, h.probe)
@@ -139,7 +144,7 @@
 // they arrived, on a host that stays behind.
 func TestProbeAfterAStallEndsIt(t *testing.T) {
 	h, q := newHost(1)
-	q.Alive(h.now)
+	h.alive(q)
 	h.now = 700
 	for tick := range byte(150) {
 		for range 10 {
@@ -178,7 +183,7 @@
 func TestShortPauseCountsForOpenings(t *testing.T) {
 	h, q := newHost(0)
 	h.now = 100
-	q.Alive(h.now)
+	h.alive(q)
 	h.now = 240
 	q.Receive([]byte{byte(intake.Opening), 11}, h.read, 50)
 	qt.Check(t, h.longest[0] >= 130, qt.IsTrue, qt.Commentf("at most %d", h.longest[0]))
@@ -199,14 +204,14 @@
 	h, q := newHost(1)
 	quiet := func(end clock.Millis) {
 		for ; h.now < end; h.now += 100 {
-			q.Alive(h.now)
+			h.alive(q)
 		}
 	}
 	quiet(1000)
 	qt.Check(t, q.Stalled(), qt.IsFalse)
 	h.now += 900
 	// The event loop or its ticker may run first after the pause.
-	q.Alive(h.now)
+	h.alive(q)
 	qt.Check(t, q.Stalled(), qt.IsTrue)
 	q.Receive([]byte{byte(intake.Opening), 110}, h.read, 50)
 	qt.Check(t, h.promised[0] >= 800, qt.IsTrue, qt.Commentf("waited %d", h.promised[0]))
@@ -221,7 +226,7 @@
 	c := qt.New(t)
 	h, q := newHost(0)
 	h.now = 100
-	q.Alive(h.now)
+	h.alive(q)
 	h.now = 550
 	q.Receive([]byte{byte(intake.Opening), 12}, h.read, 50)
 	c.Assert(h.promised, qt.HasLen, 1)
