dir/share: report no server as silent that another host may have heard of

Cause: a control host takes the absence of announcements for a sign that a server has stopped, also while it was the host that was away. In contact with a quorum it reports for all, but it has not heard yet what servers announced to others: until its exchanges with them after a return, and for as long as it gets no news from one of them (a cut between two hosts). Class: a host acts on what it can't know.

Change: a host in contact with a quorum reports no server as silent while announcements of another member are missing: no reply for a third of SilentAfter to a request sent since. At its return, silent servers count as running until it has them all, and those that are gone are silent again at once. A member that no host has heard from for EvictAfter acknowledges no announcements and isn't awaited, but what others heard counts only once this host has been back for as long. Hosts without a quorum report what they hear on their side, as before. Requests and replies of an exchange are numbered (optional fields), so that a reply to a request from before the return doesn't count; a reply of the build before counts as one to the request before the latest.

Not built: relays that pass over the list of a host that has just become Current.

--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -266,6 +266,7 @@
 	}
 	c.retryRequests()
 	c.replicator.Tick(now)
+	c.observeContact()
 	c.maintainServers()
 	c.advertise()
 }
@@ -322,6 +323,7 @@
 	if !c.diskFailed {
 		c.takeLogOutput()
 	}
+	c.observeReturn()
 	out := c.out
 	c.out = Output{}
 	return out
--- a/internal/dir/core/fetch.go
+++ b/internal/dir/core/fetch.go
@@ -10,6 +10,7 @@
 // onFetch replies to an entry host with the state of this host and the silent
 // servers and, unless the fetch is brief, with the changes since the last fetch.
 func (c *Core) onFetch(from ReplyHandle, m *msgs.Fetch) {
+	c.observeReturn()
 	r := &msgs.FetchReply{RequestID: m.RequestID, Current: c.Current(), RunID: c.options.RunID, Version: c.tables.Version(), Form: m.Form}
 	if !m.Brief {
 		c.entryHosts.Polled(c.now, m.Adverts)
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -106,7 +106,7 @@
 func (c *Core) maintainServers() {
 	if c.list.SyncDue(c.now) {
 		c.contacts.Retain(c.node.Conf().Members())
-		c.list.RequestSync(func(to raft.ID, m *msgs.Sync) {
+		c.list.RequestSync(c.now, func(to raft.ID, m *msgs.Sync) {
 			m.ContactAges, m.Centre, m.SharingVersion = c.contacts.Ages(c.now), c.options.Centre, c.peers.Version(string(to))
 		})
 	}
--- a/internal/dir/msgs/sync.go
+++ b/internal/dir/msgs/sync.go
@@ -53,6 +53,9 @@
 	Form Form `msgpack:"form,omitempty"`
 	// SharingVersion is that of the lists of the receiver that the sender holds, or 0.
 	SharingVersion uint64 `msgpack:"sharingVersion,omitempty"`
+	// Number identifies the request among those of the sender. It is 0 from hosts of earlier
+	// builds.
+	Number uint64 `msgpack:"number,omitempty"`
 }
 
 // SyncReply returns the announcements after a position, and the replying host's
@@ -79,4 +82,6 @@
 	// are while the replying host does not know the lists.
 	Sharing        map[string][]uint64 `msgpack:"sharing,omitempty"`
 	SharingVersion uint64              `msgpack:"sharingVersion,omitempty"`
+	// Number is that of the request, or 0 from hosts of earlier builds.
+	Number uint64 `msgpack:"number,omitempty"`
 }
--- a/internal/dir/share/converge_test.go
+++ b/internal/dir/share/converge_test.go
@@ -107,7 +107,7 @@
 // tick runs the exchanges and the expiry of a host.
 func (h *hosts) tick(i int) {
 	if l := h.lists[i]; l.SyncDue(h.now) {
-		l.RequestSync(func(raft.ID, *msgs.Sync) {})
+		l.RequestSync(h.now, func(raft.ID, *msgs.Sync) {})
 	}
 	h.lists[i].Expire(h.now)
 	h.after(50, func() { h.tick(i) })
--- a/internal/dir/share/list.go
+++ b/internal/dir/share/list.go
@@ -58,6 +58,7 @@
 	reuseAfter clock.Millis
 	nextSyncAt clock.Millis
 	cursors    map[raft.ID]*cursor
+	contact    contact
 
 	nextExpireAt clock.Millis
 	// noExpireBefore is the end of the grace period after a start or a stall.
@@ -75,6 +76,10 @@
 	position uint64
 	// entryHosts is the EntryHostsVersion of the latest reply.
 	entryHosts uint64
+	// answered is set once a reply has arrived, and knownAt is then the time up to which all
+	// announcements that the host had received are known.
+	answered bool
+	knownAt  clock.Millis
 }
 
 // NewList returns an empty List. RunID is a random number that identifies this run of
@@ -82,6 +87,7 @@
 func NewList(options fleet.Options, runID uint64, now clock.Millis, group Group, services Services, send Send) *List {
 	return &List{
 		group: group, send: send, services: services, fleet: fleet.New(options), runID: runID, reuseAfter: options.ReuseAfter,
+		contact: newContact(options.SilentAfter, runID),
 		cursors: map[raft.ID]*cursor{}, noExpireBefore: now + stallGrace,
 	}
 }
@@ -117,13 +123,14 @@
 
 // RequestSync asks the other members for the announcements since the last exchange.
 // Fill adds to the request to each of them what else it carries.
-func (l *List) RequestSync(fill func(to raft.ID, m *msgs.Sync)) {
+func (l *List) RequestSync(now clock.Millis, fill func(to raft.ID, m *msgs.Sync)) {
+	number := l.contact.asked(now)
 	for _, id := range l.group.Members() {
 		if id == l.group.Self() {
 			continue
 		}
 		at := l.cursorOf(id)
-		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position, EntryHostsVersion: at.entryHosts, Form: msgs.BlockForm}
+		m := &msgs.Sync{From: l.group.Self(), RunID: at.runID, Since: at.position, EntryHostsVersion: at.entryHosts, Form: msgs.BlockForm, Number: number}
 		fill(id, m)
 		l.send(id, &msgs.Envelope{Sync: m})
 	}
@@ -142,10 +149,10 @@
 // include the repeated ones, which change nothing but the age, but not those loaded as ready
 // at the start: it isn't known when they were made.
 func (l *List) ReplyToSync(now clock.Millis, m *msgs.Sync) *msgs.SyncReply {
-	r := &msgs.SyncReply{From: l.group.Self(), RunID: l.runID, Position: l.fleet.Position()}
+	r := &msgs.SyncReply{From: l.group.Self(), RunID: l.runID, Position: l.fleet.Position(), Number: m.Number}
 	for _, s := range l.fleet.TouchedSince(l.since(m.RunID, m.Since)) {
 		if !s.Restored() {
-			r.Servers = append(r.Servers, StatusOf(now, s))
+			r.Servers = append(r.Servers, knownStatusOf(now, s))
 		}
 	}
 	if m.Form == msgs.BlockForm && len(r.Servers) > 0 {
@@ -190,6 +197,14 @@
 	return msgs.ServerStatus{Record: s.Record, Age: now - s.LastAnnounced(), Silent: s.Silent(), Ended: s.Ended(), Aliases: s.Aliases(now)}
 }
 
+// knownStatusOf returns the state of a server as this host knows it, whether or not entry hosts
+// are to count a silent server as such.
+func knownStatusOf(now clock.Millis, s *fleet.Server) msgs.ServerStatus {
+	status := StatusOf(now, s)
+	status.Silent = s.Unheard()
+	return status
+}
+
 // HandleSyncReply applies the announcements that another control host received. After an
 // error, which means that they are malformed, they are requested again.
 func (l *List) HandleSyncReply(now clock.Millis, m *msgs.SyncReply) error {
@@ -207,6 +222,9 @@
 		l.Apply(now, now-s.Age, s.Record, false)
 		l.fleet.AddAliases(now, &s.Record, s.Aliases)
 	}
+	if sentAt, known := l.contact.sentAt(m.Number); known {
+		at.answered, at.knownAt = true, max(at.knownAt, sentAt)
+	}
 	return nil
 }
 
@@ -252,7 +270,7 @@
 	l.savedPosition, l.savedAt = l.fleet.LastChange(), now
 	var list []msgs.ServerStatus
 	l.fleet.Each(func(s *fleet.Server) {
-		status := StatusOf(now, s)
+		status := knownStatusOf(now, s)
 		status.Silent = status.Silent || s.Contested()
 		list = append(list, status)
 	})
--- a/internal/proof/dirsim/silence_test.go
+++ b/internal/proof/dirsim/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -125,3 +126,122 @@
 		sim.c.Check(wrong, qt.Equals, 0, qt.Commentf("seed %d: for %d ms", seed, wrong))
 	}
 }
+
+const (
+	// exchangeInterval and expireInterval are those of package share, and announceInterval that
+	// of servers, in milliseconds.
+	exchangeInterval = 300
+	expireInterval   = 500
+	announceInterval = 1200
+)
+
+// serverAt returns the announcement of a server at its own address.
+func serverAt(i int, seq clock.Millis) fleet.Record {
+	r := announcement(fmt.Sprint("s-", i), uint64(seq), fleet.Ready)
+	r.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80)
+	return r
+}
+
+// runWithServer runs the simulation while s-1 announces itself to a control host, and calls check
+// after each millisecond.
+func (sim *simulation) runWithServer(home int, span clock.Millis, check func()) {
+	for from := sim.now; sim.now-from < span; {
+		if sim.now%announceInterval == 0 {
+			sim.announce(hostAddress(home), serverAt(1, sim.now), nil)
+		}
+		sim.run(1)
+		check()
+	}
+}
+
+// TestHostThatReturnsKnowsWhichServersAreGone guards against dead servers that are offered, and running ones that aren't, after a control host was away.
+func TestHostThatReturnsKnowsWhichServersAreGone(t *testing.T) {
+	sides := func(sim *simulation, cut bool) {
+		sim.partition([]string{hostAddress(1), hostAddress(3), hostAddress(4)}, []string{hostAddress(2), hostAddress(5), hostAddress(6), hostAddress(7)}, cut)
+	}
+	for _, test := range []struct {
+		name  string
+		hosts int
+		// home is the control host that the server announces itself to.
+		home       int
+		goes, back func(sim *simulation)
+		// within is the time in contact with a quorum after which the dead server is silent.
+		within clock.Millis
+	}{
+		{
+			"cut", 7, 2, func(sim *simulation) { sim.isolate(hostAddress(1), true) },
+			func(sim *simulation) { sim.isolate(hostAddress(1), false) }, 2 * exchangeInterval,
+		},
+		{"halves", 7, 2, func(sim *simulation) { sides(sim, true) }, func(sim *simulation) { sides(sim, false) }, 2 * exchangeInterval},
+		{
+			"restart", 3, 2, func(sim *simulation) { sim.powerOff(hostAddress(1)) },
+			func(sim *simulation) { sim.powerOn(hostAddress(1)) }, 2 * exchangeInterval,
+		},
+		{
+			"anotherIsLost", 3, 2, func(sim *simulation) {
+				sim.isolate(hostAddress(1), true)
+				sim.run(500)
+				sim.powerOff(hostAddress(3))
+			}, func(sim *simulation) { sim.isolate(hostAddress(1), false) }, evictAfter + expireInterval,
+		},
+		{
+			"anotherIsCutOff", 3, 3, func(sim *simulation) { sim.isolate(hostAddress(1), true) },
+			func(sim *simulation) {
+				sim.isolate(hostAddress(1), false)
+				sim.partition([]string{hostAddress(1)}, []string{hostAddress(3)}, true)
+			}, 1 << 60,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				sim := newSimulation(t, seed, test.hosts)
+				sim.publishWithRetry(1, ackTimeout)
+				sim.awaitConvergence(recoveryTimeout)
+				sim.announce(hostAddress(2), serverAt(2, 1), nil)
+				sim.runWithServer(test.home, 7000, func() {})
+				test.goes(sim)
+				sim.runWithServer(test.home, 6000, func() {})
+				test.back(sim)
+				var current, wrong, gone clock.Millis
+				sim.runWithServer(test.home, 10_000, func() {
+					host := sim.hosts[hostAddress(1)].core
+					if !host.Current() {
+						return
+					}
+					current++
+					if host.Fleet().Find("s-1").Silent() {
+						wrong++
+					}
+					if !host.Fleet().Find("s-2").Silent() {
+						gone = current
+					}
+				})
+				sim.c.Check(wrong, qt.Equals, clock.Millis(0), qt.Commentf("seed %d: %d ms", seed, wrong))
+				sim.c.Check(gone <= test.within, qt.IsTrue, qt.Commentf("seed %d: %d ms", seed, gone))
+				sim.c.Check(sim.violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+			}
+		})
+	}
+}
+
+// TestDeadServersAreSilentInTime guards against dead servers that are offered for longer than their missed announcements take, also once a control host is gone for good.
+func TestDeadServersAreSilentInTime(t *testing.T) {
+	for _, lost := range []int{0, 1} {
+		t.Run(fmt.Sprint("lost", lost), func(t *testing.T) {
+			for seed := range uint64(20) {
+				sim := newSimulation(t, seed, 3)
+				sim.publishWithRetry(1, ackTimeout)
+				sim.awaitConvergence(recoveryTimeout)
+				if lost > 0 {
+					sim.powerOff(hostAddress(3))
+					sim.run(evictAfter + recoveryTimeout)
+				}
+				sim.announce(hostAddress(2), serverAt(2, 1), nil)
+				sim.run(silentAfter + expireInterval + exchangeInterval)
+				for _, address := range sim.liveHosts() {
+					sim.c.Check(sim.hosts[address].core.Fleet().Find("s-2").Silent(), qt.IsTrue, qt.Commentf("seed %d: %s", seed, address))
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/fleet/address.go
+++ b/internal/serve/fleet/address.go
@@ -76,7 +76,7 @@
 // themselves, the one with the earlier start owns it, so that all hosts agree.
 func (f *Fleet) takesOver(s, owner *Server) bool {
 	switch {
-	case owner.State == Left, owner.Silent():
+	case owner.State == Left, owner.Unheard():
 		return true
 	case f.lapsed(owner, s):
 		return f.startedSince(s, owner) || s.rivalSince > 0 && s.announcedAt > s.rivalSince
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -78,8 +78,9 @@
 	// firstAt and announcedAt are the times of the first and the latest announcement of the
 	// incarnation known to this host.
 	firstAt, announcedAt clock.Millis
-	// silentSince is when the server was marked silent, or 0.
-	silentSince clock.Millis
+	// silentSince is when the server was marked silent, or 0. While DeferSilence has retracted
+	// that, it is 0, and retracted the time.
+	silentSince, retracted clock.Millis
 	// endedAt is when this host learned that the incarnation has ended, or 0.
 	endedAt clock.Millis
 	// rivalSince is when the server first announced itself at an address that another one
@@ -162,6 +163,8 @@
 	addresses
 	// resumedAt is when this host was last started or suspended.
 	resumedAt clock.Millis
+	// deferred is set from DeferSilence to DecideSilence.
+	deferred bool
 	// position is incremented at every change and every direct announcement.
 	position uint64
 	// lastChange is the position of the latest change.
@@ -217,7 +220,9 @@
 		return Changed
 	}
 	if !f.supersedes(now, s, &r, announcedAt, direct) {
-		s.announcedAt = f.latestAnnouncement(s, &r, announcedAt)
+		if latest := f.latestAnnouncement(s, &r, announcedAt); latest > s.announcedAt {
+			s.announcedAt, s.retracted = latest, 0
+		}
 		// Another host may believe it.
 		if r.Address == s.Address {
 			f.AddAliases(now, &r, []Alias{{r.Started, now - announcedAt}})
@@ -245,7 +250,8 @@
 	} else {
 		s.firstAt = announcedAt
 	}
-	s.Record, s.announcedAt, s.silentSince, s.restored = r, announcedAt, 0, false
+	s.Record, s.announcedAt, s.restored = r, announcedAt, false
+	s.setSilentSince(0)
 	if !same || !r.newer(&before) {
 		s.candidate = nil
 		f.decide(now, RuleSuperseded, &before, beforeAt, s)
@@ -319,8 +325,8 @@
 		case s.endedAt > 0 && now-s.endedAt > f.options.ForgetAfter,
 			s.silentSince > 0 && now-s.silentSince > f.options.ForgetAfter:
 			f.remove(id, s)
-		case s.silentSince == 0 && s.endedAt == 0 && now-s.announcedAt > f.options.SilentAfter:
-			s.silentSince = now
+		case !f.deferred && s.silentSince == 0 && s.endedAt == 0 && now-s.announcedAt > f.options.SilentAfter:
+			s.setSilentSince(now)
 			f.touch(s, true)
 			silent = append(silent, id)
 		}
@@ -347,9 +353,9 @@
 	if s == nil || s.Silent() == silent {
 		return
 	}
-	s.silentSince = 0
+	s.setSilentSince(0)
 	if silent {
-		s.silentSince = now
+		s.setSilentSince(now)
 	}
 	f.touch(s, true)
 }
