proof/dirsim: reproduce what else a host that returns does without news

Callers would see: flows that are kept from a running server, and slots of servers that are given to several entry hosts, through relays that poll a control host which has come back, or which is cut off from one other.

A control host has no news from another one, and takes that for news: that the owner of an address has stopped (fleet.lapsed), and that an entry host has (dir/peers).

Loads (old after a second) and grants (by the members of the log, with contact to a quorum) were read, not tested.

--- a/internal/proof/dirsim/evacuate_test.go
+++ b/internal/proof/dirsim/evacuate_test.go
@@ -89,6 +89,8 @@
 	sim    *simulation
 	poller *poll.Poller
 	paused bool
+	// listed is the length of the latest list of entry hosts.
+	listed int
 }
 
 func (sim *simulation) addEntryHost(name string) *entryHost {
@@ -124,6 +126,9 @@
 	e.sim.c.Assert(err, qt.IsNil)
 	a, err := e.poller.HandleReply(e.sim.now, m.FetchReply, e.Version())
 	e.sim.c.Assert(err, qt.IsNil)
+	if a.Sharing != nil {
+		e.listed = len(a.Sharing)
+	}
 	u := &token.Update{EvacuationsVersion: a.EvacuationsVersion}
 	for _, s := range a.Servers {
 		u.Servers = append(u.Servers, token.ServerUpdate{Record: s.Record, Age: s.Age, Ended: s.Ended})
