proof/soak: wait until a paused relay has stopped

TestPausedRelayDoesNotResetOpenFlow failed in 2 of 47 runs beside load averages of 24 to 38. In the one that was traced, the relay decided the first transmission 15 ms after it arrived, by what it knew before the order that follows SIGSTOP: its threads had not stopped yet, so the copy came 414 ms after a reset that was right. The other one failed at the same check, its log is lost.

The test took the signal to act at once. It waits now until all threads of the relay have stopped, and counts from then. What it asks of the relay is the same.

--- a/internal/proof/soak/paused_test.go
+++ b/internal/proof/soak/paused_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +31,7 @@
 
 	paused, client := env.procs[controlCount], env.clients[0]
 	paused.signal(syscall.SIGSTOP)
+	env.await("the relay has stopped", func() bool { return isStopped(c, paused) })
 	stoppedAt := time.Now()
 	env.order("a", false)
 	f := &flow{client: client, port: 9999, dstPort: portX, in: make(chan packet, 16), seq: 1}
@@ -63,3 +67,18 @@
 	}
 	c.Check(env.violations, qt.HasLen, 0)
 }
+
+// isStopped reports whether all threads of a process have stopped, which takes a while after the
+// signal on a busy machine.
+func isStopped(c *qt.C, p *process) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	c.Assert(err, qt.IsNil)
+	for _, thread := range threads {
+		// The state follows the name, which is in parentheses.
+		stat, err := os.ReadFile(thread)
+		if _, state, found := strings.Cut(string(stat), ") "); err != nil || !found || state[0] != 'T' {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
