proof/soak: let stand-in servers answer late

A stand-in can be slow for a while now: it takes 0.3 to 2 s for a request and acknowledges a repeated packet of it meanwhile, by a packet without data, as the protocol has it. The client takes that as an acknowledgement, stops repeating and waits on. Servers with slots (the overload) use the same code, so they acknowledge repeats, too; before, they were silent until the answer.

The timeout of 3 s fits an answer after 2 s, but not one whose request was lost first: the fourth transmission leaves after 1.4 s, and is answered after up to 3.4 s. So a request that its flow's server has got and works on is awaited until then. Nothing changes for a server that isn't slow: a request that hasn't reached it within 3 s counts as before.

--- a/internal/proof/soak/endpoints_test.go
+++ b/internal/proof/soak/endpoints_test.go
@@ -114,7 +114,13 @@
 	// uploads maps the key of a flow and the address of a relay to the number of the last
 	// packet received.
 	uploads map[string]uint32
-	slots   slots
+	// slowUntil is the end of the time for which the server is slow.
+	slowUntil time.Time
+	// slots are the ends of the work on the requests that a server runs at a time, in a run
+	// with an overload.
+	slots [slotCount]time.Time
+	// dueAt maps the key of a request to the time at which it is answered.
+	dueAt map[string]time.Time
 }
 
 func (s *server) isLeaving() bool {
@@ -169,13 +175,7 @@
 	case pkt.dport == portUpload && len(pkt.data) > 0:
 		s.handleUpload(pkt, relay)
 	case len(pkt.data) > 0:
-		reply := pkt.reply(flagAck, pkt.ack, pkt.seq+uint32(len(pkt.data)), pkt.data)
-		if s.env.mode == overloaded && s.service == "y" {
-			s.runInSlot(pkt, reply)
-			return
-		}
-		s.env.recordRun(s, pkt)
-		s.send(reply)
+		s.handleRequest(pkt)
 	}
 }
 
@@ -244,7 +244,8 @@
 	// retransmitDelay is the delay before the first retransmission of a request.
 	// Opening packets are retransmitted after twice this delay.
 	retransmitDelay = 200 * time.Millisecond
-	// requestTimeout bounds a request with all its retransmissions.
+	// requestTimeout bounds a request with all its retransmissions, but for the time that its
+	// server takes for it.
 	requestTimeout = 3 * time.Second
 )
 
@@ -333,12 +334,15 @@
 )
 
 // request sends a request with an ID and retransmits it with exponential backoff,
-// until it is answered, the flow is reset or requestTimeout has passed.
+// until it is acknowledged. It waits until the request is answered, the flow is reset or
+// requestTimeout has passed.
 func (f *flow) request(id uint64) requestOutcome {
 	data := binary.BigEndian.AppendUint64(nil, id)
-	wait := retransmitDelay
-	for end := time.Now().Add(requestTimeout); time.Now().Before(end); wait *= 2 {
-		f.send(flagAck, f.ack, data)
+	wait, acknowledged := retransmitDelay, false
+	for end := time.Now().Add(requestTimeout); time.Now().Before(end) || f.isWorkedOn(); wait = min(2*wait, maxRetransmitDelay) {
+		if !acknowledged {
+			f.send(flagAck, f.ack, data)
+		}
 		for deadline := time.After(wait); ; {
 			select {
 			case pkt := <-f.in:
@@ -356,6 +360,9 @@
 					f.send(flagAck, f.ack, nil)
 					return answered
 				}
+				if pkt.flags&flagSyn == 0 && len(pkt.data) == 0 && pkt.ack == f.seq+uint32(len(data)) {
+					acknowledged = true
+				}
 				continue
 			case <-deadline:
 			}
--- a/internal/proof/soak/load_test.go
+++ b/internal/proof/soak/load_test.go
@@ -203,46 +203,6 @@
 // rejection is the answer of a server that has no room for a request.
 var rejection = []byte("rejected")
 
-// slots are the requests that a server runs, in a run with an overload.
-type slots struct {
-	// freeAt is when each slot becomes free, repliedAt when the request of a flow is
-	// answered.
-	freeAt    [slotCount]time.Time
-	repliedAt map[string]time.Time
-}
-
-func newSlots() slots { return slots{repliedAt: map[string]time.Time{}} }
-
-// runInSlot runs the request of a flow in the slot that is free first and sends the reply
-// after that, or rejects the request.
-func (s *server) runInSlot(pkt, reply *packet) {
-	now := time.Now()
-	if at, seen := s.slots.repliedAt[pkt.key()]; seen {
-		if now.After(at) {
-			s.send(reply)
-		}
-		return
-	}
-	slot := &s.slots.freeAt[0]
-	for i := range s.slots.freeAt {
-		if s.slots.freeAt[i].Before(*slot) {
-			slot = &s.slots.freeAt[i]
-		}
-	}
-	if slot.Before(now) {
-		*slot = now
-	}
-	if slot.Sub(now) > maxQueueTime {
-		reply.data = rejection
-		s.send(reply)
-		return
-	}
-	*slot = slot.Add(workTime)
-	s.slots.repliedAt[pkt.key()] = *slot
-	s.env.recordRun(s, pkt)
-	time.AfterFunc(slot.Sub(now), func() { s.send(reply) })
-}
-
 // recordRefused notes that the first opening packet of a flow was reset. No server may
 // have got it, nor get it later.
 func (env *testEnv) recordRefused(f *flow) {
--- a/internal/proof/soak/reborn_test.go
+++ b/internal/proof/soak/reborn_test.go
@@ -32,6 +32,7 @@
 	lateHeartbeats, lateRemovals, unacknowledgedRemovals                  atomic.Int64
 	otherUnderID, otherAtAddress, misdirected                             atomic.Int64
 	latestTokenClients                                                    atomic.Int64
+	lateAnswers, acknowledged                                             atomic.Int64
 }
 
 // String returns the counts in one line.
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -187,7 +187,7 @@
 	env.c.Assert(err, qt.IsNil)
 	s := &server{
 		env: env, id: id, number: n, service: service, address: address, born: born, conn: conn, flows: map[string]uint32{},
-		zone: zoneOf(int(addr.IP.To4()[3]) / 4), warmAt: time.Now().Add(warmup), uploads: map[string]uint32{}, slots: newSlots(),
+		zone: zoneOf(int(addr.IP.To4()[3]) / 4), warmAt: time.Now().Add(warmup), uploads: map[string]uint32{}, dueAt: map[string]time.Time{},
 	}
 	env.mu.Lock()
 	env.servers[id] = s
