proof/soak: play each claim with a slow server, too

Each play now runs with a slow server as well. Two clients send through each relay, 200 ms apart, the pairs one after the other, so that some of their repetitions fall into the time of the claim, whenever a relay hears of it. The slow server's heartbeats come every 1.2 s, since one undoes most claims. The checks are those of the plays before: all requests answered on flows that the server holds open, no violation.

The plays with a quick server send as before. TestRelayStartedAfterItsServer watches its flows for 4 s in addition to its check.

--- a/internal/proof/soak/claims_test.go
+++ b/internal/proof/soak/claims_test.go
@@ -25,11 +25,27 @@
 type play struct {
 	*testEnv
 	server *server
+	// slow is set if the server is slow while its flows are watched.
+	slow bool
+}
+
+// runPlays runs a test with a server that answers at once, and with a slow one, whose rare
+// heartbeats let a claim stand for longer.
+func runPlays(t *testing.T, name string, seed uint64, bin string, quickMode mode, test func(*play)) {
+	run := func(name string, mode mode, slow bool) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPlay(t, seed, bin, mode)
+			p.slow = slow
+			test(p)
+		})
+	}
+	run(name, quickMode, false)
+	run(name+", slow server", rareHeartbeats, true)
 }
 
 // newPlay starts a deployment and a server that started two seconds ago, by its clock.
 func newPlay(t *testing.T, seed uint64, bin string, mode mode) *play {
-	t.Parallel()
 	env := newTestEnv(t, seed, bin, mode)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -43,7 +59,7 @@
 	env.publish(1)
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
 	for i := range relayCount {
-		p.openFlow(i)
+		p.openFlow(0, i)
 	}
 	return p
 }
@@ -51,31 +67,52 @@
 // address returns the address of a server.
 func (p *play) address(i int) string { return fmt.Sprintf("%s:%d", p.ip(serverGroup, i), 9000) }
 
-// openFlow opens a flow through a relay and sends a request on it.
-func (p *play) openFlow(relay int) *flow {
+// openFlow opens a flow of a client through a relay and sends a request on it.
+func (p *play) openFlow(client, relay int) *flow {
 	p.c.Helper()
 	var f *flow
 	for end := time.Now().Add(recoveryTimeout); f == nil && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		f = p.clients[0].openThrough(p.ip(relayGroup, relay), portX)
+		f = p.clients[client].openThrough(p.ip(relayGroup, relay), portX)
 	}
 	p.c.Assert(f, qt.IsNotNil, qt.Commentf("no flow opens through relay %d", relay))
 	p.c.Assert(f.request(p.nextID.Add(1)), qt.Equals, answered)
 	return f
 }
 
-// watch sends requests on two flows, each through the next relay: on one at once, on the
-// other after a pause. All must be answered by the server, which holds the flows open.
-func (p *play) watch(inUse, idle *flow) {
+// openFlows opens the flows to be watched: two, or those of two clients through each relay
+// if the server is slow.
+func (p *play) openFlows() (flows []*flow) {
+	p.c.Helper()
+	if !p.slow {
+		return []*flow{p.openFlow(0, 0), p.openFlow(0, 1)}
+	}
+	for i := range 2 * relayCount {
+		flows = append(flows, p.openFlow(i%2, i/2))
+	}
+	return flows
+}
+
+// watch sends requests on flows: on one at once and on the other after a pause, each through
+// the next relay. To a slow server, two clients send through each relay, one after the other.
+// All must be answered by the server, which holds the flows open.
+func (p *play) watch(flows []*flow) {
 	p.c.Helper()
+	pause := idleTime
+	if p.slow {
+		p.server.slowDown(playTime)
+		pause = retransmitDelay
+	}
 	began := time.Now()
 	var wg sync.WaitGroup
-	for _, f := range []*flow{inUse, idle} {
+	for i, f := range flows {
 		wg.Go(func() {
-			if f == idle {
-				time.Sleep(idleTime)
-			}
-			for i := 0; time.Since(began) < playTime; i++ {
-				f.relay = p.ip(relayGroup, i%relayCount)
+			time.Sleep(time.Duration(i) * pause)
+			for n := 0; time.Since(began) < playTime; n++ {
+				relay := n
+				if p.slow {
+					relay = i/2 + int(time.Since(began)/maxSlowAnswer)
+				}
+				f.relay = p.ip(relayGroup, relay%relayCount)
 				got := f.request(p.nextID.Add(1))
 				ok := p.c.Check(p.serverOf(f), qt.IsNotNil, qt.Commentf("no server holds flow %s", f.key()))
 				if ok = p.c.Check(got, qt.Equals, answered, qt.Commentf("flow %s after %v: reset by %q", f.key(), time.Since(began), f.resetBy)) && ok; !ok {
@@ -111,19 +148,19 @@
 // new incarnation before the relay knew of it.
 func TestRestartedServerKeepsItsNewFlows(t *testing.T) {
 	bin := build(t)
+	t.Parallel()
 	tests := []struct {
 		name   string
 		paused int
 	}{{"calm", 0}, {"control hosts paused", controlCount}}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPlay(t, 9, bin, plain)
+		runPlays(t, test.name, 9, bin, plain, func(p *play) {
 			hosts := p.procs[:test.paused]
 			p.signalControl(hosts, syscall.SIGSTOP)
 			p.restart(2 * time.Second)
-			inUse, idle := p.openFlow(0), p.openFlow(1)
+			flows := p.openFlows()
 			p.signalControl(hosts, syscall.SIGCONT)
-			p.watch(inUse, idle)
+			p.watch(flows)
 		})
 	}
 }
@@ -132,18 +169,18 @@
 // that don't know the incarnation under whose token they opened.
 func TestRelayStartedAfterItsServerKeepsItsFlows(t *testing.T) {
 	bin := build(t)
+	t.Parallel()
 	tests := []struct {
 		name   string
 		paused int
 		step   time.Duration
 	}{{"control hosts paused", controlCount, 2 * time.Second}, {"earlier clock", 0, -time.Second}}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPlay(t, 14, bin, plain)
+		runPlays(t, test.name, 14, bin, plain, func(p *play) {
 			hosts := p.procs[:test.paused]
 			p.signalControl(hosts, syscall.SIGSTOP)
 			p.restart(test.step)
-			flows := []*flow{p.openFlow(0), p.openFlow(0)}
+			flows := []*flow{p.openFlow(0, 0), p.openFlow(1, 0)}
 			p.signalControl(hosts, syscall.SIGCONT)
 			// A start that is earlier is believed after the delay.
 			time.Sleep(addrReuseDelay)
@@ -156,7 +193,7 @@
 				f.relay = p.ip(relayGroup, i+1)
 				p.c.Check(f.request(p.nextID.Add(1)), qt.Equals, answered, qt.Commentf("relay %d", i+1))
 			}
-			p.c.Check(p.violations, qt.HasLen, 0)
+			p.watch(flows)
 		})
 	}
 }
@@ -165,6 +202,7 @@
 // clock is behind that of the server before: it takes no flows, and its flows are reset.
 func TestEarlierClockEndsNoSoundServer(t *testing.T) {
 	bin := build(t)
+	t.Parallel()
 	tests := []struct {
 		name  string
 		start func(p *play)
@@ -177,11 +215,10 @@
 		{"next server at the address of one that crashed", (*play).takeAddress},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPlay(t, 10, bin, plain)
+		runPlays(t, test.name, 10, bin, plain, func(p *play) {
 			test.start(p)
 			p.awaitStart()
-			p.watch(p.openFlow(0), p.openFlow(1))
+			p.watch(p.openFlows())
 		})
 	}
 }
@@ -198,6 +235,7 @@
 // requested its removal, and got no answer, serves on.
 func TestUnacknowledgedRemovalResetsNoFlow(t *testing.T) {
 	bin := build(t)
+	t.Parallel()
 	tests := []struct {
 		name          string
 		paused        int
@@ -209,9 +247,8 @@
 		{"no quorum but still announced", 2, true},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPlay(t, 11, bin, plain)
-			inUse, idle := p.openFlow(0), p.openFlow(1)
+		runPlays(t, test.name, 11, bin, plain, func(p *play) {
+			flows := p.openFlows()
 			p.server.mu.Lock()
 			p.server.draining, p.server.muted = true, !test.stillAnnounce
 			p.server.mu.Unlock()
@@ -220,7 +257,7 @@
 			p.signalControl(hosts, syscall.SIGSTOP)
 			_, _ = callHTTP(http.MethodDelete, "http://"+p.ip(controlGroup, 0)+":8100/instances/"+playServer, nil)
 			p.signalControl(hosts, syscall.SIGCONT)
-			p.watch(inUse, idle)
+			p.watch(flows)
 		})
 	}
 }
@@ -229,6 +266,7 @@
 // acts on the next one.
 func TestDelayedRemovalResetsNoFlow(t *testing.T) {
 	bin := build(t)
+	t.Parallel()
 	tests := []struct {
 		name, method string
 		mode         mode
@@ -238,20 +276,19 @@
 		{"removal before lost heartbeats", http.MethodDelete, rareHeartbeats},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPlay(t, 12, bin, test.mode)
+		runPlays(t, test.name, 12, bin, test.mode, func(p *play) {
 			var body any
 			if test.method == http.MethodPut {
 				body = p.server.announcement()
 			}
 			p.restart(2 * time.Second)
 			p.awaitStart()
-			inUse, idle := p.openFlow(0), p.openFlow(1)
+			flows := p.openFlows()
 			if test.mode == rareHeartbeats {
 				p.loseHeartbeats()
 			}
 			p.callOnce(test.method, playServer, body)
-			p.watch(inUse, idle)
+			p.watch(flows)
 		})
 	}
 }
@@ -282,6 +319,7 @@
 // one heartbeat of another writer for a service that is configured.
 func TestAnotherWritersRecordResetsNoFlow(t *testing.T) {
 	bin := build(t)
+	t.Parallel()
 	tests := []struct {
 		name, id, service string
 		address           int
@@ -294,14 +332,13 @@
 		{"at its address for the other service", "i-93", "y", 0},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			p := newPlay(t, 13, bin, plain)
+		runPlays(t, test.name, 13, bin, plain, func(p *play) {
 			p.addServer("i-94", "y", p.address(1), 0)
-			inUse, idle := p.openFlow(0), p.openFlow(1)
+			flows := p.openFlows()
 			body := foreignRecord(p.server, time.Second)
 			body["service"], body["addr"] = test.service, p.address(test.address)
 			p.callOnce(http.MethodPut, test.id, body)
-			p.watch(inUse, idle)
+			p.watch(flows)
 		})
 	}
 }
