proof/soak: let servers be slow among the random faults

A server now turns slow for 2 to 6 s: without another fault, beside half of the faults of servers that restart under their ID (it stays slow when it restarts), and for 2 s after half of the replacements, since a server that has just started may be slow. No server is slow after the faults end. Eight clients with long flows come in addition, so that more than one sends to a slow server through one relay. The summary counts the slow servers by kind, their late answers, and the repeats that they acknowledged. The checks stay as they are.

--- a/internal/proof/soak/reborn_test.go
+++ b/internal/proof/soak/reborn_test.go
@@ -32,7 +32,7 @@
 	lateHeartbeats, lateRemovals, unacknowledgedRemovals                  atomic.Int64
 	otherUnderID, otherAtAddress, misdirected                             atomic.Int64
 	latestTokenClients                                                    atomic.Int64
-	lateAnswers, acknowledged                                             atomic.Int64
+	slowAlone, slowBeside, slowStarts, lateAnswers, acknowledged          atomic.Int64
 }
 
 // String returns the counts in one line.
@@ -43,6 +43,7 @@
 	fmt.Fprintf(&out, "; %d late heartbeats, %d late removals, %d removals without an acknowledgement", n.lateHeartbeats.Load(), n.lateRemovals.Load(), n.unacknowledgedRemovals.Load())
 	fmt.Fprintf(&out, "; records of another writer: %d under an ID, %d at an address", n.otherUnderID.Load(), n.otherAtAddress.Load())
 	fmt.Fprintf(&out, "; %d clients with the token of any packet; %d packets at other servers", n.latestTokenClients.Load(), n.misdirected.Load())
+	fmt.Fprintf(&out, "; slow servers: %d alone, %d beside another fault, %d new ones, %d late answers, %d repeats acknowledged meanwhile", n.slowAlone.Load(), n.slowBeside.Load(), n.slowStarts.Load(), n.lateAnswers.Load(), n.acknowledged.Load())
 	return out.String()
 }
 
@@ -141,13 +142,15 @@
 }
 
 // restartServer ends a server and starts it after a gap under its ID and at its address, or
-// returns nil if the run ends.
+// returns nil if the run ends. A slow server stays slow.
 func (env *testEnv) restartServer(s *server, gap time.Duration, born func() int64) *server {
 	env.end(s)
 	if gap > 0 && !env.sleepWhileFaulty(gap) {
 		return nil
 	}
-	return env.addIncarnation(s.id, s.service, s.address, 0, born())
+	next := env.addIncarnation(s.id, s.service, s.address, 0, born())
+	next.slowDown(s.slowTime())
+	return next
 }
 
 func now() int64 { return time.Now().UnixMilli() }
@@ -169,6 +172,9 @@
 			env.rebirths.latestTokenClients.Add(1)
 		}
 	}
+	for i := range slowClients {
+		env.runInBackground(func() { env.runClient(env.clients[i%len(env.clients)], true) })
+	}
 	env.rebirthTasks.Go(func() {
 		others := []rebirth{
 			{"restarted at once", env.restartAtOnce},
@@ -180,6 +186,7 @@
 			{"restarted before a late removal", env.delayRemoval},
 			{"announced by another writer under its ID", env.announceUnderID},
 			{"announced by another writer at its address", env.announceAtAddress},
+			{turnedSlow, env.turnSlow},
 		}
 		for {
 			// The removal takes longer than the others, and has to end with them.
@@ -197,6 +204,11 @@
 				}
 				if s := env.claim(r); s != nil {
 					own := rand.New(rand.NewPCG(r.Uint64(), 9))
+					if fault.name != turnedSlow && r.IntN(2) == 0 {
+						env.rebirths.slowBeside.Add(1)
+						s.slowDown(between(r, minSlowTime, maxSlowTime))
+						fault.name += " while slow"
+					}
 					env.mu.Lock()
 					env.latestFault[s.id] = time.Now().Format("15:04:05.000 ") + fault.name
 					env.mu.Unlock()
--- a/internal/proof/soak/slow_test.go
+++ b/internal/proof/soak/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
@@ -10,8 +11,18 @@
 	// The least is longer than a client waits before its first retransmission.
 	minSlowAnswer = 300 * time.Millisecond
 	maxSlowAnswer = 2 * time.Second
+	// minSlowTime and maxSlowTime bound the time for which a server is slow. The most is that
+	// of a drain and the longest claim after it.
+	minSlowTime = 2 * time.Second
+	maxSlowTime = 6 * time.Second
+	// slowClients is the number of clients on long flows beside the others, so that more than
+	// one sends to a slow server through one relay.
+	slowClients = 8
 )
 
+// turnedSlow is the name of the fault of a server that is slow, and nothing else.
+const turnedSlow = "turned slow"
+
 // slowDown makes a server slow for some time.
 func (s *server) slowDown(duration time.Duration) {
 	s.mu.Lock()
@@ -19,6 +30,13 @@
 	s.slowUntil = time.Now().Add(duration)
 }
 
+// slowTime returns for how much longer a server is slow.
+func (s *server) slowTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.slowUntil)
+}
+
 // workTime returns how long a request takes. No server is slow after the faults.
 func (s *server) workTime() time.Duration {
 	select {
@@ -98,3 +116,12 @@
 	defer s.mu.Unlock()
 	return time.Now().Before(s.dueAt[f.packet(0, 0, nil).requestKey()])
 }
+
+// turnSlow makes a server slow while no other fault acts on it.
+func (env *testEnv) turnSlow(s *server, r *rand.Rand) {
+	env.rebirths.slowAlone.Add(1)
+	duration := between(r, minSlowTime, maxSlowTime)
+	s.slowDown(duration)
+	env.sleepWhileFaulty(duration)
+	env.release(s)
+}
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -284,7 +284,11 @@
 			return
 		}
 		other := map[string]string{"x": "y", "y": "x"}[old.service]
-		env.addIncarnation(fmt.Sprintf("i-%x", 0xa000+n), other, old.address, warmup, env.bornAfter(old))
+		next := env.addIncarnation(fmt.Sprintf("i-%x", 0xa000+n), other, old.address, warmup, env.bornAfter(old))
+		if env.announcesBorn && env.randN(2) == 0 {
+			env.rebirths.slowStarts.Add(1)
+			next.slowDown(warmup)
+		}
 	}
 }
 
