--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -187,7 +187,7 @@
 	env.c.Assert(err, qt.IsNil)
 	s := &server{
 		env: env, id: id, number: n, service: service, address: address, born: born, conn: conn, flows: map[string]uint32{},
-		zone: zoneOf(int(addr.IP.To4()[3]) / 4), warmAt: time.Now().Add(warmup), uploads: map[string]uint32{}, slots: newSlots(),
+		zone: zoneOf(int(addr.IP.To4()[3]) / 4), warmAt: time.Now().Add(warmup), uploads: map[string]uint32{}, dueAt: map[string]time.Time{},
 	}
 	env.mu.Lock()
 	env.servers[id] = s
@@ -284,7 +284,11 @@
 			return
 		}
 		other := map[string]string{"x": "y", "y": "x"}[old.service]
-		env.addIncarnation(fmt.Sprintf("i-%x", 0xa000+n), other, old.address, warmup, env.bornAfter(old))
+		next := env.addIncarnation(fmt.Sprintf("i-%x", 0xa000+n), other, old.address, warmup, env.bornAfter(old))
+		if env.announcesBorn && env.randN(2) == 0 {
+			env.rebirths.slowStarts.Add(1)
+			next.slowDown(warmup)
+		}
 	}
 }
 
