entry/core: leave flows of a stalled server open for a minute

Callers of a server that stalled, or was cut off, for more than 10 s lost their open flows on hosts with bundles, though nothing said that the server had ended, and it went on: TestSlowServersKeepTheirFlows without a claim, 15 and 40 s late, 21 of 21 flows.

Cause: loss.NoProgress took six retransmissions over roster.ResetAfter (10 s) for proof that the flow is lost. A host sees only the client's half. A server that stalls, one that is cut off and a flow that something between the ends has lost look the same.

Change: the six retransmissions must span probeAfter (60 s), after which a silent client is probed, too. The reset itself stays: connections can go silent for good, and the target is a reset at both ends within 80 s.

--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -7,7 +7,6 @@
 	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/host/member"
-	"monsooncleat.example/monsooncleat/internal/serve/roster"
 	"monsooncleat.example/monsooncleat/internal/wire/codec"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
@@ -31,10 +30,9 @@
 	// after which a flow is reset.
 	maxRetransmits = 6
 	// minStallTime is the minimum time from the first of these retransmissions to the
-	// reset, because clients that retransmit at a constant interval reach maxRetransmits
-	// within 1.5 s. It is the time after which the flows of a server that is gone are
-	// reset: a server that stalls for less keeps its flows.
-	minStallTime = roster.ResetAfter
+	// reset. Servers that are slow, stalled or cut off for less keep their flows. A flow
+	// that something between its ends has lost is reset as soon as that of a silent client.
+	minStallTime = probeAfter
 	// formerOwnerRetention is how long after a membership change a host keeps
 	// records of flows of which it is neither owner nor successor.
 	formerOwnerRetention = handoverPeriod + 2*clock.Second
