entry/core: end no open flow in the place of its server

Callers of a server that takes longer for an answer than their first retransmission got a reset by a host with bundles, whenever the list of servers said that it had ended: missing announcements, a departure, another address or service under its name, another server at its address. Flows by UDP ended by a claim of 10 s alone.

Cause: the host sees only the client's half. serve/verify took two retransmissions for proof that the server had ended; a claim about the address needed no evidence but time.

Change: packets of an open flow go to the address where it was opened, whatever the list says; the server, or its successor there, resets flows that it doesn't hold. If a server of another service is said to be at that address, they are dropped, as before, for as long as the claim stands, and the flow goes on when it is withdrawn.

--- a/internal/entry/core/answers.go
+++ b/internal/entry/core/answers.go
@@ -14,7 +14,7 @@
 
 // HandleAnswer handles a datagram that a backend server sent to Options.Answers.
 func (c *Core) HandleAnswer(now clock.Millis, data []byte) {
-	c.advance(now)
+	c.now = now
 	a, err := envel.DecodeAnswer(data)
 	if err != nil {
 		c.counters.Add(count.Malformed, 1)
--- a/internal/entry/core/core.go
+++ b/internal/entry/core/core.go
@@ -129,8 +129,6 @@
 	rand      *rand.Rand
 	now       clock.Millis
 	startedAt clock.Millis
-	// resumedAt is when the latest stall of this host ended.
-	resumedAt clock.Millis
 
 	group       *member.Group
 	owners      *homes.Table
@@ -173,7 +171,6 @@
 	interner   *table.Interner
 	flows      *table.Table
 	originIDs  map[netip.AddrPort]table.NameID
-	silences   map[serverAt]*silence
 	replicator *batch.Replicator
 
 	ledger       *ledger.Ledger
@@ -208,8 +205,7 @@
 		servers: roster.New(opts.Name, now), services: map[string]*service{},
 		leaseHolder: lease.NewHolder(opts.Name, opts.Boot, r), leaseKeeper: lease.NewKeeper(),
 		interner: table.NewInterner(), flows: table.New(), originIDs: map[netip.AddrPort]table.NameID{},
-		silences: map[serverAt]*silence{},
-		ledger:   ledger.New(opts.MaxRequests), refusedTries: ledger.NewRefusedTries(clock.Minute, opts.MaxRequests),
+		ledger: ledger.New(opts.MaxRequests), refusedTries: ledger.NewRefusedTries(clock.Minute, opts.MaxRequests),
 		pendingAttempts: map[uint64]*ledger.Entry{}, releases: chain.New(opts.Centre, opts.Keys),
 		serviceChangedAt: map[spec.Address]clock.Millis{},
 	}
@@ -223,7 +219,7 @@
 
 // Tick runs the periodic work. Call it about every 20 ms.
 func (c *Core) Tick(now clock.Millis) {
-	c.advance(now)
+	c.now = now
 	c.group.Tick(now)
 	if c.group.TakeDeposed() {
 		c.resetAndRejoin()
@@ -330,7 +326,7 @@
 // Leave starts a graceful shutdown: the host gives up its buckets and hands
 // over its flows.
 func (c *Core) Leave(now clock.Millis) {
-	c.advance(now)
+	c.now = now
 	c.leaving = true
 	c.serving = false
 	c.group.Enter(member.Leaving)
@@ -383,7 +379,7 @@
 
 // HandleAnnouncement handles the announcement of a backend server.
 func (c *Core) HandleAnnouncement(now clock.Millis, a *roster.Announcement) {
-	c.advance(now)
+	c.now = now
 	c.servers.Announce(now, a)
 	c.refreshView()
 }
--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -1,153 +1,85 @@
 package core
 
 import (
-	"maps"
+	"math"
 
-	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/entry/count"
+	"monsooncleat.example/monsooncleat/internal/entry/loss"
 	"monsooncleat.example/monsooncleat/internal/flow/table"
 	"monsooncleat.example/monsooncleat/internal/serve/roster"
-	"monsooncleat.example/monsooncleat/internal/serve/verify"
 	"monsooncleat.example/monsooncleat/internal/wire/inner"
 )
 
-// stallTime is the time without an event, of which there is one at each tick, that counts
-// as a stall of this host. Packets that arrived during a stall are read all at once.
-const stallTime = 150 * clock.Millis(1)
+// A host sees what clients send, and not what servers answer. What it hears of a server can be
+// late, out of order or from another writer. So the packets of an open flow go to the address
+// where it was opened, whatever the list of servers says: the server, or its successor at the
+// address, resets the flows that it doesn't hold.
 
-// advance sets the time of the present event.
-func (c *Core) advance(now clock.Millis) {
-	if now-c.now >= stallTime {
-		c.resumedAt = now
+// crosses reports whether the address of a flow is said to belong to a server of another
+// service, which may not get the flow's packets.
+func (c *Core) crosses(r *table.Record) bool {
+	if c.opts.Disabled.ServiceCheck || r.Address == 0 {
+		return false
 	}
-	c.now = now
-}
-
-// disposition is what happens to a packet of a known flow.
-type disposition uint8
-
-const (
-	// forwarded packets go to the address where the flow was opened, if that is known.
-	forwarded disposition = iota
-	// dropped packets would reach a server of another service.
-	dropped
-	// ended flows are reset, because their server has ended.
-	ended
-)
-
-// progress is what a packet of a client tells about the server of its flow.
-type progress struct {
-	// repeated is set for a packet that the server has to answer, and that the client sent
-	// before. answered is set if the server has answered since the last packet.
-	repeated, answered bool
-	// previousAt is when the packet before it arrived.
-	previousAt clock.Millis
-}
-
-// serverAt identifies a server at an address.
-type serverAt struct{ server, address table.NameID }
-
-// silence is the evidence that a server doesn't answer, since it is said to have ended.
-type silence struct {
-	verify.Silence
-	since clock.Millis
-}
-
-// claim is what the list of servers says about the server of a flow.
-type claim struct {
-	// since is when the server is said to have ended, or zero if it isn't.
-	since clock.Millis
-	// settlesAt is the earliest time at which the flow may be reset. Announcements that
-	// are missing may only be late.
-	settlesAt clock.Millis
-	// crosses is set if the address belongs to a server of another service.
-	crosses bool
-}
-
-// claimOf returns what the list of servers says about a server that had an address when a
-// flow of service opened there. Srv is the record of its name, or nil.
-func (c *Core) claimOf(srv *roster.Server, service, address string) claim {
-	var cl claim
+	srv := c.servers.Find(c.interner.Name(r.Server))
+	service, address := c.interner.Name(r.Service), c.interner.Name(r.Address)
 	if srv != nil {
 		info := srv.Info()
-		missingSince := srv.MissingSince()
 		switch {
 		case info.Service != service && info.Address == address:
-			return claim{since: srv.MovedAt(), settlesAt: srv.MovedAt() + roster.ResetAfter, crosses: true}
-		case info.Service != service || info.Address != address:
-			cl = claim{since: srv.MovedAt(), settlesAt: srv.MovedAt()}
-		case missingSince > 0:
-			cl = claim{since: missingSince, settlesAt: missingSince + roster.ResetAfter}
-		case !c.servers.Shared(address):
-			return cl
+			return true
+		case info.Service == service && info.Address == address && !srv.Missing():
+			return c.isReplaced(srv)
 		}
 	}
-	other := c.servers.Occupant(address, service)
-	if other == nil {
-		return cl
-	}
-	if cl.since == 0 && srv != nil {
-		// A server that came later has replaced this one, whose announcements then stop,
-		// or has announced a wrong address.
-		cl.crosses = other.MovedAt() > srv.MovedAt() && c.now-other.MovedAt() < roster.KeeperTimeout
-		return cl
-	}
-	cl.since = max(cl.since, other.MovedAt())
-	cl.settlesAt, cl.crosses = cl.since+roster.ResetAfter, true
-	return cl
+	return c.servers.Occupant(address, service) != nil
 }
 
-// dispositionOf decides on a packet of a flow. The flow ends only if its server is said to have
-// ended and leaves retransmissions unanswered. A server whose address has another owner can't
-// be asked, nor can one that clients reach by UDP; the claim then has to last for
-// roster.ResetAfter.
-func (c *Core) dispositionOf(r *table.Record, seen progress) disposition {
-	if r.Address == 0 {
-		return forwarded
+// isReplaced reports whether a server of another service has come to the address of srv, which
+// still counts as running. Its announcements stop soon, or else the other one has announced a
+// wrong address.
+func (c *Core) isReplaced(srv *roster.Server) bool {
+	info := srv.Info()
+	if !c.servers.Shared(info.Address) {
+		return false
 	}
-	srv := c.servers.Find(c.interner.Name(r.Server))
-	service, address := c.interner.Name(r.Service), c.interner.Name(r.Address)
-	cl := c.claimOf(srv, service, address)
-	if c.opts.Disabled.ServiceCheck {
-		cl.crosses = false
-	}
-	asked := serverAt{r.Server, r.Address}
-	switch {
-	case cl.crosses && cl.since > 0 && c.now >= cl.settlesAt:
-		return ended
-	case cl.crosses:
-		return dropped
-	case cl.since == 0:
-		if len(c.silences) > 0 {
-			delete(c.silences, asked)
-		}
-		return forwarded
-	case r.Key.Proto() == inner.UDP:
-		if c.now-cl.since >= roster.ResetAfter {
-			return ended
-		}
-		return forwarded
-	}
-	s := c.silences[asked]
-	if s == nil || s.since != cl.since {
-		s = &silence{since: cl.since}
-		c.silences[asked] = s
-	}
-	if seen.answered {
-		s.Restart(c.now)
-	}
-	confirmed := s.Conclusive(c.now)
-	if seen.repeated && seen.previousAt >= max(cl.since, c.resumedAt) && s.Unanswered(c.now, seen.previousAt) {
-		confirmed = true
+	other := c.servers.Occupant(info.Address, info.Service)
+	return other != nil && other.MovedAt() > srv.MovedAt() && c.now-other.MovedAt() < roster.KeeperTimeout
+}
+
+// countRetransmit counts a packet as a retransmission.
+func (c *Core) countRetransmit(r *table.Record) {
+	if r.Retransmits == 0 {
+		r.StalledSince = c.now
 	}
-	if confirmed && c.now >= cl.settlesAt {
-		return ended
+	r.Retransmits = min(r.Retransmits, math.MaxUint8-1) + 1
+}
+
+// countDrops counts the packets of a flow by UDP that were dropped in a row. Their contents
+// don't tell whether the client repeats them.
+func (c *Core) countDrops(r *table.Record, dropped bool) {
+	if !dropped {
+		r.Retransmits = 0
+		return
 	}
-	return forwarded
+	c.countRetransmit(r)
 }
 
-// forgetSilences removes the evidence about servers that are no longer in the list.
-func (c *Core) forgetSilences() {
-	maps.DeleteFunc(c.silences, func(p serverAt, _ *silence) bool { return c.servers.Find(c.interner.Name(p.server)) == nil })
+// isStalled reports whether the client of a flow has got no further for so long that a reset
+// serves it better.
+func (c *Core) isStalled(r *table.Record) bool {
+	return r.Retransmits >= maxRetransmits && c.now-r.StalledSince >= minStallTime && !c.opts.Disabled.IdleProbes
+}
+
+// resetStalled ends a flow that is stalled, of which p is the latest packet.
+func (c *Core) resetStalled(r *table.Record, p *inner.Packet, in *arrival) {
+	if p.Key.Proto() == inner.TCP {
+		c.resetBothEnds(r, loss.NoProgress)
+		return
+	}
+	c.counters.Add(count.FlowsSilent, 1)
+	c.refuse(p, in, r.Server, loss.NoProgress)
+	c.removeFlow(r)
 }
 
 // addressOf returns the ID of the address of a server of service, or zero if that is not known.
@@ -158,6 +90,3 @@
 	}
 	return c.interner.ID(srv.Info().Address)
 }
-
-// seqAfter reports whether sequence number a is after b.
-func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -61,7 +61,8 @@
 	} else {
 		c.promoteReplica(r)
 	}
-	c.forward(r, p, in, c.updateRecord(r, p, in))
+	c.updateRecord(r, p, in)
+	c.forward(r, p, in)
 }
 
 // promoteReplica makes this host the owner of a flow of which it held a replica.
@@ -150,7 +151,8 @@
 		s.load.Serve()
 		c.counters.Add(count.FlowsOpened, 1)
 	}
-	c.forward(r, p, in, c.updateRecord(r, p, in))
+	c.updateRecord(r, p, in)
+	c.forward(r, p, in)
 }
 
 // forwardWithoutRecord forwards a packet of an open flow for which the table has no room.
@@ -184,7 +186,8 @@
 	r := c.addFlow(s, p, hash, server)
 	r.Flags |= table.Adopted
 	c.demoteToReplica(r)
-	c.forward(r, p, in, c.updateRecord(r, p, in))
+	c.updateRecord(r, p, in)
+	c.forward(r, p, in)
 	return true
 }
 
@@ -326,14 +329,13 @@
 }
 
 // updateRecord updates a flow record from a packet of the client.
-func (c *Core) updateRecord(r *table.Record, p *inner.Packet, in *arrival) progress {
-	seen := progress{previousAt: r.LastSeen}
+func (c *Core) updateRecord(r *table.Record, p *inner.Packet, in *arrival) {
 	r.LastSeen = c.now
 	r.Probes = 0
 	r.Origin = c.originID(in.origin)
 	if p.Key.Proto() != inner.TCP {
 		r.State = table.Open
-		return seen
+		return
 	}
 	nextSeq := p.Seq + uint32(len(p.Payload))
 	switch {
@@ -344,27 +346,18 @@
 		nextSeq++
 	case r.State == table.Opening:
 		r.State = table.Open
-		seen.answered = true
 	}
 	// Pure acknowledgements, and keepalive probes, which carry at most one byte,
 	// do not count as retransmissions.
 	carriesData := len(p.Payload) > 1
 	same := nextSeq == r.Seq && p.Ack == r.Ack
-	seen.repeated = same && (carriesData || p.Flags&(inner.SYN|inner.FIN) != 0)
-	if known := r.Seq != 0 || r.Ack != 0; known && p.Flags&inner.SYN == 0 {
-		// Clients send new data once the server has acknowledged what they repeated.
-		seen.answered = seen.answered || seqAfter(p.Ack, r.Ack) || r.Retransmits > 0 && seqAfter(nextSeq, r.Seq)
-	}
-	if same && carriesData {
-		if r.Retransmits == 0 {
-			r.StalledSince = c.now
-		}
-		r.Retransmits = min(r.Retransmits, math.MaxUint8-1) + 1
-	} else if !same {
+	switch {
+	case same && carriesData:
+		c.countRetransmit(r)
+	case !same:
 		r.Retransmits = 0
 	}
 	r.Seq, r.Ack = nextSeq, p.Ack
-	return seen
 }
 
 // originID returns the ID of a fabric endpoint.
@@ -377,30 +370,26 @@
 	return id
 }
 
-// forward sends p to the address where its flow was opened. It resets the flow if its
-// server has ended, or after maxRetransmits retransmissions in a row over minStallTime.
-func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival, seen progress) {
+// forward sends p to the address where its flow was opened, or drops it if a server of another
+// service is said to be there. It resets the flow after maxRetransmits retransmissions in a row
+// over minStallTime; of a flow by UDP, the packets that were dropped in a row count.
+func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival) {
 	if r.Address == 0 {
 		r.Address = c.addressOf(r.Server, r.Service)
 	}
-	switch c.dispositionOf(r, seen) {
-	case ended:
-		c.counters.Add(count.FlowsServerGone, 1)
-		server := r.Server
-		c.removeFlow(r)
-		c.refuse(p, in, server, loss.ServerEnded)
-		return
-	case dropped:
-		c.counters.Add(count.CrossedPrevented, 1)
-		r.Retransmits = 0
-		return
+	crosses := c.crosses(r)
+	if p.Key.Proto() == inner.UDP {
+		c.countDrops(r, crosses)
 	}
-	if r.Retransmits >= maxRetransmits && c.now-r.StalledSince >= minStallTime && !c.opts.Disabled.IdleProbes {
-		c.resetBothEnds(r, loss.NoProgress)
-		return
+	switch {
+	case c.isStalled(r):
+		c.resetStalled(r, p, in)
+	case crosses:
+		c.counters.Add(count.CrossedPrevented, 1)
+	default:
+		c.counters.Add(count.PacketsForwarded, 1)
+		c.send(c.parseAddr(c.interner.Name(r.Address)), p.Raw, nil)
 	}
-	c.counters.Add(count.PacketsForwarded, 1)
-	c.send(c.parseAddr(c.interner.Name(r.Address)), p.Raw, nil)
 }
 
 // parseAddr returns the parsed form of address, which it caches, or an invalid
--- a/internal/entry/core/packet.go
+++ b/internal/entry/core/packet.go
@@ -39,7 +39,7 @@
 
 // HandleDatagram handles a datagram from the fabric or from another entry host.
 func (c *Core) HandleDatagram(now clock.Millis, from netip.AddrPort, data []byte) {
-	c.advance(now)
+	c.now = now
 	d := &c.datagram
 	if c.decoder.Decode(data, d) != nil || c.parser.Parse(d.Inner, &c.packet) != nil {
 		c.counters.Add(count.Malformed, 1)
--- a/internal/entry/core/peers.go
+++ b/internal/entry/core/peers.go
@@ -86,7 +86,7 @@
 
 // HandleFrame handles a frame from another entry host or from a control host.
 func (c *Core) HandleFrame(now clock.Millis, body []byte) {
-	c.advance(now)
+	c.now = now
 	if c.group.HandleFrame(now, body) {
 		c.refreshView()
 		return
--- a/internal/entry/core/sweep.go
+++ b/internal/entry/core/sweep.go
@@ -232,10 +232,9 @@
 	c.noteReset(&r.Key, r.Server, reason)
 	client, serviceAddr := r.Key.Src(), r.Key.Dst()
 	c.sendToClient(r, inner.BuildTCP(serviceAddr, client, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Ack, Ack: r.Seq}))
-	srv, address := c.servers.Find(c.interner.Name(r.Server)), c.interner.Name(r.Address)
-	if !c.claimOf(srv, c.interner.Name(r.Service), address).crosses {
+	if !c.crosses(r) {
 		reset := inner.BuildTCP(client, serviceAddr, inner.Segment{Flags: inner.RST | inner.ACK, Seq: r.Seq, Ack: r.Ack})
-		c.send(c.parseAddr(address), reset, nil)
+		c.send(c.parseAddr(c.interner.Name(r.Address)), reset, nil)
 	}
 	c.removeFlow(r)
 }
--- a/internal/entry/core/view.go
+++ b/internal/entry/core/view.go
@@ -144,7 +144,6 @@
 		c.sendFrame(host, codec.LeaseTransfer, transfers[host])
 	}
 	c.setLeaseLimits()
-	c.forgetSilences()
 	c.restartSweep()
 }
 
--- a/internal/entry/count/count.go
+++ b/internal/entry/count/count.go
@@ -33,8 +33,6 @@
 	// FlowsRefused counts flows refused for lack of a server, or because
 	// the limit of flows was reached.
 	FlowsRefused
-	// FlowsServerGone counts flows reset because their server has ended.
-	FlowsServerGone
 	// FlowsCopied counts flows replicated to another host.
 	FlowsCopied
 	FlowsProbed
@@ -93,7 +91,7 @@
 var counterNames = [CounterCount]string{
 	"packetsIn", "packetsRelayedIn", "packetsRelayedOut", "packetsForwarded", "malformed", "notReady",
 	"noService", "tooManyHops", "unroutable", "crossedPrevented", "flowsOpened", "flowsAdopted", "flowsAsked",
-	"flowsUnknown", "flowsRefused", "flowsServerGone", "flowsCopied", "flowsProbed", "flowsSilent",
+	"flowsUnknown", "flowsRefused", "flowsCopied", "flowsProbed", "flowsSilent",
 	"requestsTaken", "requestsJoined", "requestsAsked", "requestsNoted", "requestsNoteRefused",
 	"requestsUncertain", "requestsFenced", "requestsClashed", "requestsSent", "requestsAnswered", "requestsRefused",
 	"requestsUnknown", "requestsDropped", "answersLate", "attemptsSilent", "serverSheds", "retries", "cancels",
--- a/internal/entry/daemon/admin.go
+++ b/internal/entry/daemon/admin.go
@@ -43,7 +43,7 @@
 func (s *stats) brokenFlowCounters() []any {
 	var out []any
 	for _, c := range []count.Counter{
-		count.FlowsAdopted, count.FlowsUnknown, count.FlowsRefused, count.FlowsServerGone, count.FlowsSilent, count.CrossedPrevented,
+		count.FlowsAdopted, count.FlowsUnknown, count.FlowsRefused, count.FlowsSilent, count.CrossedPrevented,
 	} {
 		out = append(out, c.String(), s.values[c].Load())
 	}
--- a/internal/entry/loss/loss.go
+++ b/internal/entry/loss/loss.go
@@ -15,11 +15,8 @@
 	NoServer
 	// UnknownFlow means that a packet in the middle of a flow belongs to no known flow.
 	UnknownFlow
-	// ServerEnded means that the server of the flow is said to have ended and doesn't
-	// answer, or that its address belongs to another service.
-	ServerEnded
-	// NoProgress means that the client kept retransmitting a segment that reached its
-	// server.
+	// NoProgress means that the client kept retransmitting a segment, or that all packets
+	// of a flow by UDP were dropped, for a long time.
 	NoProgress
 	// ClientSilent means that the client answered no probe.
 	ClientSilent
@@ -27,7 +24,7 @@
 
 // String returns the reason in camel case, as logs show it.
 func (r ResetReason) String() string {
-	return [...]string{"none", "noRoute", "noServer", "unknownFlow", "serverEnded", "noProgress", "clientSilent"}[r]
+	return [...]string{"none", "noRoute", "noServer", "unknownFlow", "noProgress", "clientSilent"}[r]
 }
 
 // Reset describes a flow that was reset, or whose packet was refused.
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -27,9 +27,6 @@
 	// KeeperTimeout is how long a server may be without a live keeper before it
 	// gets no new work.
 	KeeperTimeout = 6 * clock.Second
-	// ResetAfter is how long a server has to be gone or orphaned before its flows
-	// may be reset.
-	ResetAfter = 10 * clock.Second
 	// goneRetention is how long a server that is gone stays in the list.
 	goneRetention = 30 * clock.Minute
 	// SlowStartWindow is how long the load of a new server is limited.
@@ -127,14 +124,9 @@
 // get new work.
 func (s *Server) Usable() bool { return s.info.State == Up && s.orphanedAt == 0 }
 
-// MissingSince returns since when the server has been gone, or without a live keeper, or
-// zero. It may serve its flows all the same.
-func (s *Server) MissingSince() clock.Millis {
-	if s.info.State == Gone {
-		return s.changedAt
-	}
-	return s.orphanedAt
-}
+// Missing reports whether the server is gone, or has no live keeper. It may serve its flows all
+// the same.
+func (s *Server) Missing() bool { return s.info.State == Gone || s.orphanedAt != 0 }
 
 // MovedAt returns when the server got its present service and address, as far as known here.
 func (s *Server) MovedAt() clock.Millis { return s.movedAt }
