entry/core: refuse openings for an address of another service at once

Callers whose opening was placed on a server at whose address another service is said to be got no answer: their packets were dropped, and the opening was reset only once the claim had lasted for 10 s, and not at all since claims end no flow.

Cause: the choice of a server didn't look at the claim that the forwarding looks at.

Change: such a server is not chosen for an opening. Another one takes it, or it is refused with noServer at once; no server has got a packet of it. Copies of openings that the owner before has placed, and open flows, are dropped as before for as long as the claim stands.

--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -17,12 +17,16 @@
 
 // crosses reports whether the address of a flow is said to belong to a server of another
 // service, which may not get the flow's packets.
-func (c *Core) crosses(r *table.Record) bool {
-	if c.opts.Disabled.ServiceCheck || r.Address == 0 {
+func (c *Core) crosses(r *table.Record) bool { return c.isTaken(r.Address, r.Server, r.Service) }
+
+// isTaken reports whether the address that a server has, or had, in a service is said to belong
+// to a server of another service.
+func (c *Core) isTaken(addressID, server, serviceID table.NameID) bool {
+	if c.opts.Disabled.ServiceCheck || addressID == 0 {
 		return false
 	}
-	srv := c.servers.Find(c.interner.Name(r.Server))
-	service, address := c.interner.Name(r.Service), c.interner.Name(r.Address)
+	srv := c.servers.Find(c.interner.Name(server))
+	service, address := c.interner.Name(serviceID), c.interner.Name(addressID)
 	if srv != nil {
 		info := srv.Info()
 		switch {
--- a/internal/entry/core/ends_test.go
+++ b/internal/entry/core/ends_test.go
@@ -240,3 +240,19 @@
 		host.ClearOutput()
 	}
 }
+
+// TestOpeningForAnAddressOfAnotherServiceIsRefused guards against a client that sends openings
+// until it gives up, none of which may reach the only server of its service.
+func TestOpeningForAnAddressOfAnotherServiceIsRefused(t *testing.T) {
+	for _, sinceClaim := range []clock.Millis{100, 4 * clock.Second, 40 * clock.Second} {
+		host := newSingleHost(t, 1, 1)
+		atServer, _ := play(host, announcement("other", "service1", serverAddr, 2), false, claimedAt+sinceClaim, func(clock.Millis) { host.ClearOutput() })
+		host.ClearOutput()
+		host.HandleDatagram(claimedAt+sinceClaim+1, fabricAddr, syn(1))
+		resets := host.PendingOutput().Losses.Resets()
+		qt.Assert(t, resets, qt.HasLen, 1, qt.Commentf("%d ms after the claim", sinceClaim))
+		qt.Check(t, resets[0].Reason, qt.Equals, loss.NoServer)
+		qt.Check(t, atServer, qt.Equals, 0)
+		qt.Check(t, host.Flows(), qt.Equals, 1)
+	}
+}
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -277,8 +277,9 @@
 // acceptsFlow reports whether this host may assign one more flow to the server
 // at index i.
 func (c *Core) acceptsFlow(s *service, i int) bool {
-	count := s.flowsByServer[s.places.Current().ID(i)]
-	if float64(count) >= c.connectionQuota(s, i) {
+	server := s.places.Current().ID(i)
+	count := s.flowsByServer[server]
+	if float64(count) >= c.connectionQuota(s, i) || c.isTaken(c.addressOf(server, s.id), server, s.id) {
 		return false
 	}
 	if c.opts.Disabled.LoadBound {
@@ -313,12 +314,12 @@
 func (c *Core) ownedFraction() float64 { return c.owners.Share(c.opts.Name) }
 
 // leastLoaded returns the server with the fewest flows relative to its weight
-// among those below their connection quota, or zero.
+// among those below their connection quota whose address is their own, or zero.
 func (c *Core) leastLoaded(s *service) table.NameID {
 	best, lowest := table.NameID(0), math.Inf(1)
 	for i, id := range s.places.Current().IDs() {
 		count := float64(s.flowsByServer[id])
-		if count >= c.connectionQuota(s, i) {
+		if count >= c.connectionQuota(s, i) || c.isTaken(c.addressOf(id, s.id), id, s.id) {
 			continue
 		}
 		if load := (count + 1) / (s.places.Current().Share(i) * c.slowStartFactor(s, i)); load < lowest {
