--- a/internal/token/core/claim.go
+++ b/internal/token/core/claim.go
@@ -75,14 +75,14 @@
 	return nil
 }
 
-// occupy records that s announces itself at its address.
+// occupy records that the latest record of the ID of s names its address.
 func (c *Core) occupy(s *server) {
 	if at := c.occupants[s.record.Address]; !slices.Contains(at, s) {
 		c.occupants[s.record.Address] = append(at, s)
 	}
 }
 
-// vacate records that s doesn't announce itself at its address any more.
+// vacate undoes occupy: s was replaced or forgotten.
 func (c *Core) vacate(s *server) {
 	at := slices.DeleteFunc(c.occupants[s.record.Address], func(o *server) bool { return o == s })
 	if len(at) == 0 {
@@ -92,10 +92,10 @@
 	}
 }
 
-// mayAsk reports whether a packet of a flow may go to the successor of its server s, too: a
-// request that s hasn't answered, one packet of those that are repeated at one moment. S must be
-// known to hold the flow, since the token of one that came from another host may be that of a
-// server that answered another copy of its opening. F may have been created for the packet.
+// mayAsk reports whether a packet of the flow may go to the successor of s, too. It must repeat
+// a request that s hasn't answered, one packet at a time. S must be known to hold the flow: a
+// flow that came from another host may have come with the token of a server that answered
+// another copy of its opening.
 func (f *flow) mayAsk(now clock.Millis, s *server, p *Packet) bool {
 	return f.confirmed && f.server == s && f.repeats(p) && now-f.askedAt >= choose.MinAnswerTime
 }
