dir/share: offer no server that is long silent after a loss of the quorum

A return told the host nothing new of a host that had been lost before, nor of servers that fell silent before it lost contact. The time for which the announcements of a host have been missing is summed up over returns now, until it replies, and only servers that became silent since contact was last complete count as running.

TestServerLongSilentStaysSoBesideALostControlHost, TestElectionsPutOffNoSilence and TestOneElectionOffersNoServerThatIsLongSilent failed before.

--- a/internal/dir/share/contact.go
+++ b/internal/dir/share/contact.go
@@ -20,8 +20,13 @@
 	// timeout is the time without an exchange with a control host after which its
 	// announcements count as missing.
 	timeout clock.Millis
-	// currentSince is since when the host has been in contact with a quorum, or 0.
-	currentSince clock.Millis
+	// currentSince is since when the host has been in contact with a quorum, or 0. CompleteAt is
+	// when it last was, with no announcements missing.
+	currentSince, completeAt clock.Millis
+	// awaited holds for how long, in contact with a quorum, the announcements of each control
+	// host that doesn't reply have been missing. ObservedAt is the time of the latest Observe.
+	awaited    map[raft.ID]clock.Millis
+	observedAt clock.Millis
 	// lastNumber is that of the latest request, and sent holds the times of the latest ones,
 	// in order.
 	lastNumber uint64
@@ -31,7 +36,7 @@
 // newContact returns the contact of a host that was just started. A server misses three
 // announcements before it is silent, so those of one interval may be missing.
 func newContact(silentAfter clock.Millis, runID uint64) contact {
-	return contact{timeout: max(silentAfter/3, minContact), lastNumber: runID << 32}
+	return contact{timeout: max(silentAfter/3, minContact), lastNumber: runID << 32, awaited: map[raft.ID]clock.Millis{}}
 }
 
 // asked records the requests to all other control hosts, and returns their number.
@@ -73,16 +78,26 @@
 		c.currentSince = 0
 	}
 	if current {
-		missing = l.missing(now, func(id raft.ID) bool { return now-c.currentSince >= lostAfter && lost(id) })
+		elapsed := now - max(c.observedAt, c.currentSince)
+		missing = l.missing(now, func(id raft.ID) bool {
+			c.awaited[id] += elapsed
+			return c.awaited[id] >= lostAfter && lost(id)
+		})
 	}
+	c.observedAt = now
 	before := l.fleet.SilenceDeferred()
 	switch deferred := len(missing) > 0; {
-	case deferred && (returns || !before):
-		l.fleet.DeferSilence(returns)
+	case deferred && returns:
+		l.fleet.DeferSilence(c.completeAt)
+	case deferred && !before:
+		l.fleet.DeferSilence(now)
 	case !deferred && before:
 		l.fleet.DecideSilence()
 		l.nextExpireAt = min(l.nextExpireAt, now)
 	}
+	if current && len(missing) == 0 {
+		c.completeAt = now
+	}
 	return missing, l.fleet.SilenceDeferred() != before
 }
 
@@ -97,7 +112,10 @@
 			continue
 		}
 		at := l.cursorOf(id)
-		if (!at.answered || now-at.knownAt > l.contact.timeout) && !lost(id) {
+		switch {
+		case at.answered && now-at.knownAt <= l.contact.timeout:
+			delete(l.contact.awaited, id)
+		case !lost(id):
 			out = append(out, id)
 		}
 	}
--- a/internal/serve/fleet/silence.go
+++ b/internal/serve/fleet/silence.go
@@ -3,15 +3,12 @@
 import "monsooncleat.example/monsooncleat/internal/base/clock"
 
 // DeferSilence has no more servers become silent until DecideSilence, as they may announce
-// themselves to a host that this one gets no news from. If retract is set, the servers that are
-// silent count as announcing themselves until then, too.
-func (f *Fleet) DeferSilence(retract bool) {
+// themselves to a host that this one gets no news from. Those that have become silent after a
+// time count as announcing themselves until then, too.
+func (f *Fleet) DeferSilence(after clock.Millis) {
 	f.deferred = true
-	if !retract {
-		return
-	}
 	for _, s := range f.servers {
-		if s.Silent() {
+		if s.silentSince > after {
 			s.retracted, s.silentSince = s.silentSince, 0
 			f.touch(s, true)
 		}
