serve/fleet: save a server that announces itself again as running

A server was silent after a restart of a control host although it had announced itself for 20 s: its announcement came while its silence was retracted, changed nothing that is saved, and the list with the old state stayed on disk. Such an announcement is a change now. TestRefreshedServerIsNotSavedAsSilent failed before.

--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -230,7 +230,7 @@
 		return Stale
 	}
 	outcome := Refreshed
-	if !r.equivalent(&s.Record) || s.Silent() {
+	if !r.equivalent(&s.Record) || s.Unheard() {
 		outcome = Changed
 	}
 	before, beforeAt, ended, contested := s.Record, s.announcedAt, s.Ended(), s.Contested()
