entry/core: send no packet of a flow without a record to another service

With a full table, a packet of an open flow without a record went to the address of its server also if a server of another service is said to have it. It is dropped and counted like those of recorded flows.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -158,6 +158,10 @@
 // forwardWithoutRecord forwards a packet of an open flow for which the table has no room.
 func (c *Core) forwardWithoutRecord(s *service, p *inner.Packet, server table.NameID) {
 	if srv := c.servers.Find(c.interner.Name(server)); srv != nil && srv.Info().Service == s.spec.Name() {
+		if c.isTaken(c.addressOf(server, s.id), server, s.id) {
+			c.counters.Add(count.CrossedPrevented, 1)
+			return
+		}
 		c.counters.Add(count.PacketsForwarded, 1)
 		c.send(c.parseAddr(srv.Info().Address), p.Raw, nil)
 	}
