entry/core: tell a client whose opening nobody answers

A client that repeated its opening to a server that had ended got neither a reset nor another server, as only segments with data counted for noProgress: a minute after the first repetition, it is told now.

--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -357,7 +357,7 @@
 	carriesData := len(p.Payload) > 1
 	same := nextSeq == r.Seq && p.Ack == r.Ack
 	switch {
-	case same && carriesData:
+	case same && (carriesData || p.Flags&inner.SYN != 0):
 		c.countRetransmit(r)
 	case !same:
 		r.Retransmits = 0
