entry/core: end flows of clients that only receive, if all their packets are dropped

A client that only receives kept its flow for ever while another service is said to have the address of its server: its answers to the host's probes were dropped, and counted as signs of life. Packets without data that are dropped count for noProgress now, six in a row over a minute; one that is forwarded ends the count. TestClientThatOnlyListensLearnsOfAnotherServiceAtTheAddress failed before.

--- a/internal/entry/core/ends.go
+++ b/internal/entry/core/ends.go
@@ -59,8 +59,9 @@
 	r.Retransmits = min(r.Retransmits, math.MaxUint8-1) + 1
 }
 
-// countDrops counts the packets of a flow by UDP that were dropped in a row. Their contents
-// don't tell whether the client repeats them.
+// countDrops counts the packets of a flow that were dropped in a row, if their contents don't
+// tell whether the client repeats them: those by UDP, and those by TCP without data, which are
+// all that a client sends that only receives.
 func (c *Core) countDrops(r *table.Record, dropped bool) {
 	if !dropped {
 		r.Retransmits = 0
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -383,7 +383,7 @@
 		r.Address = c.addressOf(r.Server, r.Service)
 	}
 	crosses := c.crosses(r)
-	if p.Key.Proto() == inner.UDP {
+	if p.Key.Proto() == inner.UDP || !p.Opens() && len(p.Payload) <= 1 {
 		c.countDrops(r, crosses)
 	}
 	switch {
