--- a/internal/dir/share/contact.go
+++ b/internal/dir/share/contact.go
@@ -60,14 +60,15 @@
 	return c.sent[len(c.sent)-1-int(back)], true
 }
 
-// Observe tells whether this host is in contact with a quorum, and which control hosts no host
+// Observe takes whether this host is in contact with a quorum, and which control hosts no host
 // has heard from for lostAfter. It returns the control hosts whose announcements are missing, and
 // whether no server becomes silent for their sake from now on, or any may again.
 //
 // What a host in contact with a quorum reports as silent takes no new flows, so it reports no
 // server that another control host may have heard of: one that it has no news from and that isn't
-// lost. It learns which are lost within lostAfter of its return. A host without a quorum reports
-// what it hears on its side of a partition.
+// lost. A host is lost once its announcements have been missing for lostAfter, returns included.
+// At a return, servers that became silent since contact was last complete count as running. A host
+// without a quorum reports what it hears on its side of a partition.
 func (l *List) Observe(now clock.Millis, current bool, lost func(id raft.ID) bool, lostAfter clock.Millis) (missing []raft.ID, changed bool) {
 	c := &l.contact
 	returns := current && c.currentSince == 0
--- a/internal/entry/core/flows.go
+++ b/internal/entry/core/flows.go
@@ -377,7 +377,8 @@
 
 // forward sends p to the address where its flow was opened, or drops it if a server of another
 // service is said to be there. It resets the flow after maxRetransmits retransmissions in a row
-// over minStallTime; of a flow by UDP, the packets that were dropped in a row count.
+// over minStallTime. Packets that were dropped in a row count as well, if they don't tell whether
+// the client repeats them.
 func (c *Core) forward(r *table.Record, p *inner.Packet, in *arrival) {
 	if r.Address == 0 {
 		r.Address = c.addressOf(r.Server, r.Service)
