--- a/review/stage/deploy.go
+++ b/review/stage/deploy.go
@@ -239,6 +239,9 @@
 	return nil
 }
 
+// Wait waits for the end of the process.
+func (p *Process) Wait() { <-p.done }
+
 // Alive reports whether the process runs.
 func (p *Process) Alive() bool {
 	select {
