--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -27,11 +27,19 @@
 	src    netip.AddrPort
 	dst    netip.AddrPort
 	isn    uint32
-	in     chan *Packet
+	in     chan received
 	// seq and ack are the next numbers of either direction, echo the last one received.
 	seq, ack, echo uint32
 	// Server is the ID of the server that answered last.
 	Server string
+	// ResetFrom is the address that the reset came from that ended the flow.
+	ResetFrom netip.AddrPort
+}
+
+// received is a packet with the address of its sender.
+type received struct {
+	*Packet
+	from netip.AddrPort
 }
 
 // Outcome is the outcome of an attempt.
@@ -73,7 +81,7 @@
 	defer c.stage.wg.Done()
 	buffer := make([]byte, 2048)
 	for {
-		n, _, err := c.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := c.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -89,7 +97,7 @@
 			continue
 		}
 		select {
-		case f.in <- p:
+		case f.in <- received{p, from}:
 		default:
 		}
 	}
@@ -114,19 +122,19 @@
 func (c *Client) Open(route netip.AddrPort) (*Flow, Outcome) {
 	c.mu.Lock()
 	c.port++
-	f := &Flow{client: c, src: netip.AddrPortFrom(c.ip, c.port), dst: route, isn: rand.Uint32(), in: make(chan *Packet, 64)}
+	f := &Flow{client: c, src: netip.AddrPortFrom(c.ip, c.port), dst: route, isn: rand.Uint32(), in: make(chan received, 64)}
 	c.flows[c.port] = f
 	c.mu.Unlock()
 	start := time.Now()
 	for i, at := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond} {
 		for wait := at - time.Since(start); ; wait = at - time.Since(start) {
 			p := f.receive(wait)
-			if p == nil {
+			if p.Packet == nil {
 				break
 			}
 			if p.Has(FlagRST) {
 				f.Close()
-				return nil, resetOutcome(p)
+				return nil, resetOutcome(p.Packet)
 			}
 			if p.Has(FlagSYN) && p.Has(FlagACK) && p.Ack == f.isn+1 {
 				f.seq, f.ack, f.echo = f.isn+1, p.Seq+1, p.Echo
@@ -149,20 +157,20 @@
 }
 
 // receive returns the next packet, or nil after a time.
-func (f *Flow) receive(wait time.Duration) *Packet {
+func (f *Flow) receive(wait time.Duration) received {
 	if wait <= 0 {
 		select {
 		case p := <-f.in:
 			return p
 		default:
-			return nil
+			return received{}
 		}
 	}
 	select {
 	case p := <-f.in:
 		return p
 	case <-time.After(wait):
-		return nil
+		return received{}
 	}
 }
 
@@ -176,13 +184,14 @@
 		for again := time.Now().Add(interval); time.Now().Before(again) && time.Now().Before(end); {
 			p := f.receive(min(time.Until(again), time.Until(end)))
 			switch {
-			case p == nil:
+			case p.Packet == nil:
 			case p.Has(FlagRST):
 				if p.Sum == 0 && int32(p.Seq-acked) > 76800 || p.Sum == 0 && int32(p.Seq-acked) < -76800 {
 					continue
 				}
 				f.Close()
-				return resetOutcome(p)
+				f.ResetFrom = p.from
+				return resetOutcome(p.Packet)
 			default:
 				f.echo = p.Echo
 				if len(p.Data) > 0 && p.Seq == f.ack {
@@ -208,6 +217,18 @@
 	return value
 }
 
+// Src returns the client's end of the flow.
+func (f *Flow) Src() netip.AddrPort { return f.src }
+
+// Pause takes packets for a time. The echo of the flow is the last one received.
+func (f *Flow) Pause(wait time.Duration) {
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		if p := f.receive(time.Until(end)); p.Packet != nil && !p.Has(FlagRST) {
+			f.echo = p.Echo
+		}
+	}
+}
+
 // Finish closes the flow in an orderly way.
 func (f *Flow) Finish() {
 	f.send(FlagACK|FlagFIN, f.ack, nil)
--- a/review/stage/deploy.go
+++ b/review/stage/deploy.go
@@ -35,7 +35,8 @@
 	maxLogBytes   = 8 << 20
 )
 
-// zones are the data centres. Directories, relays and servers are spread over them.
+// zones are the data centres. Directories and servers are spread over them. The clients and
+// relays are in the first one.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
 // Process is a directory or relay.
@@ -102,7 +103,7 @@
 		s.Relays = append(s.Relays, &Process{Name: fmt.Sprintf("front-%d", i+1), IP: s.IP(2, i+1), role: "relay", stage: s})
 	}
 	for i, p := range append(append([]*Process{}, s.Directories...), s.Relays...) {
-		if err := p.writeSettings(zones[i%len(zones)], strings.Join(seeds, ","), true); err != nil {
+		if err := p.writeSettings(p.zone(i), strings.Join(seeds, ","), true); err != nil {
 			return nil, err
 		}
 		if err := p.Start(); err != nil {
@@ -112,7 +113,7 @@
 	// All have read their settings by then. A later start is not the first one.
 	time.Sleep(time.Second)
 	for i, p := range append(append([]*Process{}, s.Directories...), s.Relays...) {
-		if err := p.writeSettings(zones[i%len(zones)], strings.Join(seeds, ","), false); err != nil {
+		if err := p.writeSettings(p.zone(i), strings.Join(seeds, ","), false); err != nil {
 			return nil, err
 		}
 	}
@@ -137,6 +138,14 @@
 // IP returns the loopback address of a member of a group.
 func (s *Stage) IP(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.subnet, group, n) }
 
+// zone returns the zone of the n-th process. The relays are in that of the clients.
+func (p *Process) zone(n int) string {
+	if p.role == "relay" {
+		return zones[0]
+	}
+	return zones[n%len(zones)]
+}
+
 func (p *Process) writeSettings(zone, seeds string, bootstrap bool) error {
 	dir := filepath.Join(p.stage.folder, p.Name)
 	if err := os.MkdirAll(filepath.Join(dir, "data"), 0o700); err != nil {
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,7 +47,10 @@
 	Addr    netip.AddrPort
 	Born    int64
 	// Work is how long a request takes.
-	Work     time.Duration
+	Work time.Duration
+	// loss is the share of packets that the links of the server's machine lose, in
+	// thousandths.
+	loss     atomic.Int32
 	zone     string
 	number   uint64
 	stage    *Stage
@@ -68,7 +72,8 @@
 	Targets []*Process
 }
 
-// StartServer starts a server of a service at an address of group 3. The ID ends in the
+// StartServer starts a server of a service at an address of group 3, in the n-th zone in turn,
+// from zone-a on. The ID ends in the
 // number's hexadecimal digits.
 func (s *Stage) StartServer(service string, n int, number uint64) (*Server, error) {
 	addr := netip.MustParseAddrPort(fmt.Sprintf("%s:8080", s.IP(3, n)))
@@ -212,7 +217,7 @@
 		if err != nil {
 			return
 		}
-		if n < numberSize {
+		if n < numberSize || v.loses() {
 			continue
 		}
 		number := uint64(0)
@@ -231,7 +236,41 @@
 	}
 }
 
+// SetLoss sets the share of packets that the links of the server's machine lose, in
+// thousandths, in either direction.
+func (v *Server) SetLoss(thousandths int) { v.loss.Store(int32(thousandths)) }
+
+// Zone returns the zone of the server.
+func (v *Server) Zone() string { return v.zone }
+
+// Holds reports whether the server holds a flow open.
+func (v *Server) Holds(client, route netip.AddrPort) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f := v.flows[flowKey{client, route}]
+	return f != nil && f.open && !f.ended
+}
+
+func (v *Server) loses() bool { return rand.IntN(1000) < int(v.loss.Load()) }
+
+// acceptAgain repeats the SYN+ACK of a flow that is not open yet, after 200 ms and then at
+// intervals that double up to 1.6 s, 8 times at most.
+func (v *Server) acceptAgain(f *serverFlow, p *Packet, tries int, interval time.Duration) {
+	time.AfterFunc(interval, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if f.open || v.flows[flowKey{p.Src, p.Dst}] != f || tries == 0 {
+			return
+		}
+		v.send(reply(p, FlagSYN|FlagACK, f.isn, p.Seq+1, nil))
+		v.acceptAgain(f, p, tries-1, min(2*interval, 1600*time.Millisecond))
+	})
+}
+
 func (v *Server) send(p *Packet) {
+	if v.loses() {
+		return
+	}
 	to := netip.AddrPortFrom(p.Dst.Addr(), dataPort)
 	_, _ = v.conn.WriteToUDPAddrPort(p.Encode(), to)
 }
@@ -256,11 +295,13 @@
 			v.flows[key] = f
 			v.openings = append(v.openings, Opening{time.Now(), p.Src, p.Dst})
 			v.stage.Record.Log("server %s of %s (%s) takes the opening packet of %s>%s, copy %d, from %s", v.ID, v.Service, v.state, p.Src, p.Dst, p.Ack, from)
+			v.acceptAgain(f, p, 8, 200*time.Millisecond)
 		}
 		f.echo = p.Echo
 		v.send(reply(p, FlagSYN|FlagACK, f.isn, p.Seq+1, nil))
 	case f == nil || !f.open && p.Ack != f.isn+1:
 		v.stage.Record.Log("server %s resets %s, of which it holds no flow", v.ID, p)
+		delete(v.flows, key)
 		v.send(reply(p, FlagRST|FlagACK, p.Ack, p.Seq, nil))
 	case f.ended && p.Has(FlagFIN):
 		v.send(reply(p, FlagACK, f.sent, p.Seq+1, nil))
