token/core: move no first copy of an opening to another server

Cause: the server's answer was lost, and the client's first copy, after 200 ms, went to another server, as the first one looked failed. The first one repeats its answer, and its token is then the last one that the client has. A relay that doesn't know the flow sends the next request there.

Change: only the second copy moves, after 600 ms, since the server has repeated its answer by then.

--- a/internal/token/core/packet.go
+++ b/internal/token/core/packet.go
@@ -127,8 +127,9 @@
 // handleRetransmittedOpening decides on the retransmission of an opening packet.
 // The packet goes to the same server, which gives the same answer to each
 // transmission. It goes to another server only if the first one has almost
-// certainly not answered, because after two answers the client may keep the token
-// of either server, or if the route no longer allows the service of the first one.
+// certainly not answered two of them, because after two answers the client may keep
+// the token of either server, or if the route no longer allows the service of the first
+// one. One answer that a link has lost is no sign: the server repeats it.
 func (c *Core) handleRetransmittedOpening(now clock.Millis, f *flow, p *Packet) Action {
 	f.lastAt, f.retransmitted = now, true
 	f.moveTo(c.successor(f.server))
@@ -145,11 +146,8 @@
 	if !p.late() && s.backend.RecordUnanswered(now, f.openedAt) {
 		c.stats.Avoided++
 	}
-	// The server has failed if it has not answered since the flow was opened, and is in
-	// backoff, silent or said to have ended. From the second retransmission on, it has also
-	// failed if its backoff is over. In an opening packet, Ack is the number of earlier
-	// transmissions.
-	failed := s.backend.Suspected() && (s.backend.Avoided(now) || s.entry.Silent() || s.claim() != NoClaim || p.Ack >= 2)
+	// In an opening packet, Ack is the number of earlier transmissions.
+	failed := p.Ack >= 2 && s.backend.Suspected()
 	if failed && !c.options.Off.Has(tune.MoveOpenings) {
 		if other := c.pickServer(now, f.route, c.requestMix[p.To].kind(), s); other != nil && other != s {
 			return c.moveOpening(now, f, other)
