cli, platform: keep the heap under the memory limit of the process

Cause: no limit of the heap was set, so that garbage grew to the size of what is in use. Each version is decoded, encoded and answered several times.

Change: relay and directory take memory_mb of the settings, and the garbage collector keeps what it manages under 70% of it.

--- a/internal/cli/cmds/platform.go
+++ b/internal/cli/cmds/platform.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"syscall"
@@ -47,6 +48,10 @@
 	})
 }
 
+// heapPercent is the part of the memory of a process, in percent, above which the garbage
+// collector keeps what it manages. The rest is for the program, and for bytes in sockets.
+const heapPercent = 70
+
 // runOnPlatform runs a daemon with the platform's settings. Its logs are written
 // asynchronously, so that a blocked log reader does not block the daemon.
 func runOnPlatform(ctx context.Context, e *env, name string, args []string,
@@ -96,6 +101,9 @@
 			return fmt.Errorf("%w: %w", errUsage, err)
 		}
 	}
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(settings.MemoryLimit / 100 * heapPercent)
+	}
 	d, err := create(settings, factory)
 	if err != nil {
 		log.Error("Cannot start the daemon.", "err", err)
--- a/internal/conf/site/site.go
+++ b/internal/conf/site/site.go
@@ -55,6 +55,9 @@
 	RepeatWindow clock.Millis
 	// LinkRate is the rate of the host's link in bits a second, or 0 if it is unknown.
 	LinkRate int64
+	// MemoryLimit is the memory in bytes above which the process is killed, or 0 if there
+	// is no limit.
+	MemoryLimit int64
 	// MaxLosses is the number of control hosts that may be lost at once.
 	MaxLosses int
 	// RecoveryTime is the time that a control host has, after a start, before
