proof/soak: probe each relay on its own

Cause, of the test: one task probed all relays in turn, and a probe of a paused relay takes a second. A relay that had exited stayed in the rotation for as long as others were paused; the platform's routers probe twice a second.

Change: a task for each relay. The file events, kept beside the logs of a run that fails, has the signals, the relays in rotation, and where the copies of each request without an answer went. No check is changed. TestPausedRelaysKeepNoDeadOneInRotation guards the rotation.

--- a/internal/proof/soak/endpoints_test.go
+++ b/internal/proof/soak/endpoints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -245,6 +246,8 @@
 	relay string
 	// resetBy names the sender of the reset that ended the flow.
 	resetBy string
+	// copies tells where the copies of the latest request went, and when it was acknowledged.
+	copies []string
 }
 
 const (
@@ -315,18 +318,17 @@
 
 func (f *flow) key() string { return f.packet(0, 0, nil).key() }
 
-func (f *flow) send(flags byte, ack uint32, data []byte) {
-	f.sendPacket(f.packet(flags, ack, data))
+func (f *flow) send(flags byte, ack uint32, data []byte) string {
+	return f.sendPacket(f.packet(flags, ack, data))
 }
 
-// sendPacket sends a packet through the relay of the flow.
-func (f *flow) sendPacket(pkt *packet) {
+// sendPacket sends a packet through the relay of the flow, whose address it returns.
+func (f *flow) sendPacket(pkt *packet) string {
 	if f.relay == "" {
-		f.client.env.sendToRelay(f.client, pkt)
-		return
+		return f.client.env.sendToRelay(f.client, pkt)
 	}
-	to := &net.UDPAddr{IP: net.ParseIP(f.relay), Port: f.client.env.dataPort}
-	_, _ = f.client.conn.WriteToUDP(pkt.encode(), to)
+	f.client.sendTo(f.relay, pkt)
+	return f.relay
 }
 
 // requestOutcome is how a request ended for its client.
@@ -346,9 +348,10 @@
 func (f *flow) request(id uint64) requestOutcome {
 	data := binary.BigEndian.AppendUint64(nil, id)
 	wait, acknowledged := retransmitDelay, false
+	f.copies = nil
 	for end := time.Now().Add(requestTimeout); time.Now().Before(end) || f.isWorkedOn(); wait = min(2*wait, maxRetransmitDelay) {
 		if !acknowledged {
-			f.send(flagAck, f.ack, data)
+			f.noteCopy("to relay " + cmp.Or(f.send(flagAck, f.ack, data), "none"))
 		}
 		for deadline := time.After(wait); ; {
 			select {
@@ -369,6 +372,7 @@
 				}
 				if pkt.flags&flagSyn == 0 && len(pkt.data) == 0 && pkt.ack == f.seq+uint32(len(data)) {
 					acknowledged = true
+					f.noteCopy("acknowledged")
 				}
 				continue
 			case <-deadline:
@@ -379,6 +383,11 @@
 	return timedOut
 }
 
+// noteCopy notes what happened to the latest request, with the time of day.
+func (f *flow) noteCopy(what string) {
+	f.copies = append(f.copies, time.Now().Format(timeOfDay)+what)
+}
+
 // close drops the flow without notifying the server.
 func (f *flow) close() {
 	f.client.mu.Lock()
--- a/internal/proof/soak/env_test.go
+++ b/internal/proof/soak/env_test.go
@@ -42,6 +42,8 @@
 	portX      = 443
 	portY      = 80
 	portUpload = 8080
+	// timeOfDay is the format of times in reports, those of the logs.
+	timeOfDay = "15:04:05.000 "
 )
 
 // Groups of the addresses that testEnv.ip returns.
@@ -54,6 +56,7 @@
 
 // process is a relay or a directory that runs as a process.
 type process struct {
+	env      *testEnv
 	name, ip string
 	args     []string
 	// configVar is the environment variable that names the settings file.
@@ -92,11 +95,15 @@
 	extraRuns map[uint64]int
 	// lastRuns holds, by request ID, the server and the flow of the last execution.
 	lastRuns map[uint64]string
-	// ready holds the addresses of the relays that receive packets.
-	ready atomic.Value
+	// ready holds the addresses of the relays in rotation. It is guarded by readyMu.
+	ready   map[string]bool
+	readyMu sync.Mutex
 	// acked is the highest version acknowledged.
 	acked      uint64
 	violations []string
+	// events is the file that noteEvent writes, under eventsMu.
+	events   *os.File
+	eventsMu sync.Mutex
 	// published holds the versions in the order of their first call.
 	published []publication
 	zones     map[string]*zoneState
@@ -142,7 +149,15 @@
 func (env *testEnv) recordViolation(format string, args ...any) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	env.violations = append(env.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	env.violations = append(env.violations, time.Now().Format(timeOfDay)+fmt.Sprintf(format, args...))
+}
+
+// noteEvent writes a line to the file of events, which is kept with the logs of a run that
+// fails: the faults, the relays that are ready, and the requests without an answer.
+func (env *testEnv) noteEvent(format string, args ...any) {
+	env.eventsMu.Lock()
+	defer env.eventsMu.Unlock()
+	_, _ = fmt.Fprintf(env.events, time.Now().Format(timeOfDay)+format+"\n", args...)
 }
 
 // verifyNewFlow checks that a server may accept a new flow.
@@ -178,8 +193,11 @@
 	env := &testEnv{
 		c: c, folder: c.TempDir(), bin: bin, subnet: firstSubnet + int((seed+uint64(os.Getpid()))%subnetCount), dataPort: 8172, rand: rand.New(rand.NewPCG(seed, 5)),
 		servers: map[string]*server{}, extraRuns: map[uint64]int{}, lastRuns: map[uint64]string{}, stop: make(chan struct{}),
-		mode: mode, zones: map[string]*zoneState{"a": {}, "b": {}}, relays: map[string]*relayState{}, refused: map[string]bool{}, misdirected: map[string]int{}, latestFault: map[string]string{}, calm: make(chan struct{}),
+		mode: mode, zones: map[string]*zoneState{"a": {}, "b": {}}, relays: map[string]*relayState{}, ready: map[string]bool{}, refused: map[string]bool{}, misdirected: map[string]int{}, latestFault: map[string]string{}, calm: make(chan struct{}),
 	}
+	events, err := os.Create(filepath.Join(env.folder, "events"))
+	c.Assert(err, qt.IsNil)
+	env.events = events
 	env.proxies = []*proxy{env.claimSubnet()}
 	for i := range controlCount {
 		ip := env.ip(controlGroup, i)
@@ -253,7 +271,7 @@
 	env.c.Assert(os.WriteFile(settings, []byte(text), 0o600), qt.IsNil)
 	log, err := os.Create(filepath.Join(env.folder, name+".log"))
 	env.c.Assert(err, qt.IsNil)
-	p := &process{name: name, ip: ip, args: args, configVar: "MONSOONCLEAT_CONFIG=" + settings, log: log}
+	p := &process{env: env, name: name, ip: ip, args: args, configVar: "MONSOONCLEAT_CONFIG=" + settings, log: log}
 	env.procs = append(env.procs, p)
 	env.start(p)
 }
@@ -271,6 +289,7 @@
 	env.c.Assert(err, qt.IsNil)
 	p.logOffset.Store(info.Size())
 	env.c.Assert(p.cmd.Start(), qt.IsNil)
+	env.noteEvent("%s: started", p.name)
 	p.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		err := cmd.Wait()
@@ -285,6 +304,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.cmd.Process.Signal(s)
+	p.env.noteEvent("%s: %v", p.name, s)
 }
 
 // terminate sends a signal that ends the process and waits for its exit. A stopped
@@ -316,6 +336,7 @@
 	env.mu.Unlock()
 	env.rebirthTasks.Wait()
 	env.tasks.Wait()
+	_ = env.events.Close()
 }
 
 func (env *testEnv) addClient(i int) {
@@ -327,18 +348,6 @@
 	go c.listen()
 }
 
-// sendToRelay sends a packet to one of the ready relays, chosen by a hash of its flow,
-// as the platform's routers do.
-func (env *testEnv) sendToRelay(c *client, pkt *packet) {
-	ready, _ := env.ready.Load().([]string)
-	if len(ready) == 0 {
-		return
-	}
-	n := uint32(pkt.sport)*2654435761 + uint32(pkt.src[3])
-	to := &net.UDPAddr{IP: net.ParseIP(ready[n%uint32(len(ready))]), Port: env.dataPort}
-	_, _ = c.conn.WriteToUDP(pkt.encode(), to)
-}
-
 var httpClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // callHTTP sends a request with a JSON body, if there is one. It returns status 0 if
--- a/internal/proof/soak/paused_test.go
+++ b/internal/proof/soak/paused_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -39,8 +38,7 @@
 	client.inbound[f.port] = f.in
 	client.mu.Unlock()
 	send := func(relay string, transmission uint32) {
-		to := &net.UDPAddr{IP: net.ParseIP(relay), Port: env.dataPort}
-		_, _ = client.conn.WriteToUDP(f.packet(flagSyn, transmission, nil).encode(), to)
+		client.sendTo(relay, f.packet(flagSyn, transmission, nil))
 	}
 	send(paused.ip, 0)
 	other := env.ip(relayGroup, 1)
--- a/internal/proof/soak/reborn_test.go
+++ b/internal/proof/soak/reborn_test.go
@@ -210,7 +210,7 @@
 						fault.name += " while slow"
 					}
 					env.mu.Lock()
-					env.latestFault[s.id] = time.Now().Format("15:04:05.000 ") + fault.name
+					env.latestFault[s.id] = time.Now().Format(timeOfDay) + fault.name
 					env.mu.Unlock()
 					env.rebirthTasks.Go(func() { fault.inject(s, own) })
 				}
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -142,31 +142,6 @@
 	env.recordViolation("not reached within %v: %s", recoveryTimeout, name)
 }
 
-// readyRelays returns the addresses of the relays that receive packets.
-func (env *testEnv) readyRelays() []string {
-	ready, _ := env.ready.Load().([]string)
-	return ready
-}
-
-// probeRelays probes the readiness of all relays. A relay that misses two probes in
-// a row gets no packets until it answers again.
-func (env *testEnv) probeRelays() {
-	misses := make([]int, relayCount)
-	for env.sleep(100 * time.Millisecond) {
-		var ready []string
-		for i := range relayCount {
-			misses[i]++
-			if code, _ := callHTTP(http.MethodGet, "http://"+env.ip(relayGroup, i)+":8101/readiness", nil); code == http.StatusOK {
-				misses[i] = 0
-			}
-			if misses[i] < 2 {
-				ready = append(ready, env.ip(relayGroup, i))
-			}
-		}
-		env.ready.Store(ready)
-	}
-}
-
 // addServer starts a stand-in that serves packets and announces itself.
 // For the time of warmup, it announces that it is cold.
 func (env *testEnv) addServer(id, service, address string, warmup time.Duration) *server {
@@ -378,6 +353,7 @@
 			env.failed.Add(1)
 			if s := env.serverOf(f); s != nil && !s.isLeaving() {
 				env.unansweredHeld.Add(1)
+				env.noteEvent("no answer on flow %s, held by server %s (latest fault there: %s): %s", f.key(), s.id, env.latestFaultOf(s.id), strings.Join(f.copies, ", "))
 			}
 			env.verifyDirected(f)
 			f.close()
