agree/write, dir/daemon, ctrl/daemon: sync the batches that wait together

Cause: each step with anything to write made a batch with a sync of its own, in the order of the steps, and the server list, with two syncs, was written by the same goroutine. Votes waited behind all of it. Once a sync takes longer than the steps are apart, the queue grows until an election can't end in time. internal/ctrl had the queue, too.

Change: batches that wait are merged and synced once (package write); messages still wait for the sync of what they acknowledge. The lists for the next start have a goroutine of their own, which writes only the latest. Messages and stored records are the same as before.

--- a/internal/agree/disk/disk.go
+++ b/internal/agree/disk/disk.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/agree/write"
 )
 
 // ErrCorrupt is returned by Open for a corrupt log or snapshot. A torn record at
@@ -312,6 +313,28 @@
 	return nil
 }
 
+// SaveBatch writes a batch and syncs it to disk.
+func (s *Store) SaveBatch(b *write.Batch) error {
+	state := b.State
+	if b.Install != nil {
+		if err := s.Save(state, nil); err != nil {
+			return err
+		}
+		if err := s.SaveSnapshot(b.Install, nil); err != nil {
+			return err
+		}
+		// The segment that SaveSnapshot begins holds the state.
+		state = nil
+	}
+	if err := s.Save(state, b.Entries); err != nil {
+		return err
+	}
+	if b.Snapshot == nil {
+		return nil
+	}
+	return s.SaveSnapshot(b.Snapshot, b.Retained)
+}
+
 // SaveSnapshot replaces the snapshot, writes the entries that follow it to a new
 // segment and deletes the older segments. All of it is synced to disk.
 func (s *Store) SaveSnapshot(snap *raft.Snapshot, after []raft.Entry) error {
--- a/internal/agree/raft/types.go
+++ b/internal/agree/raft/types.go
@@ -31,6 +31,9 @@
 // under a new ID. Under the old one it could vote twice in a term.
 type ID string
 
+// Position identifies an entry of the log.
+type Position struct{ Index, Term uint64 }
+
 // EntryKind is the type of the payload of an Entry.
 type EntryKind uint8
 
--- a/internal/ctrl/core/core.go
+++ b/internal/ctrl/core/core.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/agree/write"
 	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/bundle/sign"
 	"monsooncleat.example/monsooncleat/internal/bundle/spec"
@@ -70,24 +71,26 @@
 // Output is the work that the daemon must carry out. As with raft.Output, everything
 // to be stored must be synced to disk before Sends and Replies are sent.
 type Output struct {
-	// State is the hard state to store, or nil.
-	State *raft.HardState
-	// Entries are appended to the stored log, after Install.
-	Entries []raft.Entry
-	// Install, unless it is nil, is a snapshot that replaces the stored log.
-	Install *raft.Snapshot
-	// Snapshot, unless it is nil, is a new snapshot that compacts the stored log.
-	Snapshot *raft.Snapshot
-	// Retained holds the log entries after Snapshot.
-	Retained []raft.Entry
-	Sends    []OutMessage
-	Replies  []Reply
+	// Batch is what to store.
+	write.Batch
+	Sends   []OutMessage
+	Replies []Reply
+}
+
+// Merge adds the work of a later step, so that one sync does for both. It reports false, and
+// changes nothing, if that has to be stored on its own.
+func (o *Output) Merge(later *Output) bool {
+	if !o.Batch.Merge(&later.Batch) {
+		return false
+	}
+	o.Sends = append(o.Sends, later.Sends...)
+	o.Replies = append(o.Replies, later.Replies...)
+	return true
 }
 
 // Empty reports whether o contains no work.
 func (o *Output) Empty() bool {
-	return o.State == nil && len(o.Entries) == 0 && o.Install == nil && o.Snapshot == nil &&
-		len(o.Sends) == 0 && len(o.Replies) == 0
+	return o.Batch.Empty() && len(o.Sends) == 0 && len(o.Replies) == 0
 }
 
 // pendingCommand is a proposed command whose sender awaits the result.
--- a/internal/ctrl/daemon/daemon.go
+++ b/internal/ctrl/daemon/daemon.go
@@ -43,16 +43,13 @@
 	body []byte
 	from link.Replier
 	// persisted is the last entry that the disk goroutine has synced.
-	persisted *logPosition
+	persisted *raft.Position
 	// diskErr is the error that stopped the disk goroutine.
 	diskErr error
 	// dumpReply is the channel to send a state dump to.
 	dumpReply chan<- any
 }
 
-// logPosition identifies a log entry.
-type logPosition struct{ index, term uint64 }
-
 // Daemon is a running control host.
 type Daemon struct {
 	settings *node.Control
@@ -192,7 +189,7 @@
 	case e.body != nil:
 		d.core.HandleMessage(now, d.newHandle(e.from), e.body)
 	case e.persisted != nil:
-		d.core.Persisted(now, e.persisted.index, e.persisted.term)
+		d.core.Persisted(now, e.persisted.Index, e.persisted.Term)
 	case e.diskErr != nil:
 		d.log.Error("Disk has failed. This host leaves the log until it is restarted.", "err", e.diskErr)
 		d.core.Fail()
@@ -226,50 +223,23 @@
 // It sends the messages of a batch only after the state of the batch is synced. After
 // an error it processes no further batches.
 func (d *Daemon) runDisk(ctx context.Context) error {
+	// Batches that wait are merged, so that a slow disk makes no queue of syncs.
+	batches := ring.NewBatcher(d.batches, (*core.Output).Merge)
 	for {
-		select {
-		case <-ctx.Done():
+		out, ok := batches.Next(ctx)
+		if !ok {
 			return nil
-		case out := <-d.batches.Items():
-			last, err := d.save(&out)
-			if err != nil {
-				d.diskEvents.Offer(event{diskErr: err})
-				<-ctx.Done()
-				return nil
-			}
-			d.send(&out)
-			if last != nil {
-				d.diskEvents.Offer(event{persisted: last})
-			}
-		}
-	}
-}
-
-// save stores and syncs the state of out. It returns the position of the last entry
-// stored or covered by an installed snapshot, or nil if there is none.
-func (d *Daemon) save(out *core.Output) (*logPosition, error) {
-	var last *logPosition
-	if out.Install != nil {
-		if err := d.store.Save(out.State, nil); err != nil {
-			return nil, err
 		}
-		if err := d.store.SaveSnapshot(out.Install, nil); err != nil {
-			return nil, err
+		if err := d.store.SaveBatch(&out.Batch); err != nil {
+			d.diskEvents.Offer(event{diskErr: err})
+			<-ctx.Done()
+			return nil
 		}
-		last = &logPosition{out.Install.Index, out.Install.Term}
-	}
-	if err := d.store.Save(out.State, out.Entries); err != nil {
-		return nil, err
-	}
-	if n := len(out.Entries); n > 0 {
-		last = &logPosition{out.Entries[n-1].Index, out.Entries[n-1].Term}
-	}
-	if out.Snapshot != nil {
-		if err := d.store.SaveSnapshot(out.Snapshot, out.Retained); err != nil {
-			return nil, err
+		d.send(&out)
+		if last, ok := out.Last(); ok {
+			d.diskEvents.Offer(event{persisted: &last})
 		}
 	}
-	return last, nil
 }
 
 func (d *Daemon) send(out *core.Output) {
--- a/internal/dir/core/adverts.go
+++ b/internal/dir/core/adverts.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		c.logLine("Cannot encode the addresses of entry hosts.", "err", err)
 	} else if saved != nil {
-		c.out.EntryHosts = saved
+		c.out.Lists.EntryHosts = saved
 	}
 }
 
--- a/internal/dir/core/departs.go
+++ b/internal/dir/core/departs.go
@@ -51,9 +51,9 @@
 	}
 	if d.unsaved {
 		d.unsaved, d.savedAt = false, c.now
-		c.out.Servers = c.list.Encode(c.now)
+		c.out.Lists.Servers = c.list.Encode(c.now)
 	}
-	c.out.SendAfterSync = append(c.out.SendAfterSync, d.replies...)
-	c.out.AnswersAfterSync = append(c.out.AnswersAfterSync, d.answers...)
+	c.out.Lists.SendAfterSave = append(c.out.Lists.SendAfterSave, d.replies...)
+	c.out.Lists.AnswersAfterSave = append(c.out.Lists.AnswersAfterSave, d.answers...)
 	d.replies, d.answers = nil, nil
 }
--- a/internal/dir/core/restart_test.go
+++ b/internal/dir/core/restart_test.go
@@ -21,10 +21,10 @@
 	var saved []byte
 	take := func() (answered bool) {
 		out := c.Take()
-		if out.Servers != nil {
-			saved = out.Servers
+		if out.Lists.Servers != nil {
+			saved = out.Lists.Servers
 		}
-		for _, a := range slices.Concat(out.Answers, out.AnswersAfterSync) {
+		for _, a := range slices.Concat(out.Answers, out.Lists.AnswersAfterSave) {
 			answered = answered || a.CallID == 99 && a.Code == core.Done
 		}
 		return answered
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -111,7 +111,7 @@
 		})
 	}
 	if saved := c.list.Save(c.now); saved != nil {
-		c.out.Servers = saved
+		c.out.Lists.Servers = saved
 	}
 	for _, s := range c.list.Expire(c.now) {
 		c.logLine("Server is silent.", "id", s.ID, "service", s.Service, "silentFor", int64(c.now-s.LastAnnounced()))
--- a/internal/dir/core/servers_test.go
+++ b/internal/dir/core/servers_test.go
@@ -96,8 +96,8 @@
 			announceAs(c, way, drain)
 			c.Tick(3300)
 			out := c.Take()
-			acknowledged := len(out.SendAfterSync) > 0
-			for _, a := range slices.Concat(out.Answers, out.AnswersAfterSync) {
+			acknowledged := len(out.SendAfterSync)+len(out.Lists.SendAfterSave) > 0
+			for _, a := range slices.Concat(out.Answers, out.Lists.AnswersAfterSave) {
 				qt.Check(t, a.Code, qt.Equals, test.want, qt.Commentf(name))
 				acknowledged = a.Code == core.Done
 			}
--- a/internal/dir/core/types.go
+++ b/internal/dir/core/types.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"monsooncleat.example/monsooncleat/internal/agree/raft"
+	"monsooncleat.example/monsooncleat/internal/agree/write"
 	"monsooncleat.example/monsooncleat/internal/dir/evac"
 )
 
@@ -56,27 +56,15 @@
 	Uses []evac.Use
 }
 
-// Output is the work that the caller performs after a step. State, Install,
-// Entries and Snapshot are written and synced in this order.
+// Output is the work that the caller performs after a step.
 type Output struct {
-	State *raft.HardState
-	// Install is a snapshot that replaces the whole log.
-	Install *raft.Snapshot
-	Entries []raft.Entry
-	// Snapshot is the result of a log compaction.
-	Snapshot *raft.Snapshot
-	// Retained holds the entries that follow Snapshot in the compacted log.
-	Retained []raft.Entry
-	// SendAfterSync holds the messages to send once all of the above is synced.
+	// Batch is what to write to the log.
+	write.Batch
+	// SendAfterSync holds the messages to send once Batch is synced.
 	SendAfterSync []OutMessage
-	// Servers is the encoded list of servers, saved for the next start. It is written
-	// before SendAfterSync and AnswersAfterSync are released.
-	Servers []byte
-	// AnswersAfterSync holds the answers to deliver once all of the above is synced.
-	AnswersAfterSync []Answer
 
-	// EntryHosts are the encoded addresses of entry hosts, saved likewise.
-	EntryHosts []byte
+	// Lists is saved beside Batch, whose messages don't wait for it.
+	Lists Lists
 	// Advert is a message to send in a datagram to each address in AdvertTo.
 	Advert   []byte
 	AdvertTo []string
@@ -99,10 +87,48 @@
 	Fields []any
 }
 
-// NeedsDisk reports whether there is anything to write, or to send after a
-// write.
-func (o *Output) NeedsDisk() bool {
-	return o.State != nil || o.Install != nil || len(o.Entries) > 0 || o.Snapshot != nil || len(o.SendAfterSync) > 0 || len(o.AnswersAfterSync) > 0 || o.Servers != nil || o.EntryHosts != nil
+// Lists are what a host saves for its next start. Lists of later steps replace earlier ones.
+type Lists struct {
+	// Servers is the encoded list of servers, or nil.
+	Servers []byte
+	// EntryHosts are the encoded addresses of entry hosts, or nil.
+	EntryHosts []byte
+	// SendAfterSave and AnswersAfterSave hold the messages to send and the answers to
+	// deliver once Servers and the lists of earlier steps are saved.
+	SendAfterSave    []OutMessage
+	AnswersAfterSave []Answer
+}
+
+// NeedsSync reports whether there is anything to write to the log, or to send after that.
+func (o *Output) NeedsSync() bool {
+	return !o.Batch.Empty() || len(o.SendAfterSync) > 0
+}
+
+// Merge adds what a later step writes to the log, and what it sends after that. It reports false,
+// and changes nothing, if that has to be written on its own. Lists stay apart.
+func (o *Output) Merge(later *Output) bool {
+	if !o.Batch.Merge(&later.Batch) {
+		return false
+	}
+	o.SendAfterSync = append(o.SendAfterSync, later.SendAfterSync...)
+	return true
+}
+
+// Empty reports whether there is nothing to save, and nothing that waits for it.
+func (l *Lists) Empty() bool {
+	return l.Servers == nil && l.EntryHosts == nil && len(l.SendAfterSave) == 0 && len(l.AnswersAfterSave) == 0
+}
+
+// Merge adds the lists of a later step.
+func (l *Lists) Merge(later *Lists) {
+	if later.Servers != nil {
+		l.Servers = later.Servers
+	}
+	if later.EntryHosts != nil {
+		l.EntryHosts = later.EntryHosts
+	}
+	l.SendAfterSave = append(l.SendAfterSave, later.SendAfterSave...)
+	l.AnswersAfterSave = append(l.AnswersAfterSave, later.AnswersAfterSave...)
 }
 
 // String returns the code in lower case.
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -40,7 +40,7 @@
 	fetchLimit     = 2048
 	// fetchRetryDelay is when an entry host whose fetch found no room may ask again.
 	fetchRetryDelay = clock.Second
-	// diskRingSize is the capacity of the queue of batches for the disk.
+	// diskRingSize is the capacity of the queues of batches and of lists for the disk.
 	diskRingSize = 256
 	tickInterval = 50 * time.Millisecond
 	// maxPendingReplies is how many of the latest received messages can still be replied to.
@@ -80,7 +80,7 @@
 	call   func(now clock.Millis, callID core.CallID)
 	answer chan<- core.Answer
 	// persisted, diskErr and reopened report the state of the store.
-	persisted *logPosition
+	persisted *raft.Position
 	// answers are those that waited for the disk.
 	answers  []core.Answer
 	diskErr  error
@@ -99,9 +99,6 @@
 	stored raft.Stored
 }
 
-// logPosition identifies an entry of the replicated log.
-type logPosition struct{ index, term uint64 }
-
 // batch is the output of one step that the disk goroutine handles.
 type batch struct {
 	core.Output
@@ -110,6 +107,11 @@
 	reopen bool
 }
 
+// merge adds a later batch, unless that is for another store or has to be written on its own.
+func (b *batch) merge(later *batch) bool {
+	return !b.reopen && !later.reopen && b.generation == later.generation && b.Merge(&later.Output)
+}
+
 // Daemon is a running control host.
 type Daemon struct {
 	settings *site.Settings
@@ -120,10 +122,12 @@
 	// inbox holds the messages and calls.
 	inbox  *order.Queue[event]
 	events *ring.Ring[event]
-	// diskEvents carries the events of the disk goroutine, at most three for each
-	// batch.
+	// diskEvents carries the events of the goroutines that write to the disk, at most three
+	// for each batch and one for the lists of a step.
 	diskEvents *ring.Ring[event]
 	batches    *ring.Ring[batch]
+	// lists are to be saved for the next start.
+	lists *ring.Ring[core.Lists]
 	// generation counts how often the store was reopened. It belongs to the core
 	// goroutine; runDisk keeps its own count and discards batches of another
 	// generation.
@@ -183,7 +187,7 @@
 	d := &Daemon{
 		settings: settings, clock: source, log: log, store: store,
 		inbox:  order.New[event]([order.Classes]int{consensusLimit, callLimit, fetchLimit}),
-		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](3 * diskRingSize), batches: ring.New[batch](diskRingSize),
+		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](4 * diskRingSize), batches: ring.New[batch](diskRingSize), lists: ring.New[core.Lists](diskRingSize),
 		calls: map[core.CallID]chan<- core.Answer{}, repliers: map[core.ReplyHandle]link.Replier{},
 		metrics: admin.NewMetrics(), logLimiter: logs.NewLimiter(linesPerSecond),
 	}
@@ -236,6 +240,7 @@
 	tree := super.New(context.WithoutCancel(ctx), "directory", d.log)
 	tree.Start("listener", d.server.Run)
 	tree.Start("disk", d.runDisk)
+	tree.Start("lists", d.runLists)
 	tree.Start("decisions", d.runCore)
 	tree.Start("api", func(ctx context.Context) error { return admin.ServeHTTP(ctx, d.settings.API.String(), d.api) })
 	adminServer := admin.New(d.settings.Admin.String(), d.metrics, d.dump, func() bool { return true })
@@ -369,7 +374,7 @@
 	case e.answers != nil:
 		d.deliver(e.answers)
 	case e.persisted != nil:
-		d.core.Persisted(now, e.persisted.index, e.persisted.term)
+		d.core.Persisted(now, e.persisted.Index, e.persisted.Term)
 	case e.diskErr != nil:
 		d.log.Error("Disk failed. This host leaves the log until it works.", "err", e.diskErr)
 		d.core.Fail()
@@ -417,7 +422,8 @@
 	}
 	d.sendAdverts(&out)
 	d.deliver(out.Answers)
-	if out.NeedsDisk() && !d.core.Failed() && !d.batches.Offer(batch{Output: out, generation: d.generation}) {
+	d.queueLists(out.Lists)
+	if out.NeedsSync() && !d.core.Failed() && !d.batches.Offer(batch{Output: out, generation: d.generation}) {
 		d.log.Error("Disk is too slow. This host leaves the log.", "waiting", d.batches.Depth())
 		d.core.Fail()
 		d.overflowed = true
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -8,85 +8,53 @@
 	"time"
 
 	"monsooncleat.example/monsooncleat/internal/agree/disk"
+	"monsooncleat.example/monsooncleat/internal/base/ring"
 	"monsooncleat.example/monsooncleat/internal/dir/core"
 )
 
 // runDisk is the goroutine that owns the store. It sends the messages of a batch
 // only after the batch is synced.
 func (d *Daemon) runDisk(ctx context.Context) error {
-	generation := 0
-	for {
-		select {
-		case <-ctx.Done():
+	// Batches that wait are merged, so that a slow disk makes no queue of syncs.
+	batches := ring.NewBatcher(d.batches, (*batch).merge)
+	for generation := 0; ; {
+		b, ok := batches.Next(ctx)
+		if !ok {
 			return d.store.Close()
-		case b := <-d.batches.Items():
-			if b.generation != generation {
-				continue
-			}
-			if b.reopen {
-				if !d.reopen(ctx) {
-					return nil
-				}
-				generation++
-				continue
-			}
-			start := time.Now()
-			synced, wrote, err := d.save(&b.Output)
-			if wrote {
-				d.syncTime.Record(time.Since(start))
-			}
-			if err != nil {
-				d.diskEvents.Offer(event{diskErr: err})
-				if !d.reopen(ctx) {
-					return nil
-				}
-				generation++
+		}
+		if b.generation != generation {
+			continue
+		}
+		if !b.reopen {
+			err := d.saveAndSend(&b)
+			if err == nil {
 				continue
 			}
-			if b.Servers != nil {
-				d.saveHint(serversFile, b.Servers)
-			}
-			if b.EntryHosts != nil {
-				d.saveHint(entryHostsFile, b.EntryHosts)
-			}
-			for _, s := range b.SendAfterSync {
-				d.peers.Send(s.Address, s.Body)
-			}
-			if len(b.AnswersAfterSync) > 0 {
-				d.diskEvents.Offer(event{answers: b.AnswersAfterSync})
-			}
-			if synced != nil {
-				d.diskEvents.Offer(event{persisted: synced})
-			}
+			d.diskEvents.Offer(event{diskErr: err})
 		}
+		if !d.reopen(ctx) {
+			return nil
+		}
+		generation++
 	}
 }
 
-// save writes and syncs a batch. It returns the position of the last entry stored
-// or covered by an installed snapshot, or nil if there is none, and whether
-// anything was written.
-func (d *Daemon) save(out *core.Output) (synced *logPosition, wrote bool, err error) {
-	if out.Install != nil {
-		if err := d.store.Save(out.State, nil); err != nil {
-			return nil, true, err
-		}
-		if err := d.store.SaveSnapshot(out.Install, nil); err != nil {
-			return nil, true, err
-		}
-		synced = &logPosition{out.Install.Index, out.Install.Term}
+// saveAndSend writes and syncs a batch, and sends what waits for that.
+func (d *Daemon) saveAndSend(b *batch) error {
+	start := time.Now()
+	if err := d.store.SaveBatch(&b.Batch); err != nil {
+		return err
 	}
-	if err := d.store.Save(out.State, out.Entries); err != nil {
-		return nil, true, err
+	if !b.Batch.Empty() {
+		d.syncTime.Record(time.Since(start))
 	}
-	if n := len(out.Entries); n > 0 {
-		synced = &logPosition{out.Entries[n-1].Index, out.Entries[n-1].Term}
+	for _, s := range b.SendAfterSync {
+		d.peers.Send(s.Address, s.Body)
 	}
-	if out.Snapshot != nil {
-		if err := d.store.SaveSnapshot(out.Snapshot, out.Retained); err != nil {
-			return nil, true, err
-		}
+	if last, ok := b.Last(); ok {
+		d.diskEvents.Offer(event{persisted: &last})
 	}
-	return synced, out.State != nil || synced != nil || out.Snapshot != nil, nil
+	return nil
 }
 
 // Files in the data folder that the next start reads.
@@ -98,9 +66,48 @@
 	entryHostsFile = "entryHosts"
 )
 
-// saveHint writes one of these files. An error is logged and otherwise ignored: what
-// waits for the write is released, as on a host whose disk has failed.
-func (d *Daemon) saveHint(name string, data []byte) {
+// runLists is the goroutine that saves the lists for the next start. It is apart from runDisk
+// because votes and entries of the log can't wait for lists on a slow disk.
+func (d *Daemon) runLists(ctx context.Context) error {
+	waiting := ring.NewBatcher(d.lists, func(into, later *core.Lists) bool {
+		into.Merge(later)
+		return true
+	})
+	for {
+		lists, ok := waiting.Next(ctx)
+		if !ok {
+			return nil
+		}
+		d.saveList(serversFile, lists.Servers)
+		for _, s := range lists.SendAfterSave {
+			d.peers.Send(s.Address, s.Body)
+		}
+		if len(lists.AnswersAfterSave) > 0 {
+			d.diskEvents.Offer(event{answers: lists.AnswersAfterSave})
+		}
+		d.saveList(entryHostsFile, lists.EntryHosts)
+	}
+}
+
+// queueLists passes lists to runLists. If there is no room, what waits for them is not
+// acknowledged.
+func (d *Daemon) queueLists(lists core.Lists) {
+	if lists.Empty() || d.lists.Offer(lists) {
+		return
+	}
+	d.writeLog(core.LogLine{Text: "Disk is too slow for the lists of the next start.", Fields: []any{"waiting", d.lists.Depth()}})
+	for i := range lists.AnswersAfterSave {
+		lists.AnswersAfterSave[i].Code = core.Unavailable
+	}
+	d.deliver(lists.AnswersAfterSave)
+}
+
+// saveList writes one of these files, unless data is nil. An error is logged and otherwise
+// ignored: what waits for the write is released, as on a host whose disk has failed.
+func (d *Daemon) saveList(name string, data []byte) {
+	if data == nil {
+		return
+	}
 	if err := disk.Replace(filepath.Join(d.settings.DataFolder, name), data); err != nil {
 		d.log.Warn("Cannot save a file for the next start.", "file", name, "err", err)
 	}
--- a/internal/dir/daemon/silence_test.go
+++ b/internal/dir/daemon/silence_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -87,7 +86,13 @@
 
 // startBehindSilencers runs three control hosts that reach each other through silencers.
 func startBehindSilencers(c *qt.C) ([]*daemon.Daemon, []*silencer) {
-	factory, err := logs.New(io.Discard, logs.Options{Level: "info"})
+	log := &logBuffer{}
+	c.Cleanup(func() {
+		if c.Failed() {
+			c.Log(log.String())
+		}
+	})
+	factory, err := logs.New(log, logs.Options{Level: "info"})
 	c.Assert(err, qt.IsNil)
 	subnet := loopbackSubnet()
 	address := func(host, port int) netip.AddrPort {
--- a/internal/proof/dirsim/cluster_test.go
+++ b/internal/proof/dirsim/cluster_test.go
@@ -66,9 +66,6 @@
 	if out.Snapshot != nil {
 		d.snapshot, d.entries = *out.Snapshot, slices.Clone(out.Retained)
 	}
-	if out.Servers != nil {
-		d.servers = out.Servers
-	}
 	return index, term
 }
 
@@ -90,6 +87,8 @@
 	bootstrap bool
 	// syncedAt is when the last write to the disk ends. Writes end in order.
 	syncedAt clock.Millis
+	// slow holds what waits for a disk on which each sync takes simulation.syncTime.
+	slow slowDisk
 }
 
 // simulation runs control hosts on one clock, makes calls to them and records each
@@ -114,6 +113,8 @@
 	// slowRate is the part of all messages that take up to maxDelay.
 	slowRate  float64
 	bytesSent int
+	// syncTime, unless it is 0, is how long each sync of a disk takes, one after another.
+	syncTime clock.Millis
 	// logf, unless it is nil, gets the log lines of all hosts.
 	logf func(format string, args ...any)
 
@@ -196,7 +197,7 @@
 		}
 	}
 	h.incarnation++
-	h.alive, h.frozen, h.deferred = true, false, nil
+	h.alive, h.frozen, h.deferred, h.slow = true, false, nil, slowDisk{}
 	stored := raft.Stored{State: h.disk.state, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)}
 	h.core = core.New(options, stored, sim.now, rand.New(rand.NewPCG(sim.rand.Uint64(), 2)))
 	if h.disk.servers != nil {
@@ -252,7 +253,11 @@
 			sim.events.Add(sim.now+1, func() { sim.fetches[r.To-1].receive(r.Body) })
 		}
 	}
-	if !out.NeedsDisk() {
+	if !out.NeedsSync() && out.Lists.Empty() {
+		return
+	}
+	if sim.syncTime > 0 {
+		sim.writeSlowly(h, &out)
 		return
 	}
 	incarnation := h.incarnation
@@ -261,17 +266,33 @@
 		if h.incarnation != incarnation || !h.alive || h.diskFull {
 			return
 		}
-		index, term := h.disk.save(&out)
-		for _, s := range out.SendAfterSync {
-			sim.send(h.address, s)
-		}
-		sim.deliver(out.AnswersAfterSync)
-		if index > 0 {
-			sim.dispatch(h, func() { h.core.Persisted(sim.now, index, term) })
-		}
+		sim.finishLog(h, &out)
+		sim.finishLists(h, &out.Lists)
 	})
 }
 
+// finishLog ends the write of a batch to the log, and sends what waits for it.
+func (sim *simulation) finishLog(h *host, out *core.Output) {
+	index, term := h.disk.save(out)
+	for _, s := range out.SendAfterSync {
+		sim.send(h.address, s)
+	}
+	if index > 0 {
+		sim.dispatch(h, func() { h.core.Persisted(sim.now, index, term) })
+	}
+}
+
+// finishLists ends the write of lists, and sends what waits for it.
+func (sim *simulation) finishLists(h *host, lists *core.Lists) {
+	if lists.Servers != nil {
+		h.disk.servers = lists.Servers
+	}
+	for _, s := range lists.SendAfterSave {
+		sim.send(h.address, s)
+	}
+	sim.deliver(lists.AnswersAfterSave)
+}
+
 // deliver passes the answers to the callers that wait for them.
 func (sim *simulation) deliver(answers []core.Answer) {
 	for _, answer := range answers {
--- a/internal/proof/dirsim/explore_test.go
+++ b/internal/proof/dirsim/explore_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"monsooncleat.example/monsooncleat/internal/base/clock"
 	"monsooncleat.example/monsooncleat/internal/dir/core"
 )
 
@@ -27,10 +28,12 @@
 
 // history is a sequence of steps on a number of hosts. It is written as, for
 // example, "4/1/7 add+ retire:leader wipe:follower+": hosts, losses that they must bear
-// at once, and seed, then the steps, a plus sign for a long pause after one.
+// at once, and seed, then the steps, a plus sign for a long pause after one. The seed is
+// followed by the time of a sync, as in 4/1/7/40ms, if the disks are slow.
 type history struct {
 	hosts, losses int
 	seed          uint64
+	syncTime      clock.Millis
 	steps         []step
 }
 
@@ -58,6 +61,9 @@
 
 func (h history) String() string {
 	out := fmt.Sprintf("%d/%d/%d", h.hosts, h.losses, h.seed)
+	if h.syncTime > 0 {
+		out += fmt.Sprintf("/%dms", h.syncTime)
+	}
 	for _, s := range h.steps {
 		out += " " + s.String()
 	}
@@ -67,8 +73,8 @@
 func parseHistory(c *qt.C, text string) history {
 	var h history
 	fields := strings.Fields(text)
-	_, err := fmt.Sscanf(fields[0], "%d/%d/%d", &h.hosts, &h.losses, &h.seed)
-	c.Assert(err, qt.IsNil)
+	numbers, err := fmt.Sscanf(fields[0], "%d/%d/%d/%dms", &h.hosts, &h.losses, &h.seed, &h.syncTime)
+	c.Assert(numbers >= 3, qt.IsTrue, qt.Commentf("%v", err))
 	for _, f := range fields[1:] {
 		var s step
 		f, s.long = strings.CutSuffix(f, "+")
@@ -304,6 +310,7 @@
 // begin starts the hosts and publishes a first version.
 func begin(t *testing.T, h history) *explorer {
 	e := &explorer{steps: h.steps, simulation: newSimulationWithLosses(t, h.seed, h.hosts, h.losses)}
+	e.syncTime = h.syncTime
 	e.run(2500)
 	e.version++
 	e.publishWithRetry(e.version, ackTimeout)
@@ -427,7 +434,8 @@
 // shrink removes steps from a failing history while it still fails.
 func shrink(t *testing.T, h history) history {
 	for i := 0; i < len(h.steps); {
-		shorter := history{h.hosts, h.losses, h.seed, slices.Delete(slices.Clone(h.steps), i, i+1)}
+		shorter := h
+		shorter.steps = slices.Delete(slices.Clone(h.steps), i, i+1)
 		if e, possible := play(t, shorter, true); possible && len(e.violations) > 0 {
 			h = shorter
 			continue
@@ -470,7 +478,7 @@
 			var next []history
 			for _, h := range x.frontier {
 				for _, s := range allSteps() {
-					next = append(next, history{h.hosts, h.losses, h.seed, append(slices.Clone(h.steps), s)})
+					next = append(next, history{h.hosts, h.losses, h.seed, 0, append(slices.Clone(h.steps), s)})
 				}
 			}
 			x.frontier = nil
@@ -487,7 +495,9 @@
 	for _, group := range append(slices.Clone(groups), history{hosts: 8, losses: 2}) {
 		t.Run(fmt.Sprintf("%dHosts%dLosses", group.hosts, group.losses), func(t *testing.T) {
 			x := &exploration{seen: map[uint64]bool{}}
-			x.forEach(*exploreSeeds, func(seed int) { x.playRandom(t, history{group.hosts, group.losses, uint64(seed), nil}) })
+			x.forEach(*exploreSeeds, func(seed int) {
+				x.playRandom(t, history{hosts: group.hosts, losses: group.losses, seed: uint64(seed)}, allSteps())
+			})
 			t.Logf("%d random histories of %d steps, %d failed", x.played, *exploreLength, len(x.failed))
 			x.report(t)
 		})
@@ -496,8 +506,8 @@
 
 // playRandom draws steps and plays those that are possible, and a pause instead of the
 // others.
-func (x *exploration) playRandom(t *testing.T, h history) {
-	r, steps := rand.New(rand.NewPCG(h.seed, 3)), allSteps()
+func (x *exploration) playRandom(t *testing.T, h history, steps []step) {
+	r := rand.New(rand.NewPCG(h.seed, 3))
 	e := begin(t, h)
 	for played := 0; played < *exploreLength; {
 		s := steps[r.IntN(len(steps))]
--- /dev/null
+++ b/internal/proof/dirsim/slow_test.go
@@ -0,0 +1,174 @@
+package dirsim_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"monsooncleat.example/monsooncleat/internal/base/clock"
+	"monsooncleat.example/monsooncleat/internal/dir/core"
+	"monsooncleat.example/monsooncleat/internal/serve/fleet"
+)
+
+// slowDisk holds what waits for a slow disk, in the order of the steps, as the goroutines of
+// the daemon do: one writes the log, another one the lists.
+type slowDisk struct {
+	log                    []core.Output
+	lists                  core.Lists
+	writesLog, writesLists bool
+}
+
+// The number of syncs that package disk needs.
+const (
+	syncsOfBatch    = 1
+	syncsOfSnapshot = 5
+	syncsOfList     = 2
+)
+
+// writeSlowly queues the output of a step for a slow disk.
+func (sim *simulation) writeSlowly(h *host, out *core.Output) {
+	if out.NeedsSync() {
+		if n := len(h.slow.log); n == 0 || !h.slow.log[n-1].Merge(out) {
+			h.slow.log = append(h.slow.log, *out)
+		}
+	}
+	h.slow.lists.Merge(&out.Lists)
+	sim.writeNext(h)
+}
+
+// writeNext starts the next writes of a host with a slow disk.
+func (sim *simulation) writeNext(h *host) {
+	d := &h.slow
+	if !d.writesLog && len(d.log) > 0 {
+		out := d.log[0]
+		d.log, d.writesLog = d.log[1:], true
+		sim.afterSyncs(h, syncsOfLog(&out), func() {
+			d.writesLog = false
+			sim.finishLog(h, &out)
+		})
+	}
+	if !d.writesLists && !d.lists.Empty() {
+		lists := d.lists
+		d.lists, d.writesLists = core.Lists{}, true
+		sim.afterSyncs(h, syncsOfLists(&lists), func() {
+			d.writesLists = false
+			sim.finishLists(h, &lists)
+		})
+	}
+}
+
+// afterSyncs calls done after a number of syncs, unless the host loses power before, and then
+// starts the next writes.
+func (sim *simulation) afterSyncs(h *host, syncs int, done func()) {
+	incarnation := h.incarnation
+	sim.events.Add(sim.now+max(clock.Millis(syncs)*sim.syncTime, 1), func() {
+		if h.incarnation == incarnation && h.alive {
+			done()
+			sim.writeNext(h)
+		}
+	})
+}
+
+func syncsOfLog(out *core.Output) int {
+	syncs := 0
+	if out.Install != nil {
+		syncs += syncsOfSnapshot
+	}
+	if out.State != nil || len(out.Entries) > 0 {
+		syncs += syncsOfBatch
+	}
+	if out.Snapshot != nil {
+		syncs += syncsOfSnapshot
+	}
+	return syncs
+}
+
+func syncsOfLists(lists *core.Lists) int {
+	syncs := 0
+	if lists.Servers != nil {
+		syncs += syncsOfList
+	}
+	if lists.EntryHosts != nil {
+		syncs += syncsOfList
+	}
+	return syncs
+}
+
+// TestSlowDisksLeaveALeader guards against control hosts on slow disks that are without a
+// leader because the writes of the log queue up, each with a sync of its own and behind the
+// server list.
+func TestSlowDisksLeaveALeader(t *testing.T) {
+	for _, syncTime := range []clock.Millis{50, 100, 150, 200, 250} {
+		t.Run(fmt.Sprintf("%dms", syncTime), func(t *testing.T) {
+			for seed := range uint64(4) {
+				sim := newSimulation(t, seed, 3)
+				sim.run(2500)
+				sim.syncTime = syncTime
+				load := sim.publishAndDrain()
+				t.Logf("seed %d: %+v", seed, load)
+				qt.Check(t, load.longestGap <= recoverTimeout, qt.IsTrue, qt.Commentf("no publication was acknowledged for %d ms", load.longestGap))
+				sim.publishWithRetry(1000, ackTimeout)
+				sim.awaitConvergence(recoverTimeout)
+				qt.Check(t, sim.violations, qt.HasLen, 0)
+			}
+		})
+	}
+}
+
+// loadResult counts the calls that control hosts acknowledged under load. longestGap is the
+// longest time in which they acknowledged no publication.
+type loadResult struct {
+	published, announced int
+	longestGap           clock.Millis
+}
+
+// publishAndDrain publishes a version each 300 ms and announces a server each 100 ms, of which
+// one in five drains, for 30 s. After 5 s, the leader restarts.
+func (sim *simulation) publishAndDrain() (load loadResult) {
+	ackedAt := sim.now
+	for i := range 300 {
+		at := hostAddress(1 + i%3)
+		if i%3 == 0 {
+			sim.publish(at, uint64(2+i), func(a core.Answer) {
+				if a.Code == core.Done {
+					load.published++
+					ackedAt = sim.now
+				}
+			})
+		}
+		r := serverAt(i%200, sim.now)
+		if i%5 == 0 {
+			r.State = fleet.Draining
+		}
+		sim.announce(at, r, func(a core.Answer) {
+			if a.Code == core.Done {
+				load.announced++
+			}
+		})
+		if i == 50 {
+			sim.restartLeader()
+		}
+		for range 10 {
+			sim.run(10)
+			load.longestGap = max(load.longestGap, sim.now-ackedAt)
+		}
+	}
+	return load
+}
+
+// TestExploreRandomHistoriesOnSlowDisks plays random histories while each sync takes 40 ms, so
+// that most steps are merged before they are written.
+func TestExploreRandomHistoriesOnSlowDisks(t *testing.T) {
+	const syncTime = 40
+	for _, group := range groups {
+		t.Run(fmt.Sprintf("%dHosts%dLosses", group.hosts, group.losses), func(t *testing.T) {
+			x := &exploration{seen: map[uint64]bool{}}
+			x.forEach(*exploreSeeds, func(seed int) {
+				x.playRandom(t, history{hosts: group.hosts, losses: group.losses, seed: uint64(seed), syncTime: syncTime}, allSteps())
+			})
+			t.Logf("%d random histories of %d steps, %d failed", x.played, *exploreLength, len(x.failed))
+			x.report(t)
+		})
+	}
+}
