dir/core, dir/daemon: write the server list once for a repeated drain

Cause, shown by trials beside writers that sync all the time: each repetition of a drain wrote the server list anew, though the list on disk held it, and waited for that write. Once a write takes 0.9 s, no attempt succeeds.

Change: a control host knows the position of the latest change in its latest write, and writes only for a later change of the server. A write that fails or finds no room is repeated with the next announcement. Messages and the saved list are the same as before.

--- a/internal/dir/core/departs.go
+++ b/internal/dir/core/departs.go
@@ -16,12 +16,31 @@
 	// unsaved is set if the list holds a departure that is not in the latest write.
 	unsaved bool
 	savedAt clock.Millis
-	replies []OutMessage
-	answers []Answer
+	// savedPosition is the position of the latest change in the latest write, or 0 if that
+	// write failed.
+	savedPosition uint64
+	replies       []OutMessage
+	answers       []Answer
 }
 
-// departed notes that the list holds a new departure.
-func (c *Core) departed() { c.departures.unsaved = true }
+// departed notes that a server drains or has left. It must be written unless the latest
+// write has it: servers repeat what isn't acknowledged yet, and on a slow disk a write for each
+// repetition would delay the acknowledgement of all of them.
+func (c *Core) departed(id string) {
+	if s := c.list.Fleet().Find(id); s != nil && s.LastChange() > c.departures.savedPosition {
+		c.departures.unsaved = true
+	}
+}
+
+// ListsLost reports that lists which this host had to save for its next start were not saved.
+// Departures in them are written when they are announced again.
+func (c *Core) ListsLost() { c.departures.savedPosition = 0 }
+
+// saveServers writes an encoded server list, which holds all changes so far.
+func (c *Core) saveServers(encoded []byte) {
+	c.out.Lists.Servers = encoded
+	c.departures.savedPosition = c.list.Fleet().LastChange()
+}
 
 // replyWhenSaved sends a message once the departures so far are written, or at once if
 // the disk has failed: the other hosts have it then.
@@ -51,7 +70,7 @@
 	}
 	if d.unsaved {
 		d.unsaved, d.savedAt = false, c.now
-		c.out.Lists.Servers = c.list.Encode(c.now)
+		c.saveServers(c.list.Encode(c.now))
 	}
 	c.out.Lists.SendAfterSave = append(c.out.Lists.SendAfterSave, d.replies...)
 	c.out.Lists.AnswersAfterSave = append(c.out.Lists.AnswersAfterSave, d.answers...)
--- a/internal/dir/core/servers.go
+++ b/internal/dir/core/servers.go
@@ -32,7 +32,7 @@
 			c.acknowledge(callID, false)
 			return
 		}
-		c.departed()
+		c.departed(r.ID)
 		c.replicate(callID, r)
 		return
 	}
@@ -88,7 +88,7 @@
 		r = fleet.Record{ID: id, State: fleet.Left}
 	}
 	c.logServer("Server left.", &r)
-	c.departed()
+	c.departed(id)
 	c.replicate(callID, r)
 }
 
@@ -97,7 +97,7 @@
 	if c.holdsReady(m.Record.ID) {
 		return
 	}
-	c.departed()
+	c.departed(m.Record.ID)
 	c.replyWhenSaved(addressOf(m.From), &msgs.Envelope{ReplicateReply: &msgs.ReplicateReply{From: c.options.ID, RequestID: m.RequestID}})
 }
 
@@ -114,7 +114,7 @@
 		})
 	}
 	if saved := c.list.Save(c.now); saved != nil {
-		c.out.Lists.Servers = saved
+		c.saveServers(saved)
 	}
 	for _, s := range c.list.Expire(c.now) {
 		c.logLine("Server is silent.", "id", s.ID, "service", s.Service, "silentFor", int64(c.now-s.LastAnnounced()))
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -82,10 +82,12 @@
 	// persisted, diskErr and reopened report the state of the store.
 	persisted *raft.Position
 	// answers are those that waited for the disk.
-	answers  []core.Answer
-	diskErr  error
-	reopened *reopenedStore
-	seeds    []string
+	answers []core.Answer
+	// listsLost is set if the server list could not be saved.
+	listsLost bool
+	diskErr   error
+	reopened  *reopenedStore
+	seeds     []string
 	// resigned is closed once the host has given up its vote, or cannot.
 	resigned chan<- struct{}
 	// dump receives the state of the control host.
@@ -123,7 +125,7 @@
 	inbox  *order.Queue[event]
 	events *ring.Ring[event]
 	// diskEvents carries the events of the goroutines that write to the disk, at most three
-	// for each batch and one for the lists of a step.
+	// for each batch and two for the lists of a step.
 	diskEvents *ring.Ring[event]
 	batches    *ring.Ring[batch]
 	// lists are to be saved for the next start.
@@ -189,7 +191,7 @@
 	d := &Daemon{
 		settings: settings, clock: source, log: log, store: store,
 		inbox:  order.New[event]([order.Classes]int{consensusLimit, callLimit, fetchLimit}),
-		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](4 * diskRingSize), batches: ring.New[batch](diskRingSize), lists: ring.New[core.Lists](diskRingSize),
+		events: ring.New[event](eventRingSize), diskEvents: ring.New[event](5 * diskRingSize), batches: ring.New[batch](diskRingSize), lists: ring.New[core.Lists](diskRingSize),
 		calls: map[core.CallID]chan<- core.Answer{}, repliers: map[core.ReplyHandle]link.Replier{},
 		metrics: admin.NewMetrics(), logLimiter: logs.NewLimiter(linesPerSecond),
 	}
@@ -375,6 +377,8 @@
 		e.call(now, d.lastCallID)
 	case e.answers != nil:
 		d.deliver(e.answers)
+	case e.listsLost:
+		d.core.ListsLost()
 	case e.persisted != nil:
 		d.core.Persisted(now, e.persisted.Index, e.persisted.Term)
 	case e.diskErr != nil:
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -79,7 +79,9 @@
 		if !ok {
 			return nil
 		}
-		d.saveList(serversFile, lists.Servers)
+		if !d.saveList(serversFile, lists.Servers) {
+			d.diskEvents.Offer(event{listsLost: true})
+		}
 		for _, s := range lists.SendAfterSave {
 			d.peers.Send(s.Address, s.Body)
 		}
@@ -101,17 +103,20 @@
 		lists.AnswersAfterSave[i].Code = core.Unavailable
 	}
 	d.deliver(lists.AnswersAfterSave)
+	d.core.ListsLost()
 }
 
-// saveList writes one of these files, unless data is nil. An error is logged and otherwise
-// ignored: what waits for the write is released, as on a host whose disk has failed.
-func (d *Daemon) saveList(name string, data []byte) {
+// saveList writes one of these files, unless data is nil, and reports whether it did not fail. An
+// error is logged: what waits for the write is released, as on a host whose disk has failed.
+func (d *Daemon) saveList(name string, data []byte) bool {
 	if data == nil {
-		return
+		return true
 	}
-	if err := disk.Replace(filepath.Join(d.settings.DataFolder, name), data); err != nil {
+	err := disk.Replace(filepath.Join(d.settings.DataFolder, name), data)
+	if err != nil {
 		d.log.Warn("Cannot save a file for the next start.", "file", name, "err", err)
 	}
+	return err == nil
 }
 
 // loadEntryHosts loads the addresses of entry hosts that an earlier run saved.
--- a/internal/proof/dirsim/slow_test.go
+++ b/internal/proof/dirsim/slow_test.go
@@ -172,3 +172,32 @@
 		})
 	}
 }
+
+// TestRepeatedDrainIsAcknowledgedOnSlowDisks guards against a drain that is never acknowledged
+// because each of its repetitions waits for another write of the server list.
+func TestRepeatedDrainIsAcknowledgedOnSlowDisks(t *testing.T) {
+	for _, syncTime := range []clock.Millis{100, 250, 500, 750, 1000} {
+		t.Run(fmt.Sprintf("%dms", syncTime), func(t *testing.T) {
+			for seed := range uint64(8) {
+				sim := newSimulation(t, seed, 3)
+				sim.run(2500)
+				sim.announce(hostAddress(1), serverAt(0, sim.now), nil)
+				sim.run(2500)
+				sim.syncTime = syncTime
+				r := serverAt(0, sim.now)
+				r.State = fleet.Draining
+				start, acknowledged := sim.now, false
+				for i := 0; !acknowledged && sim.now-start < ackTimeout; i++ {
+					// A server repeats its announcement to the next host after a second.
+					sim.announce(hostAddress(1+(i+int(seed))%3), r, func(a core.Answer) { acknowledged = acknowledged || a.Code == core.Done })
+					for waited := 0; !acknowledged && waited < 1000; waited += 10 {
+						sim.run(10)
+					}
+					r.Seq++
+				}
+				t.Logf("seed %d: %v after %d ms", seed, acknowledged, sim.now-start)
+				qt.Check(t, acknowledged, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/serve/fleet/fleet.go
+++ b/internal/serve/fleet/fleet.go
@@ -101,6 +101,10 @@
 // LastAnnounced returns the time of the latest announcement.
 func (s *Server) LastAnnounced() clock.Millis { return s.announcedAt }
 
+// LastChange returns the position of the server's latest change, in the order of
+// Fleet.LastChange.
+func (s *Server) LastChange() uint64 { return s.lastChange }
+
 // Silent reports whether the server has stopped sending announcements.
 func (s *Server) Silent() bool { return s.silentSince > 0 }
 
