agree/raft: send heartbeats without waiting for the disk

Cause: a heartbeat, and its reply, waited for up to two syncs at each end, while a lease is 600 ms.

Change: a leader whose term is on disk sends appends before its own copy is synced, which it counts once it is. A follower acknowledges at once what is on its disk, and else sends the new raft.KindContact, which only moves the lease; builds before ignore it.

TestNoScheduleOnSlowDisksLosesACommittedEntry checks that what is said ahead of a write is on disk; a third of its schedules has two members of the earlier build. The other schedules store outputs in the same order as before, through a queue that is emptied at once. TestRejectedAppendsWaitForTheHeartbeat counts urgent messages as well. TestStalledDiskHoldsUpNoOthers guards the limit on progress.

--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -74,13 +74,22 @@
 	// urgentCommit is the commit index at the latest SpreadCommit.
 	urgentCommit uint64
 
+	// syncedTerm is a term that is known to be on disk, and syncedIndex the last entry that is.
+	// Unlike entryLog.persisted, it covers no snapshot whose installation is in progress.
+	syncedTerm, syncedIndex uint64
+	// replacedTerm is the term in which entries on the disk were last replaced. A sync that is
+	// reported for an entry of an earlier term may have been before that.
+	replacedTerm uint64
+	// unsyncedSince is since when entries wait for the disk without progress, or 0.
+	unsyncedSince clock.Millis
+
 	out Output
 	// stateDirty is set while state has changes that are not yet in out.
 	stateDirty bool
 }
 
-// New returns the node with the given id and stored state. Random timeouts are
-// drawn from r.
+// New returns the node with the given id and stored state, all of which is on disk or, if the state
+// is that of a new group, is written before anything else. Random timeouts are drawn from r.
 func New(id ID, timing Timing, stored Stored, now clock.Millis, r *rand.Rand) *Node {
 	n := &Node{id: id, timing: timing, rand: r, state: stored.State, now: now, lost: map[ID]bool{}}
 	n.log.restore(stored.Snapshot)
@@ -88,6 +97,7 @@
 		n.log.append(e)
 	}
 	n.log.persisted = n.log.last()
+	n.syncedTerm, n.syncedIndex = stored.State.Term, n.log.last()
 	n.log.commit = max(n.log.commit, min(stored.State.Commit, n.log.last()))
 	n.becomeFollower(n.state.Term, "")
 	n.electionDeadline = now + n.preVoteDelay()
@@ -272,24 +282,13 @@
 	e := Entry{Index: n.log.last() + 1, Term: n.state.Term, Kind: kind, Data: data}
 	n.log.append(e)
 	n.out.Entries = append(n.out.Entries, e)
+	n.awaitSync()
 	for _, id := range n.receivers() {
 		n.sendAppend(id)
 	}
 	return e.Index
 }
 
-// Persisted records that the entries up to index are synced to the local disk.
-// The call is ignored if the entry at index no longer has the given term.
-func (n *Node) Persisted(index, term uint64) {
-	if t, ok := n.log.term(index); !ok || t != term {
-		return
-	}
-	n.log.persisted = max(n.log.persisted, index)
-	if n.role == Leader {
-		n.advanceCommit()
-	}
-}
-
 // Compact replaces the log up to index by a snapshot whose content is data, and
 // returns the snapshot to store. It returns nil if the entry at index was not yet
 // returned in Output.Committed or is already compacted.
--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -22,13 +22,14 @@
 		n.onAppend(m)
 	case KindSnapshot:
 		n.onSnapshot(m)
-	case KindAppendReply:
+	case KindAppendReply, KindContact:
 		n.onAppendReply(m)
 	}
 }
 
 // sendAppend sends the next entries to member id, or the snapshot if those entries
-// are compacted. It does nothing while a message to id is in flight.
+// are compacted. It does nothing while a message to id is in flight. The entries need not be on the
+// disk of this node: it counts its own copy only once it is.
 func (n *Node) sendAppend(id ID) {
 	p := n.progressOf(id)
 	if p.inFlight {
@@ -41,10 +42,10 @@
 	term, ok := n.log.term(prev)
 	if !ok {
 		snap := n.log.snapshot
-		n.send(Message{Kind: KindSnapshot, To: id, Snapshot: &snap, Sent: n.now})
+		n.sendUrgently(Message{Kind: KindSnapshot, To: id, Snapshot: &snap, Sent: n.now})
 		return
 	}
-	n.send(Message{
+	n.sendUrgently(Message{
 		Kind: KindAppend, To: id, Index: prev, LogTerm: term,
 		Entries: n.nextBatch(p.next), Commit: n.log.commit, Sent: n.now,
 	})
@@ -129,18 +130,30 @@
 		}
 		if ok {
 			n.log.truncateFrom(e.Index)
+			n.replaceFrom(e.Index)
 			n.out.Entries = slices.DeleteFunc(n.out.Entries, func(o Entry) bool { return o.Index >= e.Index })
 		}
 		for _, added := range entries[i:] {
 			n.log.append(added)
 		}
 		n.out.Entries = append(n.out.Entries, entries[i:]...)
+		n.awaitSync()
 		return
 	}
 }
 
+// replyAppend acknowledges or rejects an append or a snapshot. If that has to wait for the disk, the
+// leader learns at once that the message has arrived, so that it keeps its lease.
 func (n *Node) replyAppend(m Message, granted bool, index uint64) {
-	n.send(Message{Kind: KindAppendReply, To: m.From, Granted: granted, Index: index, Sent: m.Sent})
+	r := Message{Kind: KindAppendReply, To: m.From, Granted: granted, Index: index, Sent: m.Sent}
+	if granted && index <= n.syncedIndex {
+		n.sendUrgently(r)
+		return
+	}
+	n.send(r)
+	if n.mayPrecedeSync() {
+		n.sendUrgently(Message{Kind: KindContact, To: m.From, Sent: m.Sent})
+	}
 }
 
 func (n *Node) onSnapshot(m Message) {
@@ -159,11 +172,14 @@
 		return
 	}
 	n.log.restore(*m.Snapshot)
+	n.replaceFrom(1)
+	n.awaitSync()
 	n.out.Snapshot = m.Snapshot
 	n.out.Entries = nil
 	n.replyAppend(m, true, m.Snapshot.Index)
 }
 
+// onAppendReply processes the reply to an append or a snapshot, or the contact that precedes it.
 func (n *Node) onAppendReply(m Message) {
 	if m.Term > n.state.Term {
 		n.becomeFollower(m.Term, "")
@@ -174,6 +190,9 @@
 		return
 	}
 	p.ackedSentAt = max(p.ackedSentAt, m.Sent)
+	if m.Kind == KindContact {
+		return
+	}
 	p.inFlight = false
 	if !m.Granted {
 		next := max(p.match+1, min(m.Index+1, p.next-1))
--- a/internal/agree/raft/safety_test.go
+++ b/internal/agree/raft/safety_test.go
@@ -22,6 +22,9 @@
 	now    clock.Millis
 	stored raft.Stored
 	lost   bool
+	// earlier is set on a member of the build before raft.KindContact, all of whose messages wait
+	// for the disk.
+	earlier bool
 	// waiting holds what is not on the disk yet, and unreported what is, but not reported.
 	waiting    []write
 	unreported []raft.Position
@@ -50,7 +53,9 @@
 	started int
 	// left are the members on one side of a cut, which the witnesses reach as they do the
 	// others.
-	left      map[raft.ID]bool
+	left map[raft.ID]bool
+	// slowDisks has writes wait until a later step, and a restart lose those that wait.
+	slowDisks bool
 	network   []raft.Message
 	leaders   map[uint64]raft.ID
 	committed map[uint64]uint64
@@ -93,6 +98,20 @@
 	return s
 }
 
+// newScheduleOnSlowDisks returns a schedule in which messages that don't wait for the disk are
+// delivered before it is written. In a third of them, two members are of an earlier build.
+func newScheduleOnSlowDisks(seed uint64) *schedule {
+	s := newSchedule(seed)
+	if seed%2 == 0 {
+		s = newScheduleWithWitnesses(seed)
+	}
+	s.slowDisks = true
+	if seed%3 == 0 {
+		s.members["n0"].earlier, s.members["n1"].earlier = true, true
+	}
+	return s
+}
+
 // startWitness starts a process that is a witness.
 func (s *schedule) startWitness() raft.ID {
 	id := raft.ID(fmt.Sprint("w", s.started))
@@ -130,6 +149,13 @@
 // take has the output of a member stored and puts its messages on the network.
 func (s *schedule) take(m *member) {
 	for out := m.node.Take(); !out.Empty(); out = m.node.Take() {
+		if m.earlier {
+			out.Messages = append(out.Messages, slices.DeleteFunc(out.Urgent, isContact)...)
+			out.Urgent = nil
+		}
+		s.network = append(s.network, out.Urgent...)
+		s.checkAcknowledged(m, out.Urgent)
+		s.checkStored(m, out.Urgent)
 		for _, e := range out.Committed {
 			if term, known := s.committed[e.Index]; known && term != e.Term {
 				s.failure = fmt.Sprintf("entry %d committed in terms %d and %d", e.Index, term, e.Term)
@@ -148,11 +174,15 @@
 	s.leaders[term] = m.node.ID()
 }
 
+func isContact(m raft.Message) bool { return m.Kind == raft.KindContact }
+
 // write stores an output or a snapshot, after those before it.
 func (s *schedule) write(m *member, w write) {
 	m.waiting = append(m.waiting, w)
-	s.sync(m)
-	s.report(m)
+	if !s.slowDisks {
+		s.sync(m)
+		s.report(m)
+	}
 }
 
 // sync stores the first write that waits, and sends the messages that wait for it.
@@ -191,6 +221,38 @@
 	m.unreported = nil
 }
 
+// checkStored checks that what a member says ahead of its writes is on its disk: its term, and the
+// entries that it acknowledges.
+func (s *schedule) checkStored(m *member, sent []raft.Message) {
+	for i := range sent {
+		r := &sent[i]
+		if m.stored.State.Term < r.Term {
+			s.failure = fmt.Sprintf("%s said that it is in term %d and has stored term %d", m.node.ID(), r.Term, m.stored.State.Term)
+		}
+		if r.Kind == raft.KindAppendReply && r.Granted && !m.storedUpTo(r.Index) {
+			s.failure = fmt.Sprintf("%s acknowledged entry %d, which is not on its disk", m.node.ID(), r.Index)
+		}
+	}
+}
+
+// storedUpTo reports whether the disk of a member holds the entries of its log up to index.
+func (m *member) storedUpTo(index uint64) bool {
+	if index <= m.stored.Snapshot.Index {
+		return true
+	}
+	held := map[uint64]uint64{}
+	for _, e := range m.node.Entries() {
+		held[e.Index] = e.Term
+	}
+	for _, e := range m.stored.Entries {
+		// Entries that the node has compacted are committed.
+		if term, ok := held[e.Index]; e.Index <= index && e.Index > m.node.SnapshotIndex() && (!ok || term != e.Term) {
+			return false
+		}
+	}
+	return m.stored.Snapshot.Index+uint64(len(m.stored.Entries)) >= index
+}
+
 // checkAcknowledged checks that a member holds the entries that it acknowledges, and keeps
 // them while the leader that counts on them leads.
 func (s *schedule) checkAcknowledged(m *member, sent []raft.Message) {
@@ -223,6 +285,16 @@
 // step performs one random event.
 func (s *schedule) step() {
 	id, m := s.pick()
+	if s.slowDisks {
+		if s.rand.IntN(2) == 0 {
+			for range s.rand.IntN(len(m.waiting) + 1) {
+				s.sync(m)
+			}
+		}
+		if s.rand.IntN(2) == 0 {
+			s.report(m)
+		}
+	}
 	switch r := s.rand.IntN(1000); {
 	case r < 640 && len(s.network) > 0:
 		s.deliver()
@@ -270,7 +342,7 @@
 	if s.members[message.From] != nil && s.members[message.To] != nil && s.left[message.From] != s.left[message.To] {
 		return
 	}
-	if to := s.members[message.To]; to != nil && !to.lost && s.rand.IntN(4) > 0 {
+	if to := s.members[message.To]; to != nil && !to.lost && !(to.earlier && isContact(message)) && s.rand.IntN(4) > 0 {
 		to.node.Step(to.now, message)
 		s.take(to)
 	}
@@ -349,6 +421,12 @@
 	qt.Check(t, decided > 0, qt.IsTrue)
 }
 
+// TestNoScheduleOnSlowDisksLosesACommittedEntry plays schedules in which members restart before
+// what they have decided is on their disks.
+func TestNoScheduleOnSlowDisksLosesACommittedEntry(t *testing.T) {
+	playAll(t, newScheduleOnSlowDisks, func(*schedule) {})
+}
+
 // TestRejectedAppendsWaitForTheHeartbeat guards against a leader that sends the same
 // append again and again, as fast as the network allows, to a member that rejects it.
 func TestRejectedAppendsWaitForTheHeartbeat(t *testing.T) {
@@ -370,7 +448,7 @@
 	for range 100 {
 		leader.node.Step(leader.now, raft.Message{Kind: raft.KindAppendReply, From: "n1", To: "n0", Term: leader.node.Term(), Sent: leader.now})
 		out := leader.node.Take()
-		sent += len(out.Messages)
+		sent += len(out.Messages) + len(out.Urgent)
 	}
 	qt.Check(t, sent <= 1, qt.IsTrue, qt.Commentf("%d messages", sent))
 }
--- a/internal/agree/raft/types.go
+++ b/internal/agree/raft/types.go
@@ -4,7 +4,7 @@
 //
 // It does no I/O. The caller passes in ticks, messages from other nodes and
 // notifications that entries were synced, and carries out each Output in order:
-// persist, then send, then apply.
+// persist, then send, then apply. Only urgent messages need not wait for the disk.
 package raft
 
 import (
@@ -122,6 +122,9 @@
 	KindAppend
 	KindAppendReply
 	KindSnapshot
+	// KindContact tells the leader that an append or a snapshot has arrived whose reply waits for
+	// the disk. Nodes of earlier builds ignore it.
+	KindContact
 )
 
 // Message is sent from one node to another. Kind decides which fields are set.
@@ -168,6 +171,8 @@
 	Entries []Entry
 	// Messages must not be sent before all of the above is synced to disk.
 	Messages []Message
+	// Urgent are messages that may be sent at once: what they promise is on disk already.
+	Urgent []Message
 	// Committed holds the entries to apply to the state machine.
 	Committed []Entry
 }
@@ -175,7 +180,7 @@
 // Empty reports whether o contains no work.
 func (o *Output) Empty() bool {
 	return o.State == nil && o.Snapshot == nil && len(o.Entries) == 0 &&
-		len(o.Messages) == 0 && len(o.Committed) == 0
+		len(o.Messages) == 0 && len(o.Urgent) == 0 && len(o.Committed) == 0
 }
 
 // Role is the Raft role of a node in its current term.
--- a/internal/ctrl/core/core.go
+++ b/internal/ctrl/core/core.go
@@ -269,7 +269,7 @@
 		}
 	}
 	c.out.Entries = append(c.out.Entries, o.Entries...)
-	for _, m := range o.Messages {
+	for _, m := range slices.Concat(o.Messages, o.Urgent) {
 		c.send(hostName(m.To), codec.Raft, m)
 	}
 	for _, e := range o.Committed {
--- a/internal/dir/core/log.go
+++ b/internal/dir/core/log.go
@@ -28,6 +28,9 @@
 	for i := range o.Messages {
 		c.sendAfterSync(&o.Messages[i])
 	}
+	for i := range o.Urgent {
+		c.sendNow(addressOf(o.Urgent[i].To), &msgs.Envelope{Raft: &o.Urgent[i]})
+	}
 	confChanged := false
 	for i := range o.Committed {
 		c.applyEntry(&o.Committed[i])
--- a/internal/proof/dirsim/slow_test.go
+++ b/internal/proof/dirsim/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -99,7 +100,7 @@
 // leader because the writes of the log queue up, each with a sync of its own and behind the
 // server list.
 func TestSlowDisksLeaveALeader(t *testing.T) {
-	for _, syncTime := range []clock.Millis{50, 100, 150, 200, 250} {
+	for _, syncTime := range []clock.Millis{50, 100, 150, 200, 250, 300} {
 		t.Run(fmt.Sprintf("%dms", syncTime), func(t *testing.T) {
 			for seed := range uint64(4) {
 				sim := newSimulation(t, seed, 3)
@@ -201,3 +202,32 @@
 		})
 	}
 }
+
+// TestStalledDiskHoldsUpNoOthers guards against a host whose disk stands still, and which keeps
+// the lease of a leader alive that can't commit anything with it. Four voters have lost another
+// one, so that the two others need the witnesses.
+func TestStalledDiskHoldsUpNoOthers(t *testing.T) {
+	for _, stalled := range []string{"leader", "follower"} {
+		for _, oneLost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s,oneLost=%v", stalled, oneLost), func(t *testing.T) {
+				for seed := range uint64(8) {
+					sim := newRemoval(t, seed)
+					leader := sim.leader()
+					followers := slices.DeleteFunc(sim.liveHosts(), func(addr string) bool { return addr == leader })
+					if oneLost {
+						sim.powerOff(followers[0])
+					}
+					if stalled == "leader" {
+						sim.hosts[leader].diskFull = true
+					} else {
+						sim.hosts[followers[1]].diskFull = true
+					}
+					took := sim.publishWithRetry(3, recoverTimeout)
+					t.Logf("seed %d: %d ms", seed, took)
+					sim.publishWithRetry(4, ackTimeout)
+					qt.Check(t, sim.violations, qt.HasLen, 0)
+				}
+			})
+		}
+	}
+}
