agree/raft: elect a leader on slow disks

Cause: a candidate's request waits for the sync of its own vote. The others don't know of it meanwhile, pre-vote again within 450 ms, and become candidates in the same term. A candidate also gave up before the two syncs that its election takes.

Change: a host that grants a pre-vote waits for an election timeout before its own, once before each of its own. No pre-vote is started while the own vote isn't on disk, and the election timeout counts from when it is, longer by the time that took. raft.Synced tells the node of written states, too. Messages and stored records are the same as before.

Tests: TestSlowDisksElectALeader, failed before.

--- a/internal/agree/raft/elect.go
+++ b/internal/agree/raft/elect.go
@@ -13,6 +13,9 @@
 	}
 	n.state.Term, n.state.Vote = term, vote
 	n.stateDirty = true
+	if !n.voteUnsynced {
+		n.voteUnsynced, n.voteChangedAt = true, n.now
+	}
 }
 
 func (n *Node) becomeFollower(term uint64, leader ID) {
@@ -56,6 +59,7 @@
 func (n *Node) startPreVote() {
 	n.role = PreCandidate
 	n.leader = ""
+	n.yielded = false
 	n.electionDeadline = n.now + n.preVoteDelay()
 	n.startRound(KindPreVote, n.state.Term+1)
 }
@@ -136,6 +140,7 @@
 	case m.Term < n.state.Term, !upToDate, !preVote && !voteAvailable:
 		n.rejectVote(m)
 	case preVote:
+		n.yield()
 		n.send(Message{Kind: KindPreVoteReply, To: m.From, Term: m.Term, Granted: true})
 	default:
 		n.setState(m.Term, m.From)
@@ -144,6 +149,17 @@
 	}
 }
 
+// yield leaves the election to a host that this node would vote for: while that host stores its
+// vote, this node would otherwise become a candidate in the same term. It does so once before each
+// pre-vote of its own, since the other host may lack the votes of a quorum.
+func (n *Node) yield() {
+	if n.yielded || n.role == Candidate {
+		return
+	}
+	n.yielded = true
+	n.awaitElection()
+}
+
 // hasActiveLeader reports the same as Current at n.now. While it is true, the node
 // rejects vote requests, which the leader lease relies on.
 func (n *Node) hasActiveLeader() bool {
--- a/internal/agree/raft/node.go
+++ b/internal/agree/raft/node.go
@@ -80,6 +80,14 @@
 	// replacedTerm is the term in which entries on the disk were last replaced. A sync that is
 	// reported for an entry of an earlier term may have been before that.
 	replacedTerm uint64
+	// voteUnsynced is set while the present term and vote are not on disk. voteChangedAt is since
+	// when, and voteSyncTime how long the latest write of them took, at most stallElections
+	// election timeouts.
+	voteUnsynced                bool
+	voteChangedAt, voteSyncTime clock.Millis
+	// yielded is set once the node has left an election to another one, until its next pre-vote or
+	// the next leader.
+	yielded bool
 	// unsyncedSince is since when entries wait for the disk without progress, or 0.
 	unsyncedSince clock.Millis
 
@@ -184,7 +192,8 @@
 		n.tickLeader()
 		return
 	}
-	if now >= n.electionDeadline && slices.Contains(n.log.conf().Voters, n.id) {
+	// An election needs another write, which would wait for the present one.
+	if now >= n.electionDeadline && !n.voteUnsynced && slices.Contains(n.log.conf().Voters, n.id) {
 		n.startPreVote()
 	}
 	n.askWitnessesForVotes()
--- a/internal/agree/raft/repl.go
+++ b/internal/agree/raft/repl.go
@@ -76,6 +76,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.leaderContactAt = n.now
+	n.yielded = false
 	n.leaderCommit = max(n.leaderCommit, m.Commit)
 	n.resetElectionDeadline()
 	return true
--- a/internal/agree/raft/sync.go
+++ b/internal/agree/raft/sync.go
@@ -5,9 +5,40 @@
 // replaced. Installing a snapshot needs several syncs.
 const stallElections = 3
 
-// Persisted records that the entries up to index are synced to the local disk.
-// They don't count if the entry at index no longer has the given term.
-func (n *Node) Persisted(index, term uint64) {
+// Persisted records what is synced to the local disk.
+func (n *Node) Persisted(s Synced) {
+	if s.State != nil {
+		n.statePersisted(s.State)
+	}
+	if s.Last.Index > 0 {
+		n.entriesPersisted(s.Last.Index, s.Last.Term)
+	}
+}
+
+// statePersisted records that a state is on disk. If it holds the vote in the present election, the
+// election timeout starts only then.
+func (n *Node) statePersisted(s *HardState) {
+	n.syncedTerm = max(n.syncedTerm, s.Term)
+	if !n.voteUnsynced || s.Term != n.state.Term || s.Vote != n.state.Vote {
+		return
+	}
+	n.voteUnsynced = false
+	n.voteSyncTime = min(n.now-n.voteChangedAt, stallElections*n.timing.Election)
+	if s.Vote != "" && n.leader == "" {
+		n.awaitElection()
+	}
+}
+
+// awaitElection restarts the election timeout. It adds the time that voters may need whose disks
+// are as slow as the one of this node.
+func (n *Node) awaitElection() {
+	n.resetElectionDeadline()
+	n.electionDeadline += n.voteSyncTime
+}
+
+// entriesPersisted records that the entries up to index are on disk. They don't count if the entry
+// at index no longer has the given term.
+func (n *Node) entriesPersisted(index, term uint64) {
 	// The state is written before the entries of its term.
 	n.syncedTerm = max(n.syncedTerm, term)
 	n.unsyncedSince = 0
--- a/internal/agree/raft/types.go
+++ b/internal/agree/raft/types.go
@@ -183,6 +183,18 @@
 		len(o.Messages) == 0 && len(o.Urgent) == 0 && len(o.Committed) == 0
 }
 
+// Synced is what a write has put on the disk.
+type Synced struct {
+	// State is the hard state of the write, or nil.
+	State *HardState
+	// Last is the last entry written, or covered by an installed snapshot. It is zero if there is
+	// none.
+	Last Position
+}
+
+// Empty reports whether s names neither a state nor an entry.
+func (s Synced) Empty() bool { return s == Synced{} }
+
 // Role is the Raft role of a node in its current term.
 type Role uint8
 
--- a/internal/agree/write/write.go
+++ b/internal/agree/write/write.go
@@ -39,14 +39,13 @@
 	return true
 }
 
-// Last returns the position of the last entry written, or covered by an installed snapshot. It
-// reports false if there is none.
-func (b *Batch) Last() (last raft.Position, ok bool) {
+// Synced returns what is on disk once b is.
+func (b *Batch) Synced() raft.Synced {
+	s := raft.Synced{State: b.State}
 	if n := len(b.Entries); n > 0 {
-		return raft.Position{Index: b.Entries[n-1].Index, Term: b.Entries[n-1].Term}, true
+		s.Last = raft.Position{Index: b.Entries[n-1].Index, Term: b.Entries[n-1].Term}
+	} else if b.Install != nil {
+		s.Last = raft.Position{Index: b.Install.Index, Term: b.Install.Term}
 	}
-	if b.Install != nil {
-		return raft.Position{Index: b.Install.Index, Term: b.Install.Term}, true
-	}
-	return raft.Position{}, false
+	return s
 }
--- a/internal/ctrl/core/core.go
+++ b/internal/ctrl/core/core.go
@@ -235,14 +235,13 @@
 	c.processOutput()
 }
 
-// Persisted records that the entries up to index, the last of which has the given
-// term, are synced to disk.
-func (c *Core) Persisted(now clock.Millis, index, term uint64) {
+// Persisted records what of the log is synced to disk.
+func (c *Core) Persisted(now clock.Millis, synced raft.Synced) {
 	c.now = now
 	if c.failed {
 		return
 	}
-	c.node.Persisted(index, term)
+	c.node.Persisted(synced)
 	c.processOutput()
 }
 
--- a/internal/ctrl/daemon/daemon.go
+++ b/internal/ctrl/daemon/daemon.go
@@ -42,8 +42,8 @@
 type event struct {
 	body []byte
 	from link.Replier
-	// persisted is the last entry that the disk goroutine has synced.
-	persisted *raft.Position
+	// persisted is what the disk goroutine has synced.
+	persisted *raft.Synced
 	// diskErr is the error that stopped the disk goroutine.
 	diskErr error
 	// dumpReply is the channel to send a state dump to.
@@ -189,7 +189,7 @@
 	case e.body != nil:
 		d.core.HandleMessage(now, d.newHandle(e.from), e.body)
 	case e.persisted != nil:
-		d.core.Persisted(now, e.persisted.Index, e.persisted.Term)
+		d.core.Persisted(now, *e.persisted)
 	case e.diskErr != nil:
 		d.log.Error("Disk has failed. This host leaves the log until it is restarted.", "err", e.diskErr)
 		d.core.Fail()
@@ -236,8 +236,8 @@
 			return nil
 		}
 		d.send(&out)
-		if last, ok := out.Last(); ok {
-			d.diskEvents.Offer(event{persisted: &last})
+		if synced := out.Synced(); !synced.Empty() {
+			d.diskEvents.Offer(event{persisted: &synced})
 		}
 	}
 }
--- a/internal/dir/core/core.go
+++ b/internal/dir/core/core.go
@@ -313,12 +313,11 @@
 	}
 }
 
-// Persisted records that the log entries up to index, the last of them of the
-// given term, are synced to disk.
-func (c *Core) Persisted(now clock.Millis, index, term uint64) {
+// Persisted records what of the log is synced to disk.
+func (c *Core) Persisted(now clock.Millis, synced raft.Synced) {
 	c.advance(now)
 	if !c.diskFailed {
-		c.node.Persisted(index, term)
+		c.node.Persisted(synced)
 	}
 }
 
--- a/internal/dir/daemon/daemon.go
+++ b/internal/dir/daemon/daemon.go
@@ -80,7 +80,7 @@
 	call   func(now clock.Millis, callID core.CallID)
 	answer chan<- core.Answer
 	// persisted, diskErr and reopened report the state of the store.
-	persisted *raft.Position
+	persisted *raft.Synced
 	// answers are those that waited for the disk.
 	answers []core.Answer
 	// listsLost is set if the server list could not be saved.
@@ -380,7 +380,7 @@
 	case e.listsLost:
 		d.core.ListsLost()
 	case e.persisted != nil:
-		d.core.Persisted(now, e.persisted.Index, e.persisted.Term)
+		d.core.Persisted(now, *e.persisted)
 	case e.diskErr != nil:
 		d.log.Error("Disk failed. This host leaves the log until it works.", "err", e.diskErr)
 		d.core.Fail()
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -52,8 +52,8 @@
 		d.peers.Send(s.Address, s.Body)
 	}
 	d.sendToWitnesses(b.DatagramsAfterSync)
-	if last, ok := b.Last(); ok {
-		d.diskEvents.Offer(event{persisted: &last})
+	if synced := b.Synced(); !synced.Empty() {
+		d.diskEvents.Offer(event{persisted: &synced})
 	}
 	return nil
 }
--- a/internal/proof/dirsim/slow_test.go
+++ b/internal/proof/dirsim/slow_test.go
@@ -117,6 +117,36 @@
 	}
 }
 
+// TestSlowDisksElectALeader guards against hosts that never elect a leader because each becomes a
+// candidate while the others store their votes. All start at once, without a log or with one, or
+// all but the leader, which is lost, go on.
+func TestSlowDisksElectALeader(t *testing.T) {
+	for _, syncTime := range []clock.Millis{150, 300, 450, 600, 750, 900} {
+		for _, start := range []string{"founders", "restarted", "leader lost"} {
+			t.Run(fmt.Sprintf("%dms,%s", syncTime, start), func(t *testing.T) {
+				for seed := range uint64(8) {
+					sim := newSimulation(t, seed, 3)
+					if start != "founders" {
+						sim.run(2500)
+					}
+					sim.syncTime = syncTime
+					switch start {
+					case "restarted":
+						for _, addr := range sim.liveHosts() {
+							sim.powerOff(addr)
+							sim.powerOn(addr)
+						}
+					case "leader lost":
+						sim.powerOff(sim.leader())
+					}
+					t.Logf("seed %d: acknowledged after %d ms", seed, sim.publishWithRetry(1, recoverTimeout))
+					qt.Check(t, sim.violations, qt.HasLen, 0)
+				}
+			})
+		}
+	}
+}
+
 // loadResult counts the calls that control hosts acknowledged under load. longestGap is the
 // longest time in which they acknowledged no publication.
 type loadResult struct {
