agree/disk: take zeroes at the end of the log for a torn record

What callers would see: after a power loss, a control host discards its whole store ("Stored log is corrupt") and returns with an empty disk, although all that it acknowledged is there.

Cause: eight zero bytes read as an empty record with a valid checksum, whose body can't be decoded. Some file systems leave zeroes of a write whose length is stored and whose content is not.

Change: an empty record is a bad one, so that it is truncated at the end of the newest segment, and an error elsewhere, as before.

TestZeroesAfterAPowerLossAreATornRecord fails without the change, with 8 zeroes.

--- a/internal/agree/disk/disk.go
+++ b/internal/agree/disk/disk.go
@@ -194,8 +194,7 @@
 // above 0. The record at offset 0 is then corrupt, not torn.
 func hasIntactRecordAfter(b []byte) bool {
 	for i := 1; i+recordHeaderSize < len(b); i++ {
-		// An empty record doesn't count: eight zero bytes form one.
-		if body, _, err := nextRecord(b[i:]); err == nil && len(body) > 0 {
+		if _, _, err := nextRecord(b[i:]); err == nil {
 			return true
 		}
 	}
@@ -231,7 +230,8 @@
 		return nil, nil, ErrCorrupt
 	}
 	length := int(binary.BigEndian.Uint32(b))
-	if length > maxRecordBody || len(b) < recordHeaderSize+length {
+	// No record is empty. Zeroes are what some file systems leave of a write after a power loss.
+	if length == 0 || length > maxRecordBody || len(b) < recordHeaderSize+length {
 		return nil, nil, ErrCorrupt
 	}
 	body = b[recordHeaderSize : recordHeaderSize+length]
--- a/internal/agree/disk/disk_test.go
+++ b/internal/agree/disk/disk_test.go
@@ -203,3 +203,19 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(stored.Entries, qt.HasLen, 4)
 }
+
+// TestZeroesAfterAPowerLossAreATornRecord guards against a store that is discarded because a file
+// system has stored the length of the last write, and not its content.
+func TestZeroesAfterAPowerLossAreATornRecord(t *testing.T) {
+	c := qt.New(t)
+	for _, zeroes := range []int{1, 8, 9, 16, 64} {
+		folder, segment := newFilledFolder(c)
+		content, err := os.ReadFile(segment)
+		c.Assert(err, qt.IsNil)
+		c.Assert(os.WriteFile(segment, append(content, make([]byte, zeroes)...), 0o600), qt.IsNil)
+		s, stored, err := disk.Open(folder)
+		c.Assert(err, qt.IsNil, qt.Commentf("%d zeroes", zeroes))
+		c.Check(stored.Entries, qt.HasLen, 10)
+		c.Assert(s.Close(), qt.IsNil)
+	}
+}
