agree/disk: sync a new segment with the first write

What callers saw: control hosts that start on a slow disk listen late: at 1.2 s a sync after 4.8 s, so that a publication of a new group is refused until then.

Cause: a start synced its new segment and the folder, then the identity and the folder again, and then the first vote, five syncs one after another.

Change: the new segment, which repeats what older ones hold, is synced with the first write, and the folder only if no other write has done that: three syncs before the first vote. A segment cut short by a power loss is torn at its end, as any other. Store.Sync tells a host that reopens its store after an error whether the disk works; Open did.

TestStartWaitsForNoSyncOfItsNewSegment counts the syncs (it fails before), and cuts the new segment at each byte.

--- a/internal/agree/disk/disk.go
+++ b/internal/agree/disk/disk.go
@@ -60,12 +60,14 @@
 	number  uint64
 	// segments are the numbers of all segments in use, oldest first.
 	segments []uint64
+	// created is set while the names of new segments may not be on disk.
+	created bool
 	// state is the latest hard state. Each new segment starts with it.
 	state raft.HardState
 }
 
 // Open opens the data folder, creating it if it doesn't exist, and returns the
-// store and its content. It always starts a new segment.
+// store and its content. It always starts a new segment, which the first write syncs.
 func Open(folder string) (*Store, raft.Stored, error) { return openWith(folder, (*os.File).Sync) }
 
 func openWith(folder string, sync func(*os.File) error) (*Store, raft.Stored, error) {
@@ -256,8 +258,8 @@
 	return filepath.Join(s.folder, fmt.Sprintf("%016x%s", number, segmentSuffix))
 }
 
-// beginSegment starts a new segment. Its first record is the current hard state, so
-// that older segments can be deleted.
+// beginSegment starts a new segment. Its first record is the current hard state, so that older
+// segments can be deleted once it is synced, as the next write does.
 func (s *Store) beginSegment() error {
 	s.number++
 	f, err := os.OpenFile(s.segmentPath(s.number), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
@@ -269,14 +271,12 @@
 	}
 	s.segment, s.size = f, 0
 	s.segments = append(s.segments, s.number)
-	if err := s.write([]record{{State: &s.state}}); err != nil {
-		return err
-	}
-	return syncFolder(s.folder)
+	s.created = true
+	return s.append([]record{{State: &s.state}})
 }
 
-// write appends records to the newest segment and syncs it.
-func (s *Store) write(records []record) error {
+// append appends records to the newest segment.
+func (s *Store) append(records []record) error {
 	var b []byte
 	for i := range records {
 		var err error
@@ -288,23 +288,35 @@
 		return eris.Wrap(err, "write segment")
 	}
 	s.size += int64(len(b))
-	return eris.Wrap(s.sync(s.segment), "sync segment")
+	return nil
+}
+
+// Sync syncs the newest segment, and its name. Open leaves that to the first write; a caller that
+// needs to know whether the disk works calls it.
+func (s *Store) Sync() error {
+	if err := s.sync(s.segment); err != nil {
+		return eris.Wrap(err, "sync segment")
+	}
+	if !s.created {
+		return nil
+	}
+	s.created = false
+	return syncFolder(s.folder)
 }
 
 // Save writes state, unless it is nil, and entries, and syncs them to disk.
 func (s *Store) Save(state *raft.HardState, entries []raft.Entry) error {
-	records := make([]record, 0, len(entries)+1)
+	records := recordsOf(state, entries)
+	if len(records) == 0 {
+		return nil
+	}
 	if state != nil {
 		s.state = *state
-		records = append(records, record{State: state})
-	}
-	for i := range entries {
-		records = append(records, record{Entry: &entries[i]})
 	}
-	if len(records) == 0 {
-		return nil
+	if err := s.append(records); err != nil {
+		return err
 	}
-	if err := s.write(records); err != nil {
+	if err := s.Sync(); err != nil {
 		return err
 	}
 	if s.size > segmentSize {
@@ -313,6 +325,18 @@
 	return nil
 }
 
+// recordsOf returns the records of a state, unless it is nil, and of entries.
+func recordsOf(state *raft.HardState, entries []raft.Entry) []record {
+	records := make([]record, 0, len(entries)+1)
+	if state != nil {
+		records = append(records, record{State: state})
+	}
+	for i := range entries {
+		records = append(records, record{Entry: &entries[i]})
+	}
+	return records
+}
+
 // SaveBatch writes a batch and syncs it to disk.
 func (s *Store) SaveBatch(b *write.Batch) error {
 	state := b.State
@@ -350,7 +374,10 @@
 	if err := s.beginSegment(); err != nil {
 		return err
 	}
-	if err := s.Save(nil, after); err != nil {
+	if err := s.append(recordsOf(nil, after)); err != nil {
+		return err
+	}
+	if err := s.Sync(); err != nil {
 		return err
 	}
 	for _, number := range old {
@@ -363,7 +390,12 @@
 
 // replaceFile atomically replaces the named file of the data folder. See Replace.
 func (s *Store) replaceFile(name string, b []byte) error {
-	return Replace(filepath.Join(s.folder, name), b)
+	if err := Replace(filepath.Join(s.folder, name), b); err != nil {
+		return err
+	}
+	// Replace has synced the folder.
+	s.created = false
+	return nil
 }
 
 // Identity returns the stored identity of the disk, or "" if none is stored yet.
--- a/internal/agree/disk/disk_test.go
+++ b/internal/agree/disk/disk_test.go
@@ -219,3 +219,41 @@
 		c.Assert(s.Close(), qt.IsNil)
 	}
 }
+
+// TestStartWaitsForNoSyncOfItsNewSegment guards against hosts that start slowly on a slow disk, and
+// against a start that loses what was stored if it is cut short.
+func TestStartWaitsForNoSyncOfItsNewSegment(t *testing.T) {
+	c := qt.New(t)
+	syncs := 0
+	sync := func(f *os.File) error {
+		syncs++
+		return f.Sync()
+	}
+	empty, _, err := disk.OpenWith(c.TempDir(), sync)
+	c.Assert(err, qt.IsNil)
+	c.Check(syncs, qt.Equals, 0)
+	c.Assert(empty.Save(&raft.HardState{Term: 1}, nil), qt.IsNil)
+	c.Check(syncs, qt.Equals, 1)
+	c.Assert(empty.Close(), qt.IsNil)
+
+	folder, _ := newFilledFolder(c)
+	syncs = 0
+	s, stored, err := disk.OpenWith(folder, sync)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Close(), qt.IsNil)
+	// The segment before may hold what a killed process has written without a sync.
+	c.Check(syncs, qt.Equals, 1)
+	begun := segments(c, folder)
+	path := begun[len(begun)-1]
+	content, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	for n := range len(content) + 1 {
+		c.Assert(os.WriteFile(path, content[:n], 0o600), qt.IsNil)
+		s, again, err := disk.Open(folder)
+		c.Assert(err, qt.IsNil, qt.Commentf("%d bytes", n))
+		c.Check(again, qt.DeepEquals, stored, qt.Commentf("%d bytes", n))
+		c.Assert(s.Close(), qt.IsNil)
+		begun := segments(c, folder)
+		c.Assert(os.Remove(begun[len(begun)-1]), qt.IsNil)
+	}
+}
--- a/internal/dir/daemon/persist.go
+++ b/internal/dir/daemon/persist.go
@@ -165,6 +165,11 @@
 			d.log.Warn("Cannot reopen the data folder yet.", "err", err)
 			continue
 		}
+		if err := store.Sync(); err != nil {
+			d.log.Warn("Cannot write to the data folder yet.", "err", err)
+			_ = store.Close()
+			continue
+		}
 		id, err := d.raftID(store, false)
 		if err != nil {
 			d.log.Warn("Cannot read the identity of the disk yet.", "err", err)
