proof/soak: publish the first version until it is acknowledged

Cause: the plays published once, with 100 attempts, and ignored the result. While control hosts that start on a slow disk don't listen yet, attempts are refused at once, and all are used up in 5 s. Nothing publishes afterwards, so that the claims of the test are never played.

Change: publishFirst repeats the publication for up to a minute, as an operator does, and fails the test if it isn't acknowledged, which wasn't checked before. All claims and their bounds are as they were: they begin after it.

--- a/internal/proof/soak/claims_test.go
+++ b/internal/proof/soak/claims_test.go
@@ -56,7 +56,7 @@
 	env.runInBackground(env.probeRelays)
 	p := &play{testEnv: env}
 	p.server = env.addIncarnation(playServer, "x", p.address(0), 0, now()-2000)
-	env.publish(1)
+	env.publishFirst()
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
 	for i := range relayCount {
 		p.openFlow(0, i)
--- a/internal/proof/soak/explain_test.go
+++ b/internal/proof/soak/explain_test.go
@@ -38,7 +38,7 @@
 	for i := range 3 {
 		env.addServer(fmt.Sprintf("i-7%x", i+1), "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
 	}
-	env.publish(1)
+	env.publishFirst()
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
 	var f *flow
 	env.await("a flow opens", func() bool { f = env.clients[0].open(portX); return f != nil })
--- a/internal/proof/soak/paused_test.go
+++ b/internal/proof/soak/paused_test.go
@@ -22,7 +22,7 @@
 	env := newTestEnv(t, 8, build(t), plain)
 	env.runInBackground(env.probeRelays)
 	env.addServer("i-81", "x", fmt.Sprintf("%s:%d", env.ip(serverGroup, 0), 9000), 0)
-	env.publish(1)
+	env.publishFirst()
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
 	env.await("a flow opens", func() bool { return env.clients[0].open(portX) != nil })
 	env.order("a", true)
--- a/internal/proof/soak/routers_test.go
+++ b/internal/proof/soak/routers_test.go
@@ -89,7 +89,7 @@
 	c := qt.New(t)
 	env := newTestEnv(t, 17, build(t), plain)
 	env.runInBackground(env.probeRelays)
-	env.publish(1)
+	env.publishFirst()
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
 	paused, dead, pausedLater := env.procs[controlCount], env.procs[controlCount+1], env.procs[controlCount+2]
 	paused.signal(syscall.SIGSTOP)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -24,6 +24,8 @@
 	// recoveryTimeout is how long the platform allows for recovery after the last
 	// fault.
 	recoveryTimeout = 12 * time.Second
+	// startTimeout is how long a test waits for control hosts that have just started.
+	startTimeout = time.Minute
 	// longFlowRequests is the mean number of requests on a long-lived flow.
 	longFlowRequests = 20
 	// minAnsweredShare is the least share of requests that must be answered after
@@ -78,7 +80,7 @@
 		}
 		env.addServer(fmt.Sprintf("i-%x%x", seed, i+1), service, fmt.Sprintf("%s:%d", env.ip(serverGroup, i), 9000), 0)
 	}
-	env.publish(1)
+	env.publishFirst()
 	env.await("all relays ready", func() bool { return len(env.readyRelays()) == relayCount })
 	for i := range 12 {
 		env.runInBackground(func() { env.runClient(env.clients[i%len(env.clients)], i%3 != 0) })
@@ -292,6 +294,17 @@
 	return true
 }
 
+// publishFirst publishes a first version until a control host acknowledges it, as an operator does,
+// so that a test begins with a group that has started: on a slow disk, the control hosts don't
+// listen yet, and all attempts of a publication may be refused within 5 s.
+func (env *testEnv) publishFirst() {
+	acknowledged := false
+	for end := time.Now().Add(startTimeout); !acknowledged && time.Now().Before(end); {
+		acknowledged = env.publish(1)
+	}
+	env.c.Assert(acknowledged, qt.IsTrue, qt.Commentf("no control host acknowledged a first version within %v", startTimeout))
+}
+
 // publishAndRead publishes new versions of the configuration and reads each back at
 // a random control host.
 func (env *testEnv) publishAndRead() {
