--- a/example_test.go
+++ b/example_test.go
@@ -44,11 +44,11 @@
 	log := monsooncleat.NewLog("c1/disk", raft.DefaultTiming, stored, 0, rand.New(rand.NewPCG(1, 1)))
 	// The only voter becomes leader once its election timeout has passed.
 	log.Tick(5000)
-	// The caller reports which entries it has written to disk.
-	log.Persisted(log.Last(), log.Term())
+	// The caller reports what it has written to disk.
+	log.Persisted(monsooncleat.LogSynced{Last: monsooncleat.LogPosition{Index: log.Last(), Term: log.Term()}})
 	index, term, err := log.Propose(5000, []byte("a command"))
 	fmt.Println(index, err)
-	log.Persisted(index, term)
+	log.Persisted(monsooncleat.LogSynced{Last: monsooncleat.LogPosition{Index: index, Term: term}})
 	for _, e := range log.Take().Committed {
 		fmt.Printf("%d %q\n", e.Index, e.Data)
 	}
--- a/monsooncleat.go
+++ b/monsooncleat.go
@@ -110,6 +110,10 @@
 	LogMessage = raft.Message
 	// LogOutput holds the actions that the caller of a Log must carry out next.
 	LogOutput = raft.Output
+	// LogSynced is what the caller of a Log has written to disk.
+	LogSynced = raft.Synced
+	// LogPosition identifies an entry of a Log.
+	LogPosition = raft.Position
 	// LogConf is the membership of a Log.
 	LogConf = raft.Conf
 )
