agree/raft: say that each write must be reported

A node starts no election while its vote is not known to be on disk, so a caller that reports entries only would leave it a follower. Only the comment changes.

--- a/internal/agree/raft/sync.go
+++ b/internal/agree/raft/sync.go
@@ -5,7 +5,8 @@
 // replaced. Installing a snapshot needs several syncs.
 const stallElections = 3
 
-// Persisted records what is synced to the local disk.
+// Persisted records what is synced to the local disk. The caller must report each write of a state
+// or of entries: a node starts no election while its vote is not known to be on disk.
 func (n *Node) Persisted(s Synced) {
 	if s.State != nil {
 		n.statePersisted(s.State)
